Lay out the workspaces, the checks and the core's messages

Cause: nothing stands yet; the whole path needs its packages, its checks and the types at its seams first. Ruled out: jest in ESM mode (experimental flag, no gain while no module needs import.meta). Conclusion: edges and the core can now be written side by side against these types.

--- /dev/null
+++ b/packages/core/src/messages.ts
@@ -0,0 +1,231 @@
+/*
+Messages that routers send to each other. The wire form is `packages/protocol/proto/peer.proto`, field by field; enums
+that travel are numbers equal to those of the proto. Times on the wire are durations in milliseconds, since clocks of
+two instances are not comparable.
+*/
+
+/** How one attempt at a target ended. */
+export enum AttemptEnd {
+	/** The whole answer arrived. */
+	Whole = 1,
+	/** No byte of the request left for the target. */
+	NotSent = 2,
+	/** The target refused it before it ran (overload, cold, draining). */
+	Refused = 3,
+	/** The connection or the stream broke after the request was sent. */
+	Broken = 4,
+	/** The caller went away and the stream was cancelled. */
+	Cancelled = 5,
+	/** The target's answer belonged to another request and was dropped. */
+	Mismatched = 6,
+}
+
+/** Why an owner hands a ticket back to the router that holds the request. */
+export enum TicketReturnReason {
+	/** The owner doesn't own a fitting target any more. */
+	NotOwner = 1,
+	/** The owner is stopping. */
+	Leaving = 2,
+	/** Another owner serves less deserving work; place the ticket there. */
+	Rebalance = 3,
+	/** The workspace's queue at the owner is full. */
+	QueueFull = 4,
+	/** The deadline can't be met any more. */
+	Late = 5,
+}
+
+export enum MemberState {
+	Active = 1,
+	/** Stops: takes no new callers, tickets or targets. */
+	Leaving = 2,
+}
+
+/** Phases of a target's budget. */
+export enum Phase {
+	Cold = 1,
+	Ramping = 2,
+	Warm = 3,
+	/** Failing: no new work until a time that doubles with each failure in a row. */
+	SetAside = 4,
+}
+
+/** Asks an owner for a permit for one request. */
+export type TicketOffer = {
+	kind: 'ticketOffer';
+	/** Request id, unique in the fleet; starts with the id of the router that holds the request. */
+	ticket: string;
+	workspace: string;
+	pool: string;
+	/** Prompt tokens, known when the request arrives. */
+	inputTokens: number;
+	/** 32-bit hash of the prompt's prefix; 0 when there is none. */
+	prefixHash: number;
+	/** Time left until the caller's deadline. */
+	remainingMs: number;
+	/** Time that the ticket has waited since the request arrived. */
+	waitedMs: number;
+	/** Targets at which this request has failed. */
+	excluded: string[];
+};
+
+export type TicketCancel = {
+	kind: 'ticketCancel';
+	ticket: string;
+};
+
+/** Gives a ticket back. */
+export type TicketReturn = {
+	kind: 'ticketReturn';
+	ticket: string;
+	reason: TicketReturnReason;
+	/** Router at which to place it next, or '' when the holder chooses. */
+	next: string;
+	/** When to come back, for refusals. */
+	retryAfterMs: number;
+};
+
+/** Lets the holder of the ticket start one request at one target. */
+export type PermitGrant = {
+	kind: 'permitGrant';
+	ticket: string;
+	target: string;
+	epoch: number;
+	/** The permit is void when the request hasn't left by then, counted from the grant. */
+	startWithinMs: number;
+};
+
+export type PermitProgress = {
+	kind: 'permitProgress';
+	/** Output tokens so far, by ticket. */
+	entries: Array<{ticket: string; outputTokens: number}>;
+};
+
+export type PermitReturn = {
+	kind: 'permitReturn';
+	ticket: string;
+	target: string;
+	epoch: number;
+	end: AttemptEnd;
+	outputTokens: number;
+	/** Time from sending the request to the first byte of the answer; 0 when none came. */
+	firstByteMs: number;
+	/** Mean time between output tokens; 0 when there were fewer than two. */
+	betweenTokensMs: number;
+};
+
+/** Tells a new owner of a permit that still runs at its target. */
+export type PermitAnnounce = {
+	kind: 'permitAnnounce';
+	target: string;
+	epoch: number;
+	/** All permits that the sender holds for the target; empty when none runs. */
+	entries: Array<{ticket: string; workspace: string; pool: string; inputTokens: number; outputTokens: number}>;
+};
+
+/** Asks a router for tickets of a pool, since the sender's targets run dry. */
+export type WorkRequest = {
+	kind: 'workRequest';
+	pool: string;
+	slots: number;
+};
+
+export type TargetHandover = {
+	kind: 'targetHandover';
+	target: string;
+	/** Epoch of the new owner. */
+	epoch: number;
+	phase: Phase;
+	budget: number;
+	entries: Array<{ticket: string; workspace: string; pool: string; inputTokens: number; outputTokens: number}>;
+};
+
+/** Service counter of one workspace at one owner. */
+export type ServiceEntry = {
+	workspace: string;
+	/** Weighted tokens charged by the sender since it started. */
+	service: number;
+	/** Tickets that wait at the sender. */
+	waiting: number;
+};
+
+/** Load of one pool at one owner. */
+export type PoolEntry = {
+	pool: string;
+	free: number;
+	budget: number;
+	waiting: number;
+	/** Least virtual time that the owner would serve next; -1 when nothing waits. */
+	frontier: number;
+};
+
+/** What a member has heard of another member. */
+export type HeardEntry = {
+	member: string;
+	incarnation: string;
+	/** Time since the member was heard from, directly or by another. */
+	ageMs: number;
+	leaseSequence: number;
+};
+
+/** Periodic state of one router. */
+export type Digest = {
+	kind: 'digest';
+	state: MemberState;
+	failureDomain: string;
+	callerUrl: string;
+	peerUrl: string;
+	/** Revision of the configuration in force at the sender. */
+	revision: number;
+	leaseSequence: number;
+	/** Time since the sender, or a member that it hears, reached the Object API; -1 when never. */
+	storeAgeMs: number;
+	services: ServiceEntry[];
+	pools: PoolEntry[];
+	heard: HeardEntry[];
+};
+
+/** Asks a peer for the release notes after a revision. */
+export type ReleaseRequest = {
+	kind: 'releaseRequest';
+	after: number;
+};
+
+export type ReleaseNotes = {
+	kind: 'releaseNotes';
+	/** Stored form of each release, in JSON, in order. */
+	releases: string[];
+};
+
+/** Asks a peer that reaches the Object API to renew the sender's lease. */
+export type LeaseRelay = {
+	kind: 'leaseRelay';
+	key: string;
+	value: string;
+	ifVersion: number;
+};
+
+export type LeaseRelayResult = {
+	kind: 'leaseRelayResult';
+	key: string;
+	/** New version, or 0 when the write didn't take effect. */
+	version: number;
+};
+
+export type PeerMessage
+	= | TicketOffer
+		| TicketCancel
+		| TicketReturn
+		| PermitGrant
+		| PermitProgress
+		| PermitReturn
+		| PermitAnnounce
+		| WorkRequest
+		| TargetHandover
+		| Digest
+		| ReleaseRequest
+		| ReleaseNotes
+		| LeaseRelay
+		| LeaseRelayResult;
+
+/** One peer message by its kind. */
+export type PeerMessageOf<Kind extends PeerMessage['kind']> = Extract<PeerMessage, {kind: Kind}>;
--- /dev/null
+++ b/packages/core/src/refusal.ts
@@ -0,0 +1,135 @@
+/*
+Refusals that callers see: one table of kinds with HTTP status, message and hint. `outcome` tells whether the request
+ran at a target: `not-run` is only said where no byte of it left for one, or where the target refused it unread.
+*/
+
+export enum Outcome {
+	NotRun = 'not-run',
+	Ran = 'ran',
+	Unknown = 'unknown',
+}
+
+export enum RefusalKind {
+	UnknownWorkspace = 'unknown-workspace',
+	UnknownPool = 'unknown-pool',
+	BodyTooLarge = 'body-too-large',
+	MalformedBody = 'malformed-body',
+	DeadlinePassed = 'deadline-passed',
+	QueueFull = 'queue-full',
+	NoCapacity = 'no-capacity',
+	NotReady = 'not-ready',
+	CutOff = 'cut-off',
+	Stopping = 'stopping',
+	TargetFailed = 'target-failed',
+	AnswerBroken = 'answer-broken',
+	KeyMissing = 'key-missing',
+	RunInProgress = 'run-in-progress',
+	RunOutcomeUnknown = 'run-outcome-unknown',
+	AnswerNotKept = 'answer-not-kept',
+	StoreUnavailable = 'store-unavailable',
+}
+
+export type Refusal = {
+	kind: RefusalKind;
+	outcome: Outcome;
+	/** Added to the message of the table, for example the pool's name; '' when there is nothing to add. */
+	detail: string;
+	/** When to come back; undefined when coming back doesn't help. */
+	retryAfterMs?: number;
+};
+
+type RefusalEntry = {
+	status: number;
+	message: (detail: string) => string;
+	/** What the caller can do about it. */
+	hint: string;
+};
+
+/** Status, message and hint of each kind of refusal. */
+export const refusals: Record<RefusalKind, RefusalEntry> = {
+	[RefusalKind.UnknownWorkspace]: {
+		status: 401,
+		message: () => 'the workspace key is missing or unknown',
+		hint: 'Send the key of the workspace as "authorization: Bearer KEY".',
+	},
+	[RefusalKind.UnknownPool]: {
+		status: 404,
+		message: detail => `no model or service is named "${detail}"`,
+		hint: 'Ask an operator which models and services the current release has.',
+	},
+	[RefusalKind.BodyTooLarge]: {
+		status: 413,
+		message: detail => `the request body is larger than ${detail} bytes`,
+		hint: 'Send a shorter prompt or split the request.',
+	},
+	[RefusalKind.MalformedBody]: {
+		status: 400,
+		message: detail => `the request is malformed: ${detail}`,
+		hint: 'Send a JSON object as docs/API.md describes.',
+	},
+	[RefusalKind.DeadlinePassed]: {
+		status: 504,
+		message: () => 'the deadline passed before the request could be served',
+		hint: 'Send the request again with a later deadline.',
+	},
+	[RefusalKind.QueueFull]: {
+		status: 429,
+		message: detail => `the queue of workspace "${detail}" is full`,
+		hint: 'Come back after the time in the Retry-After header.',
+	},
+	[RefusalKind.NoCapacity]: {
+		status: 503,
+		message: detail => `no target serves "${detail}" at the moment`,
+		hint: 'Come back after the time in the Retry-After header.',
+	},
+	[RefusalKind.NotReady]: {
+		status: 503,
+		message: () => 'the router has not seen a configuration yet',
+		hint: 'Ask another router for an address.',
+	},
+	[RefusalKind.CutOff]: {
+		status: 503,
+		message: () => 'the router is cut off from most of the fleet and starts no new work',
+		hint: 'Ask another router for an address.',
+	},
+	[RefusalKind.Stopping]: {
+		status: 503,
+		message: () => 'the router is stopping',
+		hint: 'Ask another router for an address.',
+	},
+	[RefusalKind.TargetFailed]: {
+		status: 502,
+		message: detail => `every attempt failed: ${detail}`,
+		hint: 'Come back after the time in the Retry-After header.',
+	},
+	[RefusalKind.AnswerBroken]: {
+		status: 502,
+		message: () => 'the answer broke off and could not be resumed',
+		hint: 'Drop what arrived and send the request again.',
+	},
+	[RefusalKind.KeyMissing]: {
+		status: 400,
+		message: () => 'a request that may run only once needs an idempotency key',
+		hint: 'Send a header "idempotency-key" that is unique to the request.',
+	},
+	[RefusalKind.RunInProgress]: {
+		status: 409,
+		message: () => 'a request with the same idempotency key is still running',
+		hint: 'Come back with the same key after the time in the Retry-After header.',
+	},
+	[RefusalKind.RunOutcomeUnknown]: {
+		status: 502,
+		message: () => 'the request left for its target, and whether it ran is not known',
+		hint: 'Check at the service itself; the same key is never run again.',
+	},
+	[RefusalKind.AnswerNotKept]: {
+		status: 410,
+		message: () => 'the request ran, but its answer was too large to be kept',
+		hint: 'Check at the service itself; the same key is never run again.',
+	},
+	[RefusalKind.StoreUnavailable]: {
+		status: 503,
+		message: () => 'the Object API cannot be reached, so a request that may run only once is not started',
+		hint: 'Come back after the time in the Retry-After header.',
+	},
+};
--- /dev/null
+++ b/packages/core/test/table.test.ts
@@ -0,0 +1,22 @@
+import {createTable} from '../src/table.ts';
+
+type Row = {id: string; group: string};
+
+test('a replaced row leaves the group of the row before it', () => {
+	const table = createTable<Row>({key: row => row.id, index: row => row.group});
+	table.set({id: 'a', group: 'x'});
+	table.set({id: 'a', group: 'y'});
+	expect([...table.group('x')]).toEqual([]);
+	expect([...table.group('y')]).toEqual([{id: 'a', group: 'y'}]);
+});
+
+test('a group keeps the order in which its rows came', () => {
+	const table = createTable<Row>({key: row => row.id, index: row => row.group});
+	for (const id of ['c', 'a', 'b']) {
+		table.set({id, group: 'x'});
+	}
+
+	table.delete('a');
+	expect([...table.group('x')].map(row => row.id)).toEqual(['c', 'b']);
+	expect(table.size).toBe(2);
+});
