--- /dev/null
+++ b/packages/core/src/release-codec.ts
@@ -0,0 +1,150 @@
+/*
+Stored forms of releases and snapshots, as the Object API and peers carry them. A snapshot holds a whole configuration,
+so that a router that starts empty needn't read every note. Decoding checks every field and never throws.
+*/
+import type {Configuration} from './configuration.ts';
+import {checkEntity, isRecord} from './entity-rules.ts';
+import {
+	entityKindNames, entityKinds, readNote, type NoteProblem,
+} from './release-note.ts';
+import type {ConfigurationPart, Release} from './release.ts';
+
+/** A decoded value, or why it can't be one. */
+export type Decoded<Value>
+	= | {kind: 'ok'; value: Value}
+	/** Not JSON. */
+		| {kind: 'unparsable'; reason: string}
+	/** JSON of another shape. */
+		| {kind: 'malformed'; problems: NoteProblem[]};
+
+const revisionDigits = 8;
+
+/** Key of a release in the Object API, for example `release/00000042`; keys sort as revisions do. */
+export function releaseKey(revision: number): string {
+	return `release/${String(revision).padStart(revisionDigits, '0')}`;
+}
+
+/** Key of a snapshot in the Object API, for example `snapshot/00000042`. */
+export function snapshotKey(revision: number): string {
+	return `snapshot/${String(revision).padStart(revisionDigits, '0')}`;
+}
+
+/** Stored form of a release. */
+export function encodeRelease(release: Release): string {
+	return JSON.stringify(release);
+}
+
+/** Reads the stored form of a release. Never throws. */
+export function decodeRelease(text: string): Decoded<Release> {
+	return decode(text, releaseProblems);
+}
+
+/** Stored form of a whole configuration. */
+export function encodeSnapshot(configuration: Configuration): string {
+	const {revision} = configuration;
+	return JSON.stringify({
+		revision,
+		workspaces: [...configuration.workspaces.values()],
+		targets: [...configuration.targets.values()],
+		failureDomains: [...configuration.failureDomains.values()],
+	});
+}
+
+/** Reads the stored form of a whole configuration. Never throws. */
+export function decodeSnapshot(text: string): Decoded<Configuration> {
+	const decoded = decode<ConfigurationPart & {revision: number}>(text, snapshotProblems);
+	if (decoded.kind !== 'ok') {
+		return decoded;
+	}
+
+	const {revision, ...part} = decoded.value;
+	return {kind: 'ok', value: fromPart(revision, part)};
+}
+
+function fromPart(revision: number, {workspaces, targets, failureDomains}: ConfigurationPart): Configuration {
+	return {
+		revision,
+		workspaces: new Map(workspaces.map(workspace => [workspace.id, workspace])),
+		targets: new Map(targets.map(target => [target.id, target])),
+		failureDomains: new Map(failureDomains.map(failureDomain => [failureDomain.name, failureDomain])),
+	};
+}
+
+function decode<Value>(text: string, check: (value: unknown) => NoteProblem[]): Decoded<Value> {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch (error) {
+		return {kind: 'unparsable', reason: error instanceof Error ? error.message : String(error)};
+	}
+
+	const problems = check(value);
+	// Checked above, field by field.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	return problems.length > 0 ? {kind: 'malformed', problems} : {kind: 'ok', value: value as Value};
+}
+
+function invalid(path: string, value: unknown, expected: string): NoteProblem {
+	return {
+		kind: 'invalid', path, value, expected,
+	};
+}
+
+function checkRevision(value: unknown, least: number): NoteProblem[] {
+	const sound = typeof value === 'number' && Number.isSafeInteger(value) && value >= least;
+	return sound ? [] : [invalid('revision', value, `a whole number from ${least}`)];
+}
+
+function checkTexts(value: Record<string, unknown>, fields: readonly string[], prefix: string): NoteProblem[] {
+	return fields.filter(field => typeof value[field] !== 'string')
+		.map(field => invalid(prefix + field, value[field], 'a string'));
+}
+
+function releaseProblems(value: unknown): NoteProblem[] {
+	if (!isRecord(value)) {
+		return [invalid('release', value, 'an object')];
+	}
+
+	const reading = readNote(value.note);
+	return [
+		...checkRevision(value.revision, 1),
+		...(reading.kind === 'malformed' ? reading.problems : []),
+		...checkTexts(value, ['nonce'], ''),
+		...auditProblems(value.audit),
+	];
+}
+
+function auditProblems(audit: unknown): NoteProblem[] {
+	if (!isRecord(audit)) {
+		return [invalid('audit', audit, 'an object')];
+	}
+
+	return [
+		...checkTexts(audit, ['at', 'operator', 'action', 'reason'], 'audit.'),
+		...partProblems(audit.before, 'audit.before'),
+		...partProblems(audit.after, 'audit.after'),
+	];
+}
+
+function snapshotProblems(value: unknown): NoteProblem[] {
+	return isRecord(value)
+		? [...checkRevision(value.revision, 0), ...partProblems(value, 'snapshot')]
+		: [invalid('snapshot', value, 'an object')];
+}
+
+function partProblems(part: unknown, path: string): NoteProblem[] {
+	if (!isRecord(part)) {
+		return [invalid(path, part, 'an object')];
+	}
+
+	return entityKindNames.flatMap(kind => {
+		const entities = part[kind];
+		if (!Array.isArray(entities)) {
+			return [invalid(`${path}.${kind}`, entities, 'a list')];
+		}
+
+		return entities.flatMap((entity, index) =>
+			checkEntity(entityKinds[kind].rules, entity, `${path}.${kind}[${index}]`)
+				.map(violation => invalid(violation.path, violation.value, violation.expected)));
+	});
+}
--- /dev/null
+++ b/packages/core/src/release.ts
@@ -0,0 +1,221 @@
+/*
+Releases: a note turns the configuration of revision N into that of revision N + 1, and travels with its audit entry in
+one stored value. Everything here is pure; the stored forms are in `release-codec.ts`.
+*/
+import type {
+	Configuration, FailureDomain, Target, Workspace,
+} from './configuration.ts';
+import {
+	entityKindNames, readNote, type Changes, type EntityKind, type NoteProblem, type ReleaseNote,
+} from './release-note.ts';
+
+/** The next configuration, or why the note doesn't fit the one given. */
+export type NoteResult
+	= | {kind: 'ok'; configuration: Configuration}
+		| {kind: 'refused'; problems: NoteProblem[]};
+
+/** Entities of a configuration, as lists. */
+export type ConfigurationPart = {
+	workspaces: Workspace[];
+	targets: Target[];
+	failureDomains: FailureDomain[];
+};
+
+/** Who changed what, when and why. Workspace keys appear only as hashes. */
+export type AuditEntry = {
+	/** Wall-clock time in ISO 8601 form, UTC. */
+	at: string;
+	/** Name of the operator, from the router's settings. */
+	operator: string;
+	/** For example `release apply` or `domain out`. */
+	action: string;
+	/** Entities that the note touches, as they were. */
+	before: ConfigurationPart;
+	/** The same entities, as they are from this revision on. */
+	after: ConfigurationPart;
+	reason: string;
+};
+
+export type Release = {
+	/** Revision that the note leads to, from 1. */
+	revision: number;
+	note: ReleaseNote;
+	audit: AuditEntry;
+	/** Random; recognises the writer's own release when the answer to its write was lost. */
+	nonce: string;
+};
+
+/**
+Applies a note to a configuration, which stays as it is. The new one has the next revision. All problems are reported
+together; a note is applied whole or not at all.
+*/
+export function applyNote(configuration: Configuration, note: ReleaseNote): NoteResult {
+	const reading = readNote(note);
+	if (reading.kind === 'malformed') {
+		return {kind: 'refused', problems: reading.problems};
+	}
+
+	if (touchedIds(note).length === 0) {
+		return {kind: 'refused', problems: [{kind: 'empty'}]};
+	}
+
+	const next = copyOf(configuration);
+	const problems = entityKindNames.flatMap(kind => applyKind(next, note, kind));
+	problems.push(...checkReferences(next, note), ...checkBudgets(next, note), ...checkKeys(next, note));
+	return problems.length > 0 ? {kind: 'refused', problems} : {kind: 'ok', configuration: next};
+}
+
+/** The entities of a configuration that a note touches; absent ones are left out. */
+export function partTouched(configuration: Configuration, note: ReleaseNote): ConfigurationPart {
+	const part: ConfigurationPart = {workspaces: [], targets: [], failureDomains: []};
+	for (const {kind, id} of touchedIds(note)) {
+		const entity = configuration[kind].get(id);
+		if (entity !== undefined) {
+			(part[kind] as Entity[]).push(entity);
+		}
+	}
+
+	return part;
+}
+
+type Entity = Workspace | Target | FailureDomain;
+
+/** A whole entity, or its name and the fields that change. */
+type Entry = NonNullable<Changes[EntityKind]>[number];
+
+type Touch = {
+	kind: EntityKind;
+	section: keyof ReleaseNote;
+	id: string;
+	path: string;
+	/** Undefined when the entity is withdrawn. */
+	entry?: Entry;
+};
+
+function idOf(entry: Entry | string): string {
+	if (typeof entry === 'string') {
+		return entry;
+	}
+
+	return 'id' in entry ? entry.id : entry.name;
+}
+
+function touches(note: ReleaseNote, section: keyof ReleaseNote, kind: EntityKind): Touch[] {
+	const entries: ReadonlyArray<Entry | string> = note[section]?.[kind] ?? [];
+	return entries.map((entry, index) => ({
+		kind,
+		section,
+		id: idOf(entry),
+		path: `${section}.${kind}[${index}]`,
+		...(typeof entry !== 'string' && {entry}),
+	}));
+}
+
+function touchesOfKind(note: ReleaseNote, kind: EntityKind): Touch[] {
+	return (['withdrawn', 'added', 'changed'] as const).flatMap(section => touches(note, section, kind));
+}
+
+function touchedIds(note: ReleaseNote): Touch[] {
+	return entityKindNames.flatMap(kind => touchesOfKind(note, kind));
+}
+
+function copyOf(configuration: Configuration): Configuration {
+	return {
+		revision: configuration.revision + 1,
+		workspaces: new Map(configuration.workspaces),
+		targets: new Map(configuration.targets),
+		failureDomains: new Map(configuration.failureDomains),
+	};
+}
+
+function applyKind(next: Configuration, note: ReleaseNote, kind: EntityKind): NoteProblem[] {
+	const table = next[kind] as Map<string, Entity>;
+	const seen = new Set<string>();
+	return touchesOfKind(note, kind).flatMap(touch => {
+		if (seen.has(touch.id)) {
+			return [{kind: 'repeated', path: touch.path, id: touch.id} as const];
+		}
+
+		seen.add(touch.id);
+		return applyTouch[touch.section](table, touch);
+	});
+}
+
+/** Changes the table of one kind, by section of the note. */
+const applyTouch: Record<keyof ReleaseNote, (table: Map<string, Entity>, touch: Touch) => NoteProblem[]> = {
+	added(table, {id, path, entry}) {
+		if (table.has(id)) {
+			return [{kind: 'exists', path, id}];
+		}
+
+		// `readNote` has found every field of an added entity.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		table.set(id, entry as Entity);
+		return [];
+	},
+	changed(table, {id, path, entry}) {
+		const before = table.get(id);
+		if (before === undefined) {
+			return [{kind: 'unknown', path, id}];
+		}
+
+		table.set(id, {...before, ...entry});
+		return [];
+	},
+	withdrawn: (table, {id, path}) => table.delete(id) ? [] : [{kind: 'unknown', path, id}],
+};
+
+/** Every target of the new configuration lies in a failure domain that exists. */
+function checkReferences(next: Configuration, note: ReleaseNote): NoteProblem[] {
+	const withdrawn = touches(note, 'withdrawn', 'failureDomains');
+	const problems: NoteProblem[] = [];
+	for (const {id, path} of withdrawn) {
+		const targets = [...next.targets.values()].filter(target => target.failureDomain === id).map(target => target.id);
+		if (targets.length > 0) {
+			problems.push({
+				kind: 'inUse', path, id, targets,
+			});
+		}
+	}
+
+	for (const {id, path} of setTouches(note, 'targets')) {
+		const failureDomain = next.targets.get(id)?.failureDomain;
+		const reported = withdrawn.some(touch => touch.id === failureDomain);
+		if (failureDomain !== undefined && !reported && !next.failureDomains.has(failureDomain)) {
+			problems.push({kind: 'unknownFailureDomain', path, failureDomain});
+		}
+	}
+
+	return problems;
+}
+
+function checkBudgets(next: Configuration, note: ReleaseNote): NoteProblem[] {
+	return setTouches(note, 'targets').flatMap(({id, path}) => {
+		const target = next.targets.get(id);
+		if (target === undefined || target.coldBudget <= target.warmBudget) {
+			return [];
+		}
+
+		const expected = `at most warmBudget, which is ${target.warmBudget}`;
+		return [{
+			kind: 'invalid', path: `${path}.coldBudget`, value: target.coldBudget, expected,
+		} as const];
+	});
+}
+
+function checkKeys(next: Configuration, note: ReleaseNote): NoteProblem[] {
+	return setTouches(note, 'workspaces').flatMap(({id, path}) => {
+		const keyHash = next.workspaces.get(id)?.keyHash;
+		const other = [...next.workspaces.values()].find(workspace => workspace.id !== id && workspace.keyHash === keyHash);
+		return other === undefined
+			? []
+			: [{
+				kind: 'sharedKey', path, id, other: other.id,
+			} as const];
+	});
+}
+
+/** Entities that the note adds or changes. */
+function setTouches(note: ReleaseNote, kind: EntityKind): Touch[] {
+	return touchesOfKind(note, kind).filter(touch => touch.section !== 'withdrawn');
+}
