--- a/packages/settings/src/release-note.ts
+++ b/packages/settings/src/release-note.ts
@@ -64,24 +64,24 @@
 
 const changedTarget = z.strictObject(withoutDefaults(targetFields)).partial().required({id: true});
 
-const names = z.array(entityName());
+const names = z.array(entityName()).optional();
 
 const added = z.strictObject({
-	workspaces: z.array(addedWorkspace).optional(),
-	targets: z.array(z.strictObject(targetFields)).optional(),
-	failureDomains: z.array(z.strictObject(failureDomainFields)).optional(),
+	workspaces: z.array(addedWorkspace).optional().describe('New workspaces.'),
+	targets: z.array(z.strictObject(targetFields)).optional().describe('New targets.'),
+	failureDomains: z.array(z.strictObject(failureDomainFields)).optional().describe('New failure domains.'),
 });
 
 const changed = z.strictObject({
-	workspaces: z.array(changedWorkspace).optional(),
-	targets: z.array(changedTarget).optional(),
-	failureDomains: z.array(z.strictObject(withoutDefaults(failureDomainFields))).optional(),
+	workspaces: z.array(changedWorkspace).optional().describe('Workspaces that change.'),
+	targets: z.array(changedTarget).optional().describe('Targets that change.'),
+	failureDomains: z.array(z.strictObject(withoutDefaults(failureDomainFields))).optional().describe('Failure domains that go out or come in.'),
 });
 
 const withdrawn = z.strictObject({
-	workspaces: names.optional(),
-	targets: names.optional(),
-	failureDomains: names.optional(),
+	workspaces: names.describe('Names of workspaces.'),
+	targets: names.describe('Names of targets; a withdrawn target gets no new work.'),
+	failureDomains: names.describe('Names of failure domains without targets.'),
 });
 
 /** Schema of a release note in YAML. */
--- a/packages/settings/src/router-settings.ts
+++ b/packages/settings/src/router-settings.ts
@@ -44,7 +44,7 @@
 const advertise = z.strictObject({
 	callers: baseUrl().optional().describe('URL that callers are told; from `listen.callers` when absent.'),
 	peers: baseUrl().optional().describe('URL that other routers are told; from `listen.peers` when absent.'),
-}).describe('Addresses under which others reach this router.');
+}).prefault({}).describe('Addresses under which others reach this router.');
 
 const platform = z.strictObject({
 	url: baseUrl().describe('Base URL of the Object API and the instance list.'),
@@ -96,7 +96,7 @@
 export const routerSettingsSchema = z.strictObject({
 	router: instance,
 	listen,
-	advertise: advertise.prefault({}),
+	advertise,
 	bindAddress: ipNumber().optional().describe('Source address of outgoing connections; the system\'s choice when absent.'),
 	platform,
 	operators: z.array(operator).default([]).describe('Operators who may use the operators\' listener.'),
