Add the operators' client and the page of its API

Cause: operators drive the fleet by release notes and need to see what it does. Ruled out: letting sade report wrong usage, since it ends the process with code 1 and knows no nearest name; the command line is read against the table first. Ruled out: treating a lost answer to a release as a failure; it may have been accepted, so the message says that it isn't known and where to look. Change: packages/cli with a file a command group, one error table with hints and exit codes, the bodies of the API in core/operator-api.ts, docs/OPERATORS-API.md. Conclusion: the client works against a fake listener; against a router not run.

--- /dev/null
+++ b/packages/cli/src/cli/commands.ts
@@ -0,0 +1,31 @@
+/*
+The table of commands, in the order of the help.
+*/
+import type {Command} from './command.ts';
+import {audit} from './commands/audit.ts';
+import {domainIn, domainOut} from './commands/domain.ts';
+import {releaseApply} from './commands/release-apply.ts';
+import {releaseCheck} from './commands/release-check.ts';
+import {releaseHistory} from './commands/release-history.ts';
+import {releaseStatus} from './commands/release-status.ts';
+import {routerList} from './commands/router.ts';
+import {targetDrain, targetList, targetShow} from './commands/target.ts';
+import {top} from './commands/top.ts';
+import {workspaceList, workspaceShow} from './commands/workspace.ts';
+
+export const commands: readonly Command[] = [
+	releaseCheck,
+	releaseApply,
+	releaseStatus,
+	releaseHistory,
+	domainOut,
+	domainIn,
+	targetList,
+	targetDrain,
+	targetShow,
+	workspaceList,
+	workspaceShow,
+	routerList,
+	audit,
+	top,
+];
--- /dev/null
+++ b/packages/cli/src/cli/commands/target.ts
@@ -0,0 +1,65 @@
+/*
+`target list`, `target show` and `target drain`.
+*/
+import {Standing} from '@shallotloom/core/configuration.ts';
+import {PhaseName, type TargetReply} from '@shallotloom/core/operator-api.ts';
+import {fieldsText, findNamed} from '../../find.ts';
+import {tableText, type Cell} from '../../table-text.ts';
+import {report, reportOf, type Command} from '../command.ts';
+
+const phaseColours = {
+	[PhaseName.Cold]: 'yellow',
+	[PhaseName.Ramping]: 'yellow',
+	[PhaseName.Warm]: 'green',
+	[PhaseName.SetAside]: 'red',
+} as const;
+
+export const targetList: Command = {
+	usage: 'target list',
+	describe: 'List targets with owner, phase and permits',
+	example: 'target list',
+	run: async ({client, terminal}) => reportOf(await client.targets(), targets => targetsText(targets, terminal.colour)),
+};
+
+export const targetShow: Command = {
+	usage: 'target show <id>',
+	describe: 'Show one target',
+	example: 'target show suva-engine-1',
+	async run({positionals: [id = ''], client}) {
+		const target = findNamed('target', id, await client.targets());
+		return reportOf(target, found => fieldsText(found));
+	},
+};
+
+export const targetDrain: Command = {
+	usage: 'target drain <id>',
+	describe: 'Give a target no new work; running answers finish',
+	example: 'target drain suva-engine-1 --reason "driver update"',
+	options: [{name: 'reason', value: 'TEXT', describe: 'Why, for the audit trail'}],
+	async run({positionals: [id = ''], options, client}) {
+		const result = await client.apply({
+			note: {changed: {targets: [{id, standing: Standing.Out}]}},
+			reason: options.reason ?? '',
+			action: 'target drain',
+		});
+		return result.kind === 'failed'
+			? result
+			: report(`target ${id} gets no new work from revision ${result.value.revision} on`, {...result.value, id, standing: Standing.Out});
+	},
+};
+
+/** Targets as a table. */
+export function targetsText(targets: readonly TargetReply[], colour: boolean): string {
+	const rows = targets.map((target): Cell[] => [
+		target.id,
+		target.kind,
+		target.failureDomain,
+		target.standing === Standing.In ? target.standing : {text: target.standing, colour: 'red'},
+		{text: target.phase, colour: phaseColours[target.phase]},
+		`${target.running}/${target.budget}`,
+		target.owner === '' ? {text: 'none', colour: 'red'} : target.owner,
+		target.epoch,
+		target.pools.join(','),
+	]);
+	return tableText(['TARGET', 'KIND', 'DOMAIN', 'STANDING', 'PHASE', 'PERMITS', 'OWNER', 'EPOCH', 'POOLS'], rows, colour);
+}
--- /dev/null
+++ b/packages/cli/src/describe.ts
@@ -0,0 +1,63 @@
+/*
+Words for releases: what a note names, and how the entities that it touches differ before and after.
+*/
+import {entityKindNames, type EntityKind, type ReleaseNote} from '@shallotloom/core/release-note.ts';
+import type {ConfigurationPart} from '@shallotloom/core/release.ts';
+
+const singular: Record<EntityKind, string> = {
+	workspaces: 'workspace',
+	targets: 'target',
+	failureDomains: 'failure domain',
+};
+
+/** One line, for example `changed failure domain suva; withdrawn target engine-1`. */
+export function describeNote(note: ReleaseNote): string {
+	const sections = (['added', 'changed', 'withdrawn'] as const).flatMap(section =>
+		entityKindNames.map(kind => describeEntries(section, kind, note)));
+	return sections.filter(text => text !== '').join('; ');
+}
+
+function describeEntries(section: keyof ReleaseNote, kind: EntityKind, note: ReleaseNote): string {
+	const entries: ReadonlyArray<string | {id: string} | {name: string}> = note[section]?.[kind] ?? [];
+	if (entries.length === 0) {
+		return '';
+	}
+
+	const names = entries.map(entry => typeof entry === 'string' ? entry : nameOf(entry));
+	return `${section} ${singular[kind]}${names.length > 1 ? 's' : ''} ${names.join(', ')}`;
+}
+
+/** One line an entity that differs, for example `failure domain suva: standing in -> out`. */
+export function describePart(before: ConfigurationPart, after: ConfigurationPart): string {
+	return entityKindNames.flatMap(kind => {
+		const old = byName(before[kind]);
+		const next = byName(after[kind]);
+		return [...new Set([...old.keys(), ...next.keys()])].map(name =>
+			`  ${singular[kind]} ${name}: ${describeChange(old.get(name), next.get(name))}`);
+	}).join('\n');
+}
+
+type Fields = Record<string, unknown>;
+
+function describeChange(before: Fields | undefined, after: Fields | undefined): string {
+	if (before === undefined || after === undefined) {
+		return before === undefined ? 'added' : 'withdrawn';
+	}
+
+	const fields = Object.keys(after).filter(field => JSON.stringify(before[field]) !== JSON.stringify(after[field]));
+	return fields.length === 0
+		? 'unchanged'
+		: fields.map(field => `${field} ${shown(before[field])} -> ${shown(after[field])}`).join(', ');
+}
+
+function byName(entities: ReadonlyArray<{id: string} | {name: string}>): Map<string, Fields> {
+	return new Map(entities.map(entity => [nameOf(entity), {...entity}]));
+}
+
+function nameOf(entity: {id: string} | {name: string}): string {
+	return 'id' in entity ? entity.id : entity.name;
+}
+
+function shown(value: unknown): string {
+	return typeof value === 'string' ? value : JSON.stringify(value);
+}
--- /dev/null
+++ b/packages/core/src/operator-api.ts
@@ -0,0 +1,110 @@
+/*
+Bodies that the operators' listener of a router and the operators' client exchange; docs/OPERATORS-API.md describes the
+endpoints. Times are durations in milliseconds unless a field says otherwise.
+*/
+import type {Standing, TargetKind} from './configuration.ts';
+import type {NoteProblem, ReleaseNote} from './release-note.ts';
+import type {AuditEntry} from './release.ts';
+
+export enum RouterState {
+	/** Has no configuration yet. */
+	Starting = 'starting',
+	Active = 'active',
+	/** Hears too little of the fleet to start new work. */
+	CutOff = 'cut-off',
+	/** In a planned stop. */
+	Leaving = 'leaving',
+}
+
+/** Phase of a target's budget, by name. */
+export enum PhaseName {
+	Cold = 'cold',
+	Ramping = 'ramping',
+	Warm = 'warm',
+	SetAside = 'set-aside',
+}
+
+export type StatusReply = {
+	/** Id of the router that answers. */
+	router: string;
+	/** Revision in force at this router. */
+	revision: number;
+	state: RouterState;
+	leaseAgeMs: number;
+	/** On how many routers the revision is in force, as this router has heard. */
+	inForce: {revision: number; members: number; of: number};
+};
+
+export type MemberReply = {
+	id: string;
+	failureDomain: string;
+	state: RouterState;
+	revision: number;
+	/** Time since it was heard; 0 for the router that answers. */
+	heardAgeMs: number;
+	callerUrl: string;
+	/** Number of targets that it owns. */
+	targets: number;
+};
+
+export type TargetReply = {
+	id: string;
+	kind: TargetKind;
+	failureDomain: string;
+	pools: string[];
+	standing: Standing;
+	/** Id of the owning router; '' when none is known. */
+	owner: string;
+	epoch: number;
+	phase: PhaseName;
+	/** Most requests at once, at present. */
+	budget: number;
+	running: number;
+};
+
+export type WorkspaceReply = {
+	id: string;
+	weight: number;
+	/** Requests that wait. */
+	waiting: number;
+	running: number;
+	/** Weighted tokens charged so far. */
+	service: number;
+	/** Part of the whole capacity that its weight gives, from 0 to 1. */
+	share: number;
+	/** Weighted tokens by which it is behind its share; negative when ahead. */
+	gapToShare: number;
+};
+
+export type ReleaseReply = {
+	revision: number;
+	note: ReleaseNote;
+	audit: AuditEntry;
+};
+
+export type CheckRequest = {note: ReleaseNote};
+
+export type CheckReply = {
+	/** Revision that the note was checked against. */
+	revision: number;
+	problems: NoteProblem[];
+};
+
+export type ApplyRequest = {
+	note: ReleaseNote;
+	reason: string;
+	/** For the audit trail; `release apply` when absent. */
+	action?: string;
+	/** Refuse the note when another revision is in force. */
+	ifRevision?: number;
+};
+
+export type ApplyReply = {revision: number};
+
+/** What an error reply says; `hint` is what the operator can do about it. */
+export type ErrorReply = {
+	error:
+		| {kind: 'superseded'; message: string; hint: string; revision: number; audit: AuditEntry}
+		| {kind: 'invalid'; message: string; hint: string; problems: NoteProblem[]}
+		| {kind: 'unauthorized' | 'not-found' | 'malformed' | 'store-unavailable' | 'unknown-outcome'; message: string; hint: string};
+};
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -2,6 +2,7 @@
 Reads a YAML file and checks it against a schema. Every fault of the file comes back as a tagged result; nothing throws.
 */
 import {readFile} from 'node:fs/promises';
+import {isRecord} from '@shallotloom/core/entity-rules.ts';
 import {parseDocument} from 'yaml';
 import type {z} from 'zod';
 import {problemsOf, type Problem} from './problems.ts';
@@ -22,7 +23,7 @@
 	try {
 		text = await readFile(file, 'utf8');
 	} catch (error) {
-		const code = error instanceof Error && 'code' in error ? String(error.code) : 'unknown error';
+		const code = isRecord(error) && typeof error.code === 'string' ? error.code : 'unknown error';
 		return {kind: 'unreadable', problems: [{path: '', value: file, expected: `a file that can be read (${code})`}]};
 	}
 
--- a/packages/settings/src/problems.ts
+++ b/packages/settings/src/problems.ts
@@ -20,8 +20,8 @@
 
 type Issue = z.core.$ZodIssue;
 
-/** Edits up to which a known key is offered for an unknown one. */
-const nearestKeyEdits = 3;
+/** Edits up to which a known name is offered for an unknown one. */
+const nearestNameEdits = 3;
 
 const secretName = /key|token|secret|password/iv;
 
@@ -54,13 +54,18 @@
 function unknownKey(schema: z.ZodType, path: readonly PropertyKey[], key: string): Problem {
 	const parent = schemaAt(schema, path);
 	const known = parent === undefined ? [] : Object.keys(optionsOf(parent));
-	const candidate = known.length === 0 ? undefined : closest(key, known);
-	const near = candidate !== undefined && distance(key, candidate) <= nearestKeyEdits;
+	const nearest = nearestName(key, known);
 	return {
-		path: pathText([...path, key]), value: undefined, expected: unknownKeyExpectation, ...(near && {nearest: candidate}),
+		path: pathText([...path, key]), value: undefined, expected: unknownKeyExpectation, ...(nearest !== undefined && {nearest}),
 	};
 }
 
+/** The known name that is meant by an unknown one; undefined when none is near. */
+export function nearestName(name: string, known: readonly string[]): string | undefined {
+	const candidate = known.length === 0 ? undefined : closest(name, known);
+	return candidate !== undefined && distance(name, candidate) <= nearestNameEdits ? candidate : undefined;
+}
+
 const limitWords = {
 	too_small: (issue: Extract<Issue, {code: 'too_small'}>) =>
 		`${issue.inclusive ? 'at least' : 'more than'} ${issue.minimum}${unitOf(issue.origin)}`,
