Bound the size of a stored release, and ignore undefined fields of a change

Ruled out: refusing undefined fields, since callers inside the program build changes from optional values. Change: applyNote drops undefined fields; checkSize and the problem tooLarge; help falls back to the list of commands. Property tests with fixed seeds read damaged notes and replay random ones.

--- a/packages/cli/src/cli/program.ts
+++ b/packages/cli/src/cli/program.ts
@@ -26,7 +26,7 @@
 /** Runs one command line, without the names of node and script, and gives the exit code. */
 export async function runProgram(args: readonly string[], surroundings: Surroundings): Promise<ExitCode> {
 	if (args.some(word => ['--help', '-h', '--version', '-v'].includes(word))) {
-		describeProgram(surroundings.version).parse(['node', 'shallotloom', ...args.filter(word => word !== '--json')], {lazy: true});
+		printHelp(args, surroundings.version);
 		return ExitCode.Ok;
 	}
 
@@ -36,6 +36,13 @@
 	return result.kind === 'ok' ? printReport(result.value, json, surroundings) : printError(result.error, json, surroundings);
 }
 
+/** Prints the version, or the help of the command that is named, or that of the program. */
+function printHelp(args: readonly string[], version: string) {
+	const command = commands.find(candidate => nameWords(candidate).every((word, index) => args[index] === word));
+	const flag = args.some(word => ['--version', '-v'].includes(word)) ? '--version' : '--help';
+	describeProgram(version).parse(['node', 'shallotloom', ...command === undefined ? [] : nameWords(command), flag], {lazy: true});
+}
+
 /** Table of commands in sade's form, which prints the help. */
 function describeProgram(version: string) {
 	const program = sade('shallotloom').version(version);
--- a/packages/cli/test/program.test.ts
+++ b/packages/cli/test/program.test.ts
@@ -194,3 +194,38 @@
 	expect(String(printed.mock.calls[0])).toMatch(new RegExp(String.raw`Examples\n\s+\$ shallotloom ${name}`, 'v'));
 	printed.mockRestore();
 });
+
+test.each(['--help', 'release --help', 'none --help', '-h'])('%s lists the commands', async line => {
+	const printed = jest.spyOn(console, 'log').mockImplementation();
+	expect((await run(line)).exitCode).toBe(0);
+	expect(String(printed.mock.calls[0])).toContain('release check');
+	printed.mockRestore();
+});
+
+test('top redraws on a terminal, past an error, until it is asked to end', async () => {
+	const ending = new AbortController();
+	const screens: string[] = [];
+	const exitCode = await runProgram(['top'], {
+		environment: {SHALLOTLOOM_ROUTER: router.url, SHALLOTLOOM_KEY: 'duty-key'},
+		terminal: {
+			interactive: true,
+			colour: true,
+			signal: ending.signal,
+			write(text) {
+				screens.push(text);
+				router.replies.set('GET status', 'hang-up');
+				if (screens.length === 2) {
+					ending.abort();
+				}
+			},
+		},
+		version: '0',
+		writeError() {
+			throw new Error('no error ends the view');
+		},
+	});
+	expect(exitCode).toBe(0);
+	expect(screens).toHaveLength(2);
+	expect(screens[0]).toContain('nadi-college');
+	expect(screens[1]).toContain('no answer from');
+});
--- a/packages/core/src/release-codec.ts
+++ b/packages/core/src/release-codec.ts
@@ -34,6 +34,15 @@
 	return JSON.stringify(release);
 }
 
+/** Most bytes that the Object API takes for one value. */
+export const maxStoredBytes = 1_000_000;
+
+/** Whether a stored form fits into one value of the Object API. */
+export function checkSize(text: string): NoteProblem[] {
+	const bytes = new TextEncoder().encode(text).length;
+	return bytes > maxStoredBytes ? [{kind: 'tooLarge', bytes, limitBytes: maxStoredBytes}] : [];
+}
+
 /** Reads the stored form of a release. Never throws. */
 export function decodeRelease(text: string): Decoded<Release> {
 	return decode(text, releaseProblems);
@@ -75,7 +84,7 @@
 	try {
 		value = JSON.parse(text);
 	} catch (error) {
-		return {kind: 'unparsable', reason: error instanceof Error ? error.message : String(error)};
+		return {kind: 'unparsable', reason: String(error)};
 	}
 
 	const problems = check(value);
--- a/packages/core/src/release-note.ts
+++ b/packages/core/src/release-note.ts
@@ -62,7 +62,9 @@
 	/** Withdraws a failure domain that still has targets. */
 		| {kind: 'inUse'; path: string; id: string; targets: string[]}
 	/** Two workspaces with the same key. */
-		| {kind: 'sharedKey'; path: string; id: string; other: string};
+		| {kind: 'sharedKey'; path: string; id: string; other: string}
+	/** The stored form is larger than the Object API takes. */
+		| {kind: 'tooLarge'; bytes: number; limitBytes: number};
 
 type ProblemTexts = {[Kind in NoteProblem['kind']]: {
 	message: (problem: Extract<NoteProblem, {kind: Kind}>) => string;
@@ -104,6 +106,10 @@
 		message: problem => `${problem.path} gives "${problem.id}" the key of workspace "${problem.other}"`,
 		hint: 'Give each workspace a key of its own.',
 	},
+	tooLarge: {
+		message: problem => `the release takes ${problem.bytes} bytes, more than the Object API's ${problem.limitBytes}`,
+		hint: 'Split the note into several releases.',
+	},
 };
 
 /** Message of one problem. */
--- a/packages/core/src/release.ts
+++ b/packages/core/src/release.ts
@@ -159,7 +159,9 @@
 			return [{kind: 'unknown', path, id}];
 		}
 
-		table.set(id, {...before, ...entry});
+		// A field that is present but undefined changes nothing.
+		const given = Object.fromEntries(Object.entries(entry ?? {}).filter(([, value]) => value !== undefined));
+		table.set(id, {...before, ...given});
 		return [];
 	},
 	withdrawn: (table, {id, path}) => table.delete(id) ? [] : [{kind: 'unknown', path, id}],
--- a/packages/core/test/release.test.ts
+++ b/packages/core/test/release.test.ts
@@ -1,9 +1,10 @@
+import fc from 'fast-check';
 import {
 	emptyConfiguration, Standing, TargetKind, type Configuration, type Target, type Workspace,
 } from '../src/configuration.ts';
 import {noteProblemMessage, readNote, type ReleaseNote} from '../src/release-note.ts';
 import {
-	decodeRelease, decodeSnapshot, encodeRelease, encodeSnapshot, releaseKey,
+	checkSize, decodeRelease, decodeSnapshot, encodeRelease, encodeSnapshot, maxStoredBytes, releaseKey,
 } from '../src/release-codec.ts';
 import {applyNote, partTouched, type Release} from '../src/release.ts';
 
@@ -154,3 +155,55 @@
 test('keys of releases sort as revisions do', () => {
 	expect([9, 10, 100].map(revision => releaseKey(revision)).toSorted()).toEqual(['release/00000009', 'release/00000010', 'release/00000100']);
 });
+
+test('a field that is undefined changes nothing', () => {
+	expect(applied(base, {changed: {workspaces: [{id: 'ba', weight: undefined}]}}).workspaces.get('ba')).toEqual(workspace('ba'));
+});
+
+test('a release larger than a value of the Object API is found', () => {
+	const text = 'ä'.repeat(maxStoredBytes / 2);
+	expect(checkSize(text)).toEqual([]);
+	expect(checkSize(`${text}a`)).toEqual([{kind: 'tooLarge', bytes: maxStoredBytes + 1, limitBytes: maxStoredBytes}]);
+});
+
+test('no value from outside makes reading throw', () => {
+	const damaged = fc.jsonValue().chain(value => fc.constantFrom(
+		value,
+		{added: value},
+		{added: {targets: value}},
+		{added: {workspaces: [value]}},
+		{changed: {workspaces: [{id: 'ba', weight: value}]}},
+		{withdrawn: {targets: [value]}},
+	));
+	fc.assert(fc.property(damaged, value => {
+		const note = readNote(value);
+		const text = JSON.stringify({
+			revision: 1, note: value, audit: value, nonce: '',
+		});
+		return note.kind === 'malformed' ? decodeRelease(text).kind === 'malformed' : ['ok', 'refused'].includes(applyNote(base, note.note).kind);
+	}), {seed: 1, numRuns: 500});
+});
+
+test('an accepted note leads to a configuration that reads back the same', () => {
+	const ids = fc.constantFrom('ba', 'nadi', 'levuka');
+	const domains = fc.constantFrom('suva', 'lautoka');
+	const notes = fc.record({
+		added: fc.record({
+			workspaces: fc.array(ids.map(id => workspace(id)), {maxLength: 2}),
+			targets: fc.array(fc.tuple(ids, domains).map(([id, failureDomain]) => target(id, {failureDomain})), {maxLength: 2}),
+			failureDomains: fc.array(domains.map(name => ({name, standing: Standing.In})), {maxLength: 1}),
+		}, {requiredKeys: []}),
+		withdrawn: fc.record({workspaces: fc.array(ids, {maxLength: 1}), failureDomains: fc.array(domains, {maxLength: 1})}, {requiredKeys: []}),
+	}, {requiredKeys: []});
+	fc.assert(fc.property(fc.array(notes, {maxLength: 6}), steps => {
+		let configuration = base;
+		for (const step of steps) {
+			const result = applyNote(configuration, step);
+			configuration = result.kind === 'ok' ? result.configuration : configuration;
+			expect(decodeSnapshot(encodeSnapshot(configuration))).toEqual({kind: 'ok', value: configuration});
+			for (const {failureDomain} of configuration.targets.values()) {
+				expect(configuration.failureDomains.has(failureDomain)).toBe(true);
+			}
+		}
+	}), {seed: 2, numRuns: 300});
+});
