Lay out the world of the core and the seams of membership

Cause: membership and the decisions are written side by side and need the same tables and functions between them. Nothing is decided yet.

--- /dev/null
+++ b/packages/core/src/limits.ts
@@ -0,0 +1,90 @@
+/*
+Limits and periods of the core with their defaults. All times are in milliseconds, all costs in weighted tokens.
+*/
+import {kibibyte, minute, second} from './units.ts';
+
+/** How an owner picks the next ticket. All but `Fair` are baselines for measurements. */
+export enum Discipline {
+	/** Least weighted service first. */
+	Fair = 'fair',
+	/** Oldest ticket first. */
+	Fifo = 'fifo',
+	/** Each ticket is bound to one target when it arrives, oldest first. */
+	Bound = 'bound',
+}
+
+export type Limits = {
+	/** Time for which a lease is valid after its renewal was sent. */
+	leaseDurationMs: number;
+	leaseRenewMs: number;
+	/** Allowance for clocks that run at different rates, as a fraction of the lease. */
+	clockDrift: number;
+	digestMs: number;
+	progressMs: number;
+	/** A member counts as heard while its last digest, direct or by another, is younger. */
+	heardMs: number;
+	/** How long callers may keep an address. */
+	addressTtlMs: number;
+	discipline: Discipline;
+	/** Whether owners charge what other owners served. False is a baseline for measurements. */
+	exchange: boolean;
+	/** Weight of one output token; an input token weighs 1. */
+	outputWeight: number;
+	/** Most permits of one workspace at an owner, as a multiple of its weighted share, while others wait. */
+	inFlightFactor: number;
+	/** Lead in weighted tokens from which tickets move to an owner that serves less deserving work. */
+	rebalanceLead: number;
+	/** A granted permit is void when the request hasn't left by then. */
+	startWithinMs: number;
+	/** Good completions at the cold budget before it rises. */
+	coldCompletions: number;
+	/** Factor by which a budget rises in one step. */
+	rampFactor: number;
+	/** How many times the usual time to first byte or between tokens counts as slow. */
+	slowFactor: number;
+	/** First time for which a failing target is set aside; doubles with each failure in a row. */
+	setAsideMs: number;
+	setAsideMaxMs: number;
+	/** Time for which a new owner waits for the holders' permits and the target's load. */
+	reconcileMs: number;
+	maxAttempts: number;
+	/** Retries that a workspace may spend for each success. */
+	retryRatio: number;
+	/** Retries that a workspace may save up. */
+	retryReserve: number;
+	maxResumes: number;
+	workRequestMs: number;
+	/** Largest answer of a `once` request that its run record keeps, in bytes. */
+	keptAnswerBytes: number;
+	/** Period at which a duplicate of a running `once` request looks at the run record. */
+	runPollMs: number;
+};
+
+export const limitDefaults: Limits = {
+	leaseDurationMs: 6 * second,
+	leaseRenewMs: 2 * second,
+	clockDrift: 0.05,
+	digestMs: 250,
+	progressMs: 500,
+	heardMs: 1.5 * second,
+	addressTtlMs: 5 * second,
+	discipline: Discipline.Fair,
+	exchange: true,
+	outputWeight: 1,
+	inFlightFactor: 2,
+	rebalanceLead: 500,
+	startWithinMs: second,
+	coldCompletions: 8,
+	rampFactor: 1.5,
+	slowFactor: 4,
+	setAsideMs: 500,
+	setAsideMaxMs: minute,
+	reconcileMs: second,
+	maxAttempts: 3,
+	retryRatio: 0.1,
+	retryReserve: 10,
+	maxResumes: 2,
+	workRequestMs: 50,
+	keptAnswerBytes: 64 * kibibyte,
+	runPollMs: 250,
+};
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -72,10 +72,20 @@
 		| {kind: 'storeReply'; operation: number; result: StoreResult; objects?: StoredObject[]}
 	/** An object under a watched prefix changed; `value` is '' when it was deleted. */
 		| {kind: 'storeEvent'; object: StoredObject}
-		| {kind: 'loadReport'; target: string; startId: string; running: number; ageMs: number; reachable: boolean}
+		/** Load of a target as it was `ageMs` ago. `cold` is undefined when the target doesn't report it. */
+		| {kind: 'loadReport'; target: string; startId: string; running: number; ageMs: number; reachable: boolean; cold?: boolean}
+	/** An operator's release note, validated at the edge; `note` is its JSON form. */
+		| {kind: 'releaseProposed'; proposal: string; note: unknown; operator: string; reason: string; at: string; ifRevision?: number}
 		| {kind: 'instanceList'; instances: Array<{id: string; state: 'live' | 'leaving'}>}
 		| {kind: 'stopRequested'};
 
+/** What became of a proposed release. */
+export type ReleaseAnswer
+	= | {kind: 'accepted'; revision: number}
+		| {kind: 'superseded'; revision: number; audit: unknown}
+		| {kind: 'invalid'; problems: unknown[]}
+		| {kind: 'unavailable'};
+
 export type InboundOf<Kind extends Inbound['kind']> = Extract<Inbound, {kind: Kind}>;
 
 export type Outbound
@@ -94,6 +104,8 @@
 	/** Targets whose load the edge polls from now on. */
 		| {kind: 'pollLoads'; targets: Array<{id: string; url: string}>}
 		| {kind: 'log'; part: LogPart; level: 'debug' | 'info' | 'warn' | 'error'; text: string; request?: string}
+	/** Answer to `releaseProposed`. */
+		| {kind: 'releaseAnswered'; proposal: string; answer: ReleaseAnswer}
 	/** All is handed over and answered; the process may exit. */
 		| {kind: 'stopped'};
 
--- /dev/null
+++ b/packages/core/src/rows.ts
@@ -0,0 +1,163 @@
+/*
+Rows of the core's tables: plain data that systems read and change. All times are in milliseconds of the local
+monotonic clock.
+*/
+import type {CallerRequest} from './ports.ts';
+import type {MemberState, Phase, PoolEntry} from './messages.ts';
+
+/** Another router, or this one, as far as it is known here. */
+export type Member = {
+	id: string;
+	incarnation: string;
+	failureDomain: string;
+	callerUrl: string;
+	peerUrl: string;
+	state: MemberState;
+	/** Revision of the configuration in force there. */
+	revision: number;
+	/** Highest lease sequence known. */
+	leaseSequence: number;
+	/** When that sequence was first known here: its lease was sent before then. */
+	leaseSeenAt: number;
+	/** When it was last heard, directly or through another member. */
+	heardAt: number;
+	/** When its own digest last arrived. */
+	digestAt: number;
+	/** Latest time at which the Object API was reached by it or by a member that it hears. */
+	storeReachedAt: number;
+	/** Its counters of service by workspace, as last received. */
+	services: Map<string, number>;
+	/** Its waiting tickets by workspace, as last received. */
+	waiting: Map<string, number>;
+	/** Its load by pool, as last received; `free` and `waiting` are adjusted by what was sent there since. */
+	pools: Map<string, PoolEntry>;
+};
+
+/** Who owns a target. */
+export type Ownership = {
+	target: string;
+	/** Router id, or '' while not known. */
+	owner: string;
+	incarnation: string;
+	epoch: number;
+	/** Version of the object `owner/TARGET`; 0 while it doesn't exist. */
+	version: number;
+};
+
+/** Budget of a target that this router owns. */
+export type Budget = {
+	target: string;
+	epoch: number;
+	phase: Phase;
+	/** Most permits at once. */
+	budget: number;
+	/** Good completions since the budget last changed. */
+	completions: number;
+	failuresInRow: number;
+	setAsideUntil: number;
+	/** Start id of the target, '' before the first load report. */
+	startId: string;
+	/** Requests that ran at the target by its last report. */
+	reportedRunning: number;
+	/** Time of which the last report tells; -Infinity before the first. */
+	reportedAt: number;
+	reportedCold: boolean;
+	/** While greater than now, permits of the owner before may still be unknown. */
+	reconcileUntil: number;
+	/** Members whose announcement is still missing. */
+	awaiting: Set<string>;
+	/** Usual time to first byte and between tokens, exponentially weighted; 0 before the first sample. */
+	firstByteMs: number;
+	betweenTokensMs: number;
+	slowInRow: number;
+};
+
+export enum RequestState {
+	/** Reads the run record of its idempotency key. */
+	Checking = 'checking',
+	/** Waits for a permit. */
+	Queued = 'queued',
+	/** Has a permit and writes its run record. */
+	Claiming = 'claiming',
+	/** Its answer streams. */
+	Running = 'running',
+	/** Waits for a duplicate that runs elsewhere. */
+	Following = 'following',
+	/** Writes the end of its run record. */
+	Recording = 'recording',
+}
+
+/** Request of a caller that is connected to this router. */
+export type Request = CallerRequest & {
+	state: RequestState;
+	arrivedAt: number;
+	attempts: number;
+	resumes: number;
+	/** Router that holds the ticket, '' while it is nowhere. */
+	holder: string;
+	/** Weighted tokens that the request counts for in its workspace's queue. */
+	queueCost: number;
+	excluded: string[];
+	target: string;
+	epoch: number;
+	startedAt: number;
+	outputTokens: number;
+	delivered: boolean;
+	/** Nonce of the run record that this request wrote, '' before. */
+	runNonce: string;
+	runVersion: number;
+};
+
+/** Ticket that waits at this router for a permit of its targets. */
+export type Ticket = {
+	ticket: string;
+	/** Router that holds the request. */
+	origin: string;
+	workspace: string;
+	pool: string;
+	inputTokens: number;
+	prefixHash: number;
+	deadline: number;
+	arrivedAt: number;
+	excluded: string[];
+};
+
+/** Permit that this router gave for one of its targets. */
+export type Permit = {
+	ticket: string;
+	origin: string;
+	target: string;
+	workspace: string;
+	pool: string;
+	grantedAt: number;
+	inputTokens: number;
+	outputTokens: number;
+	/** Weighted tokens charged for it so far. */
+	charged: number;
+};
+
+/** Service of one workspace as this router sees it, in weighted tokens. */
+export type Service = {
+	workspace: string;
+	/** Charged by this router since it started. */
+	own: number;
+	/** Charged by others since this router started. */
+	remote: number;
+	/** Lift on return from idleness. */
+	offset: number;
+	/** Tickets that wait here as owner. */
+	waiting: number;
+	/** Permits given here that are still out. */
+	running: number;
+	/** Mean output tokens of its answers, exponentially weighted; 0 before the first. */
+	meanOutput: number;
+	/** When `own` last changed. */
+	changedAt: number;
+	/** Cost of the requests of its callers here that wait for a permit. */
+	queuedCost: number;
+	/** Cost served to its callers here a second, exponentially weighted. */
+	drainRate: number;
+	drained: number;
+	/** Retries that it may still spend. */
+	retries: number;
+};
--- /dev/null
+++ b/packages/core/src/world.ts
@@ -0,0 +1,166 @@
+/*
+The world is the whole state of the decision core: tables, the time of the current step, a seeded generator and the
+outbox. Nothing in it does I/O; edges feed the inbox and carry out the outbox.
+*/
+import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
+import {emptyConfiguration, type Configuration} from './configuration.ts';
+import {limitDefaults, type Limits} from './limits.ts';
+import {MemberState, type PeerMessage} from './messages.ts';
+import type {
+	LogPart, Outbound, StoreOperation, StoreResult, StoredObject,
+} from './ports.ts';
+import type {
+	Budget, Member, Ownership, Permit, Request, Service, Ticket,
+} from './rows.ts';
+import {createTable, type Table} from './table.ts';
+
+export type Self = {
+	id: string;
+	/** Random, new at each start of the process. */
+	incarnation: string;
+	failureDomain: string;
+	callerUrl: string;
+	peerUrl: string;
+};
+
+export type StoreReply = {
+	result: StoreResult;
+	objects: StoredObject[];
+};
+
+/** State of this router's own lease. */
+export type Lease = {
+	sequence: number;
+	/** Version of the object `lease/ROUTER`; 0 while it isn't known. */
+	version: number;
+	/** The lease is valid before this time; -Infinity before the first. */
+	validUntil: number;
+	/** When the renewal in flight was sent; undefined while none is. */
+	renewalSentAt: number | undefined;
+	nextRenewalAt: number;
+};
+
+export type World = {
+	readonly self: Self;
+	readonly limits: Limits;
+	/** Monotonic time of the current step. */
+	now: number;
+	state: MemberState;
+	/** When the stop was requested; undefined while none was. */
+	stopAt: number | undefined;
+	configuration: Configuration;
+	lease: Lease;
+	/** When this router itself last reached the Object API; -Infinity before. */
+	storeReachedAt: number;
+	/** All routers known, this one included. */
+	members: Table<Member>;
+	ownerships: Table<Ownership>;
+	budgets: Table<Budget>;
+	requests: Table<Request>;
+	/** By pool. */
+	tickets: Table<Ticket>;
+	/** By target. */
+	permits: Table<Permit>;
+	services: Table<Service>;
+	/** Continuations of store operations in flight, by operation. */
+	operations: Map<number, (reply: StoreReply) => void>;
+	nextOperation: number;
+	/** When each periodic system last ran, by its name. */
+	ranAt: Map<string, number>;
+	/** Virtual time at which a workspace was last served. */
+	virtualTime: number;
+	generator: RandomGenerator;
+	outbox: Outbound[];
+};
+
+export type WorldOptions = {
+	self: Self;
+	seed: number;
+	now: number;
+	limits?: Partial<Limits>;
+};
+
+/** Creates the state of a router that has just started and knows nothing. */
+export function createWorld({self, seed, now, limits}: WorldOptions): World {
+	return {
+		self,
+		limits: {...limitDefaults, ...limits},
+		now,
+		state: MemberState.Active,
+		stopAt: undefined,
+		configuration: emptyConfiguration(),
+		lease: {
+			sequence: 0, version: 0, validUntil: Number.NEGATIVE_INFINITY, renewalSentAt: undefined, nextRenewalAt: now,
+		},
+		storeReachedAt: Number.NEGATIVE_INFINITY,
+		members: createTable<Member>({key: member => member.id, index: member => member.failureDomain}),
+		ownerships: createTable<Ownership>({key: ownership => ownership.target}),
+		budgets: createTable<Budget>({key: budget => budget.target}),
+		requests: createTable<Request>({key: request => request.id}),
+		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => ticket.pool}),
+		permits: createTable<Permit>({key: permit => permit.ticket, index: permit => permit.target}),
+		services: createTable<Service>({key: service => service.workspace}),
+		operations: new Map(),
+		nextOperation: 1,
+		ranAt: new Map(),
+		virtualTime: 0,
+		generator: xoroshiro128plus(seed),
+		outbox: [],
+	};
+}
+
+/** Uniform number in [0, 1). */
+export function random(world: World): number {
+	return (world.generator.unsafeNext() >>> 0) / 0x1_00_00_00_00;
+}
+
+/** Uniform element of a list that isn't empty. */
+export function pick<Item>(world: World, items: readonly Item[]): Item | undefined {
+	return items[Math.floor(random(world) * items.length)];
+}
+
+/** Random text of `length` letters and digits, for nonces. */
+export function nonce(world: World, length = 12): string {
+	let text = '';
+	while (text.length < length) {
+		text += Math.floor(random(world) * 36).toString(36);
+	}
+
+	return text;
+}
+
+/** Sends a message to another member; messages to members that are not known are dropped. */
+export function send(world: World, to: string, message: PeerMessage) {
+	const member = world.members.get(to);
+	if (member && to !== world.self.id) {
+		world.outbox.push({
+			kind: 'send', to, peerUrl: member.peerUrl, message,
+		});
+	}
+}
+
+/** Starts an operation on the Object API; `then` runs in the step that gets the reply. */
+export function store(world: World, action: StoreOperation, then: (reply: StoreReply) => void) {
+	const operation = world.nextOperation;
+	world.nextOperation += 1;
+	world.operations.set(operation, then);
+	world.outbox.push({kind: 'store', operation, action});
+}
+
+/** Adds a log line to the outbox. */
+export function log(world: World, part: LogPart, text: string, level: 'debug' | 'info' | 'warn' | 'error' = 'info') {
+	world.outbox.push({
+		kind: 'log', part, level, text,
+	});
+}
+
+/** Whether a periodic system is due; when it is, its period starts anew. */
+export function due(world: World, name: string, periodMs: number): boolean {
+	const last = world.ranAt.get(name);
+	if (last !== undefined && world.now - last < periodMs) {
+		return false;
+	}
+
+	world.ranAt.set(name, world.now);
+	return true;
+}
