Decide requests, tickets, permits, budgets and fair order in the core

Cause: the thin path needs each decision in its final place. Change: systems for routes, placement, dispatch by virtual time, permits, budgets with cold start, retries, run records, digests, addresses and the planned stop, run in one list by step(). Ruled out: a queue pulled by owners from backlog counts alone, since all owners would grant to the same last ticket. Measured: types and lint clean; nothing has been run yet.

--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -8,7 +8,7 @@
 export enum AttemptEnd {
 	/** The whole answer arrived. */
 	Whole = 1,
-	/** No byte of the request left for the target. */
+	/** The target couldn't be connected: no byte of the request left for it. */
 	NotSent = 2,
 	/** The target refused it before it ran (overload, cold, draining). */
 	Refused = 3,
@@ -18,6 +18,8 @@
 	Cancelled = 5,
 	/** The target's answer belonged to another request and was dropped. */
 	Mismatched = 6,
+	/** The holder had no use for the permit any more. */
+	Unused = 7,
 }
 
 /** Why an owner hands a ticket back to the router that holds the request. */
@@ -139,13 +141,16 @@
 	entries: Array<{ticket: string; workspace: string; pool: string; inputTokens: number; outputTokens: number}>;
 };
 
-/** Service counter of one workspace at one owner. */
+/** Service counter of one workspace in one pool at one owner. */
 export type ServiceEntry = {
 	workspace: string;
+	pool: string;
 	/** Weighted tokens charged by the sender since it started. */
 	service: number;
 	/** Tickets that wait at the sender. */
 	waiting: number;
+	/** The sender's view of the workspace's virtual time, which an owner that has just started adopts. */
+	virtualTime: number;
 };
 
 /** Load of one pool at one owner. */
--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -25,9 +25,9 @@
 	digestAt: number;
 	/** Latest time at which the Object API was reached by it or by a member that it hears. */
 	storeReachedAt: number;
-	/** Its counters of service by workspace, as last received. */
+	/** Its counters of service by pool and workspace, as last received. */
 	services: Map<string, number>;
-	/** Its waiting tickets by workspace, as last received. */
+	/** Its waiting tickets by pool and workspace, as last received. */
 	waiting: Map<string, number>;
 	/** Its load by pool, as last received; `free` and `waiting` are adjusted by what was sent there since. */
 	pools: Map<string, PoolEntry>;
@@ -62,6 +62,8 @@
 	/** Time of which the last report tells; -Infinity before the first. */
 	reportedAt: number;
 	reportedCold: boolean;
+	/** When the target last fell back to its cold budget. */
+	coldAt: number;
 	/** While greater than now, permits of the owner before may still be unknown. */
 	reconcileUntil: number;
 	/** Members whose announcement is still missing. */
@@ -132,12 +134,15 @@
 	grantedAt: number;
 	inputTokens: number;
 	outputTokens: number;
+	/** When the holder last reported it. */
+	seenAt: number;
 	/** Weighted tokens charged for it so far. */
 	charged: number;
 };
 
-/** Service of one workspace as this router sees it, in weighted tokens. */
+/** Service of one workspace in one pool as an owner sees it, in weighted tokens. */
 export type Service = {
+	pool: string;
 	workspace: string;
 	/** Charged by this router since it started. */
 	own: number;
@@ -145,19 +150,36 @@
 	remote: number;
 	/** Lift on return from idleness. */
 	offset: number;
-	/** Tickets that wait here as owner. */
+	/** Tickets that wait here. */
 	waiting: number;
+	/** Tickets that wait at other owners, by their last digests. */
+	remoteWaiting: number;
 	/** Permits given here that are still out. */
 	running: number;
 	/** Mean output tokens of its answers, exponentially weighted; 0 before the first. */
 	meanOutput: number;
 	/** When `own` last changed. */
 	changedAt: number;
-	/** Cost of the requests of its callers here that wait for a permit. */
+};
+
+/** Demand of the callers of one workspace at this router for one pool, in weighted tokens. */
+export type Demand = {
+	pool: string;
+	workspace: string;
+	/** Cost of its requests that wait for a permit. */
 	queuedCost: number;
-	/** Cost served to its callers here a second, exponentially weighted. */
-	drainRate: number;
+	/** Cost that left the queue since the rate was last measured. */
 	drained: number;
+	/** Cost that leaves the queue a second, exponentially weighted. */
+	drainRate: number;
 	/** Retries that it may still spend. */
 	retries: number;
 };
+
+/** What an owner can do for a pool. */
+export type Route = {
+	owner: string;
+	failureDomain: string;
+	/** Fitting targets. */
+	targets: string[];
+};
--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -6,12 +6,29 @@
 import type {
 	Inbound, InboundOf, Outbound, StoredObject,
 } from './ports.ts';
-import {onLeaseRelay, onLeaseRelayResult, leaseSystem} from './systems/lease.ts';
+import {
+	onAnswerEnded, onAnswerProgress, onAnswerStarted, progressSystem,
+} from './systems/answers.ts';
+import {budgetsSystem, onLoadReport, onPermitAnnounce} from './systems/budgets.ts';
+import {demandsSystem} from './systems/demands.ts';
+import {digestsSystem, onDigest, silenceSystem} from './systems/digests.ts';
+import {dispatchSystem} from './systems/dispatch.ts';
+import {leaseSystem, onLeaseRelay, onLeaseRelayResult} from './systems/lease.ts';
 import {membershipSystem, onLeaseObject} from './systems/membership.ts';
 import {onOwnerObject, onTargetHandover, ownershipSystem} from './systems/ownership.ts';
+import {onPermitProgress, onPermitReturn, permitsSystem} from './systems/permits.ts';
+import {forgetHolder, placementSystem} from './systems/placement.ts';
+import {onWorkRequest, rebalanceSystem, workRequestSystem} from './systems/rebalance.ts';
 import {
 	onReleaseNotes, onReleaseObject, onReleaseProposed, onReleaseRequest, releasesSystem,
 } from './systems/releases.ts';
+import {
+	deadlinesSystem, onCallerGone, onCallerRequest, onPermitGrant, onTicketReturn,
+} from './systems/requests.ts';
+import {routesSystem} from './systems/routes.ts';
+import {runsSystem} from './systems/runs.ts';
+import {onStopRequested, stopSystem} from './systems/stop.ts';
+import {onTicketCancel, onTicketOffer, ticketsSystem} from './systems/tickets.ts';
 import type {World} from './world.ts';
 
 type InboundHandlers = {[Kind in Inbound['kind']]: (world: World, inbound: InboundOf<Kind>) => void};
@@ -30,8 +47,26 @@
 	membershipSystem,
 	releasesSystem,
 	ownershipSystem,
+	routesSystem,
+	budgetsSystem,
+	permitsSystem,
+	silenceSystem,
+	ticketsSystem,
+	deadlinesSystem,
+	placementSystem,
+	runsSystem,
+	dispatchSystem,
+	rebalanceSystem,
+	workRequestSystem,
+	progressSystem,
+	demandsSystem,
+	digestsSystem,
+	stopSystem,
 ];
 
+/** Rounds of messages to itself that one step handles; what is left waits for the next step. */
+const loopbackRounds = 8;
+
 function onStoreEvent(world: World, {object}: InboundOf<'storeEvent'>) {
 	const prefix = object.key.slice(0, object.key.indexOf('/') + 1);
 	watchedPrefixes[prefix]?.(world, object);
@@ -46,3 +81,86 @@
 
 	then?.({result: reply.result, objects: reply.objects ?? []});
 }
+
+const peerHandlers: PeerHandlers = {
+	ticketOffer: onTicketOffer,
+	ticketCancel: onTicketCancel,
+	ticketReturn: onTicketReturn,
+	permitGrant: onPermitGrant,
+	permitProgress: onPermitProgress,
+	permitReturn: onPermitReturn,
+	permitAnnounce: onPermitAnnounce,
+	workRequest: onWorkRequest,
+	targetHandover: onTargetHandover,
+	digest: onDigest,
+	releaseRequest: onReleaseRequest,
+	releaseNotes: onReleaseNotes,
+	leaseRelay: onLeaseRelay,
+	leaseRelayResult: onLeaseRelayResult,
+};
+
+function onPeerMessage(world: World, from: string, message: PeerMessage, incarnation: string) {
+	// The table's handler takes just the kind that it is listed under.
+	const handler = peerHandlers[message.kind] as (world: World, from: string, message: PeerMessage, incarnation: string) => void;
+	handler(world, from, message, incarnation);
+}
+
+const inboundHandlers: InboundHandlers = {
+	callerRequest: onCallerRequest,
+	callerGone: onCallerGone,
+	answerStarted: onAnswerStarted,
+	answerProgress: onAnswerProgress,
+	answerEnded: onAnswerEnded,
+	peerMessage(world, {from, message, incarnation}) {
+		onPeerMessage(world, from, message, incarnation);
+	},
+	peerLost(world, {member}) {
+		forgetHolder(world, member);
+	},
+	storeReply: onStoreReply,
+	storeEvent: onStoreEvent,
+	loadReport: onLoadReport,
+	releaseProposed: onReleaseProposed,
+	instanceList() {
+		// The list lags behind the leases; it is shown to operators only.
+	},
+	stopRequested: onStopRequested,
+};
+
+function runSystems(world: World) {
+	for (const system of systems) {
+		system(world);
+	}
+}
+
+function drainLoopback(world: World): boolean {
+	const messages = world.loopback;
+	world.loopback = [];
+	for (const message of messages) {
+		onPeerMessage(world, world.self.id, message, world.self.incarnation);
+	}
+
+	return messages.length > 0;
+}
+
+/**
+Takes the inbox, runs the systems, and returns what the edges are to do.
+
+@param now Monotonic time in milliseconds; a time before that of the last step counts as that.
+*/
+export function step(world: World, now: number, inbox: Iterable<Inbound>): Outbound[] {
+	world.now = Math.max(world.now, now);
+	for (const inbound of inbox) {
+		const handler = inboundHandlers[inbound.kind] as (world: World, inbound: Inbound) => void;
+		handler(world, inbound);
+	}
+
+	runSystems(world);
+	for (let round = 0; round < loopbackRounds && drainLoopback(world); round += 1) {
+		runSystems(world);
+	}
+
+	const {outbox} = world;
+	world.outbox = [];
+	return outbox;
+}
--- /dev/null
+++ b/packages/core/src/systems/digests.ts
@@ -0,0 +1,156 @@
+/*
+Digests: the periodic state that members send each other. They are the heartbeats, and carry counters of service, load by
+pool, and the revision in force. Counters are cumulative, so a lost digest loses nothing.
+*/
+import type {Digest, PoolEntry, ServiceEntry} from '../messages.ts';
+import type {Member} from '../rows.ts';
+import {
+	due, send, serviceKey, type World,
+} from '../world.ts';
+import {heardEntries, hearDigest, storeAge} from './membership.ts';
+import {loadOf} from './placement.ts';
+import {
+	serviceOf, setWaiting, virtualTimeOf, waitingServices, weightOf,
+} from './services.ts';
+
+/** Digests for which a counter that has changed is sent, so that a lost digest doesn't hide the change. */
+const repeats = 4;
+
+function serviceEntries(world: World): ServiceEntry[] {
+	const changedSince = world.now - (repeats * world.limits.digestMs);
+	return [...world.services.rows()]
+		.filter(service => service.waiting > 0 || service.changedAt >= changedSince)
+		.map(service => ({
+			workspace: service.workspace,
+			pool: service.pool,
+			service: service.own,
+			waiting: service.waiting,
+			virtualTime: virtualTimeOf(world, service),
+		}));
+}
+
+function poolEntries(world: World): PoolEntry[] {
+	const pools = new Set<string>();
+	for (const budget of world.budgets.rows()) {
+		for (const pool of world.configuration.targets.get(budget.target)?.pools ?? []) {
+			pools.add(pool);
+		}
+	}
+
+	return [...pools].map(pool => {
+		const [next] = waitingServices(world, pool);
+		return {
+			...loadOf(world, world.self.id, pool)!,
+			frontier: next ? Math.max(0, virtualTimeOf(world, next)) : -1,
+		};
+	});
+}
+
+/** What this router tells the others about itself now. */
+export function createDigest(world: World): Digest {
+	return {
+		kind: 'digest',
+		state: world.state,
+		failureDomain: world.self.failureDomain,
+		callerUrl: world.self.callerUrl,
+		peerUrl: world.self.peerUrl,
+		revision: world.configuration.revision,
+		leaseSequence: world.lease.sequence,
+		storeAgeMs: storeAge(world),
+		services: serviceEntries(world),
+		pools: poolEntries(world),
+		heard: heardEntries(world),
+	};
+}
+
+/** Sends the digest when it is due. */
+export function digestsSystem(world: World) {
+	if (!due(world, 'digests', world.limits.digestMs)) {
+		return;
+	}
+
+	const digest = createDigest(world);
+	for (const member of world.members.rows()) {
+		if (member.id !== world.self.id) {
+			send(world, member.id, digest);
+		}
+	}
+}
+
+/** Charges what another owner served since its last digest; the first digest of an owner only sets the base. */
+function absorbService(world: World, member: Member, entry: ServiceEntry) {
+	const key = serviceKey(entry);
+	const isNewHere = !world.services.has(key);
+	const service = serviceOf(world, entry);
+	if (isNewHere) {
+		service.offset += entry.virtualTime * weightOf(world, entry.workspace);
+	}
+
+	const base = member.services.get(key);
+	if (base !== undefined) {
+		service.remote += world.limits.exchange ? entry.service - base : 0;
+	}
+
+	member.services.set(key, entry.service);
+}
+
+function absorbWaiting(world: World, member: Member, digest: Digest) {
+	const waiting = new Map(digest.services.filter(entry => entry.waiting > 0).map(entry => [serviceKey(entry), entry]));
+	for (const [key, before] of member.waiting) {
+		const service = world.services.get(key);
+		if (service && !waiting.has(key)) {
+			setWaiting(world, service, service.waiting, service.remoteWaiting - before);
+		}
+	}
+
+	for (const [key, entry] of waiting) {
+		const service = serviceOf(world, entry);
+		setWaiting(world, service, service.waiting, service.remoteWaiting + entry.waiting - (member.waiting.get(key) ?? 0));
+	}
+
+	member.waiting = new Map([...waiting].map(([key, entry]) => [key, entry.waiting]));
+}
+
+export function onDigest(world: World, from: string, digest: Digest, incarnation: string) {
+	const before = world.members.get(from)?.incarnation;
+	hearDigest(world, from, incarnation, digest);
+	const member = world.members.get(from);
+	if (member?.incarnation !== incarnation) {
+		return;
+	}
+
+	if (before !== undefined && before !== incarnation) {
+		// Its counters start from 0 again, so the first ones are all new service.
+		for (const key of member.services.keys()) {
+			member.services.set(key, 0);
+		}
+	}
+
+	for (const entry of digest.services) {
+		absorbService(world, member, entry);
+	}
+
+	absorbWaiting(world, member, digest);
+	member.pools = new Map(digest.pools.map(entry => [entry.pool, entry]));
+}
+
+/** Forgets the waiting tickets of members that are gone. */
+export function forgetWaiting(world: World, member: Member) {
+	for (const [key, waiting] of member.waiting) {
+		const service = world.services.get(key);
+		if (service) {
+			setWaiting(world, service, service.waiting, service.remoteWaiting - waiting);
+		}
+	}
+
+	member.waiting.clear();
+}
+
+/** Forgets the waiting tickets of members that aren't heard any more: what they hold is placed anew by its holders. */
+export function silenceSystem(world: World) {
+	for (const member of world.members.rows()) {
+		if (member.waiting.size > 0 && world.now - member.heardAt > world.limits.heardMs) {
+			forgetWaiting(world, member);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/systems/permits.ts
@@ -0,0 +1,138 @@
+/*
+Permits that this router gave for its targets: charging, progress, return, and the permits of holders that are gone.
+*/
+import {AttemptEnd, type PeerMessageOf, type TargetHandover} from '../messages.ts';
+import type {Permit, Ticket} from '../rows.ts';
+import {due, type World} from '../world.ts';
+import {second} from '../units.ts';
+import {
+	charge, costOf, learnOutput, serviceOf,
+} from './services.ts';
+import {onAttemptEnd} from './budgets.ts';
+
+type RunningEntry = TargetHandover['entries'][number];
+
+/** A permit that its holder hasn't reported for this long is void, in milliseconds. */
+const unseenMs = 4 * second;
+
+/** Records a permit, charging the input and the workspace's usual output ahead. */
+export function addPermit(world: World, ticket: Ticket, target: string): Permit {
+	const service = serviceOf(world, ticket);
+	const permit: Permit = {
+		ticket: ticket.ticket,
+		origin: ticket.origin,
+		target,
+		workspace: ticket.workspace,
+		pool: ticket.pool,
+		grantedAt: world.now,
+		inputTokens: ticket.inputTokens,
+		outputTokens: 0,
+		seenAt: world.now,
+		charged: costOf(world, ticket.inputTokens, service.meanOutput),
+	};
+	world.permits.set(permit);
+	service.running += 1;
+	charge(world, service, permit.charged);
+	return permit;
+}
+
+/** Records a permit that another owner gave; its holder is the router that its ticket names. */
+export function adoptPermit(world: World, target: string, entry: RunningEntry) {
+	const known = world.permits.get(entry.ticket);
+	if (known) {
+		reportTokens(world, known, entry.outputTokens);
+		return;
+	}
+
+	const service = serviceOf(world, entry);
+	service.running += 1;
+	world.permits.set({
+		ticket: entry.ticket,
+		origin: originOf(entry.ticket),
+		target,
+		workspace: entry.workspace,
+		pool: entry.pool,
+		grantedAt: world.now,
+		inputTokens: entry.inputTokens,
+		outputTokens: entry.outputTokens,
+		seenAt: world.now,
+		// The owner before has charged what was served until now.
+		charged: costOf(world, entry.inputTokens, entry.outputTokens),
+	});
+}
+
+/** Router that holds a request, by the request's id. */
+export function originOf(ticket: string): string {
+	return ticket.slice(0, ticket.indexOf('/'));
+}
+
+function chargeUpTo(world: World, permit: Permit, cost: number) {
+	charge(world, serviceOf(world, permit), cost - permit.charged);
+	permit.charged = cost;
+}
+
+function reportTokens(world: World, permit: Permit, outputTokens: number) {
+	permit.seenAt = world.now;
+	permit.outputTokens = Math.max(permit.outputTokens, outputTokens);
+	const cost = costOf(world, permit.inputTokens, permit.outputTokens);
+	if (cost > permit.charged) {
+		chargeUpTo(world, permit, cost);
+	}
+}
+
+export function onPermitProgress(world: World, _from: string, message: PeerMessageOf<'permitProgress'>) {
+	for (const entry of message.entries) {
+		const permit = world.permits.get(entry.ticket);
+		if (permit) {
+			reportTokens(world, permit, entry.outputTokens);
+		}
+	}
+}
+
+/** Forgets a permit and corrects its charge to what was served. */
+export function endPermit(world: World, permit: Permit, outputTokens: number, wasServed: boolean) {
+	const service = serviceOf(world, permit);
+	service.running -= 1;
+	world.permits.delete(permit.ticket);
+	chargeUpTo(world, permit, wasServed ? costOf(world, permit.inputTokens, outputTokens) : 0);
+}
+
+const servedEnds = new Set([AttemptEnd.Whole, AttemptEnd.Broken, AttemptEnd.Cancelled, AttemptEnd.Mismatched]);
+
+export function onPermitReturn(world: World, _from: string, message: PeerMessageOf<'permitReturn'>) {
+	const permit = world.permits.get(message.ticket);
+	if (permit?.target !== message.target) {
+		return;
+	}
+
+	const outputTokens = Math.max(permit.outputTokens, message.outputTokens);
+	endPermit(world, permit, outputTokens, servedEnds.has(message.end));
+	if (message.end === AttemptEnd.Whole) {
+		learnOutput(serviceOf(world, permit), outputTokens);
+	}
+
+	onAttemptEnd(world, message);
+}
+
+/** Drops permits whose holder has lapsed, has restarted, or lives but doesn't report them any more. */
+export function permitsSystem(world: World) {
+	if (!due(world, 'permits', second)) {
+		return;
+	}
+
+	for (const permit of world.permits.rows()) {
+		if (permit.origin !== world.self.id && isAbandoned(world, permit)) {
+			endPermit(world, permit, permit.outputTokens, true);
+		}
+	}
+}
+
+function isAbandoned(world: World, permit: Permit): boolean {
+	const holder = world.members.get(permit.origin);
+	if (!holder) {
+		return true;
+	}
+
+	const hears = world.now - holder.heardAt < world.limits.heardMs;
+	return hears && world.now - permit.seenAt > unseenMs;
+}
--- /dev/null
+++ b/packages/core/src/systems/rebalance.ts
@@ -0,0 +1,145 @@
+/*
+Moves tickets between owners: an owner whose targets run dry asks for work, and an owner whose workspaces wait behind
+others moves tickets to owners that serve less deserving work.
+*/
+import {Discipline} from '../limits.ts';
+import {TicketReturnReason, type PeerMessageOf} from '../messages.ts';
+import type {Member, Service, Ticket} from '../rows.ts';
+import {
+	due, random, send, serviceKey, type World,
+} from '../world.ts';
+import {mayDispatch} from './lease.ts';
+import {canHold, placeAt} from './placement.ts';
+import {routesOf} from './routes.ts';
+import {slotsOf} from './dispatch.ts';
+import {
+	removeTicket, virtualTimeOf, waitingPools, waitingServices,
+} from './services.ts';
+
+/** Share of an owner's budget that one other owner moves to it in one period. */
+const moveShare = 0.25;
+
+/** Hands a waiting ticket to another owner, by way of the router that holds the request. */
+export function moveTicket(world: World, ticket: Ticket, to: string) {
+	removeTicket(world, ticket.ticket);
+	const request = world.requests.get(ticket.ticket);
+	if (request) {
+		placeAt(world, request, to);
+		return;
+	}
+
+	send(world, ticket.origin, {
+		kind: 'ticketReturn', ticket: ticket.ticket, reason: TicketReturnReason.Rebalance, next: to, retryAfterMs: 0,
+	});
+}
+
+/** Tickets to give away, at most `count`: one of each workspace in turn, in the order in which they would be served. */
+function ticketsToMove(world: World, services: Service[], count: number): Ticket[] {
+	const queues = services.map(service => [...world.tickets.group(serviceKey(service))]);
+	const tickets: Ticket[] = [];
+	for (let row = 0; tickets.length < count && queues.some(queue => row < queue.length); row += 1) {
+		for (const queue of queues) {
+			const ticket = queue[row];
+			if (ticket && tickets.length < count) {
+				tickets.push(ticket);
+			}
+		}
+	}
+
+	return tickets;
+}
+
+export function onWorkRequest(world: World, from: string, message: PeerMessageOf<'workRequest'>) {
+	if (!canHold(world, world.members.get(from)) || world.limits.discipline === Discipline.Bound) {
+		return;
+	}
+
+	for (const ticket of ticketsToMove(world, waitingServices(world, message.pool), message.slots)) {
+		moveTicket(world, ticket, from);
+	}
+}
+
+function busiest(world: World, pool: string): Member | undefined {
+	let best: Member | undefined;
+	let bestWaiting = 0;
+	for (const member of world.members.rows()) {
+		// A random factor keeps dry owners from all asking the same member.
+		const waiting = (member.pools.get(pool)?.waiting ?? 0) * (0.5 + random(world));
+		if (member.id !== world.self.id && waiting > bestWaiting && canHold(world, member)) {
+			best = member;
+			bestWaiting = waiting;
+		}
+	}
+
+	return best;
+}
+
+function ownPools(world: World): Set<string> {
+	const pools = new Set<string>();
+	for (const budget of world.budgets.rows()) {
+		for (const pool of world.configuration.targets.get(budget.target)?.pools ?? []) {
+			pools.add(pool);
+		}
+	}
+
+	return pools;
+}
+
+function askForWork(world: World, pool: string) {
+	let free = 0;
+	for (const slot of slotsOf(world, pool)) {
+		free += slot.free;
+	}
+
+	const member = free > 0 ? busiest(world, pool) : undefined;
+	const load = member?.pools.get(pool);
+	if (!member || !load || !due(world, `work/${pool}/${member.id}`, world.limits.workRequestMs)) {
+		return;
+	}
+
+	const slots = Math.min(free, Math.ceil(load.waiting));
+	load.waiting -= slots;
+	send(world, member.id, {kind: 'workRequest', pool, slots});
+}
+
+/** Asks for work for free slots that no ticket here fits; runs after dispatch. */
+export function workRequestSystem(world: World) {
+	if (world.limits.discipline === Discipline.Bound || !mayDispatch(world)) {
+		return;
+	}
+
+	for (const pool of ownPools(world)) {
+		askForWork(world, pool);
+	}
+}
+
+function moveToward(world: World, member: Member, pool: string) {
+	const load = member.pools.get(pool);
+	if (!load || load.frontier < 0) {
+		return;
+	}
+
+	const behind = waitingServices(world, pool)
+		.filter(service => virtualTimeOf(world, service) + world.limits.rebalanceLead < load.frontier);
+	const count = Math.ceil(load.budget * moveShare);
+	for (const ticket of ticketsToMove(world, behind, count)) {
+		moveTicket(world, ticket, member.id);
+	}
+}
+
+/** Moves tickets to owners whose next ticket is less deserving than those that wait here. */
+export function rebalanceSystem(world: World) {
+	const {discipline, exchange, digestMs} = world.limits;
+	if (discipline !== Discipline.Fair || !exchange || !due(world, 'rebalance', digestMs)) {
+		return;
+	}
+
+	for (const pool of waitingPools(world)) {
+		for (const route of routesOf(world, pool)) {
+			const member = world.members.get(route.owner);
+			if (member && member.id !== world.self.id && canHold(world, member)) {
+				moveToward(world, member, pool);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/systems/tickets.ts
@@ -0,0 +1,78 @@
+/*
+Tickets that wait at this router as the owner of fitting targets: taken, cancelled, given back.
+*/
+import {
+	MemberState, TicketReturnReason, type PeerMessageOf,
+} from '../messages.ts';
+import type {Ticket} from '../rows.ts';
+import {due, send, type World} from '../world.ts';
+import {originOf} from './permits.ts';
+import {addTicket, removeTicket} from './services.ts';
+
+/** Period at which waiting tickets are looked through, in milliseconds. */
+const sweepMs = 250;
+
+function giveTicketBack(world: World, ticket: {ticket: string; origin: string}, reason: TicketReturnReason) {
+	send(world, ticket.origin, {
+		kind: 'ticketReturn', ticket: ticket.ticket, reason, next: '', retryAfterMs: 0,
+	});
+}
+
+/** Whether this router owns a target of the pool. */
+export function ownsPool(world: World, pool: string): boolean {
+	for (const budget of world.budgets.rows()) {
+		if (world.configuration.targets.get(budget.target)?.pools.includes(pool)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+export function onTicketOffer(world: World, _from: string, offer: PeerMessageOf<'ticketOffer'>) {
+	const ticket: Ticket = {
+		ticket: offer.ticket,
+		origin: originOf(offer.ticket),
+		workspace: offer.workspace,
+		pool: offer.pool,
+		inputTokens: offer.inputTokens,
+		prefixHash: offer.prefixHash,
+		deadline: world.now + offer.remainingMs,
+		arrivedAt: world.now - offer.waitedMs,
+		excluded: offer.excluded,
+	};
+	if (world.state === MemberState.Leaving) {
+		giveTicketBack(world, ticket, TicketReturnReason.Leaving);
+		return;
+	}
+
+	if (!ownsPool(world, ticket.pool)) {
+		giveTicketBack(world, ticket, TicketReturnReason.NotOwner);
+		return;
+	}
+
+	addTicket(world, ticket);
+}
+
+export function onTicketCancel(world: World, _from: string, {ticket}: PeerMessageOf<'ticketCancel'>) {
+	removeTicket(world, ticket);
+}
+
+/** Gives back tickets that this router can't serve any more, and drops those whose holder or deadline is gone. */
+export function ticketsSystem(world: World) {
+	if (!due(world, 'tickets', sweepMs)) {
+		return;
+	}
+
+	for (const ticket of world.tickets.rows()) {
+		if (world.state === MemberState.Leaving) {
+			removeTicket(world, ticket.ticket);
+			giveTicketBack(world, ticket, TicketReturnReason.Leaving);
+		} else if (!ownsPool(world, ticket.pool)) {
+			removeTicket(world, ticket.ticket);
+			giveTicketBack(world, ticket, TicketReturnReason.NotOwner);
+		} else if (ticket.deadline < world.now - sweepMs || !world.members.has(ticket.origin)) {
+			removeTicket(world, ticket.ticket);
+		}
+	}
+}
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -13,6 +13,8 @@
 	rows(): IterableIterator<Row>;
 	/** Rows whose index value is `value`, in the order in which they came. */
 	group(value: string): Iterable<Row>;
+	/** Number of rows whose index value is `value`. */
+	count(value: string): number;
 	/** Index values that have a row. */
 	groups(): IterableIterator<string>;
 };
@@ -83,6 +85,7 @@
 		},
 		rows: () => byKey.values(),
 		group: value => byIndex.get(value)?.values() ?? [],
+		count: value => byIndex.get(value)?.size ?? 0,
 		groups: () => byIndex.keys(),
 		get size() {
 			return byKey.size;
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -10,7 +10,7 @@
 	LogPart, Outbound, StoreOperation, StoreResult, StoredObject,
 } from './ports.ts';
 import type {
-	Budget, Member, Ownership, Permit, Request, Service, Ticket,
+	Budget, Demand, Member, Ownership, Permit, Request, Route, Service, Ticket,
 } from './rows.ts';
 import {createTable, type Table} from './table.ts';
 
@@ -57,11 +57,16 @@
 	ownerships: Table<Ownership>;
 	budgets: Table<Budget>;
 	requests: Table<Request>;
-	/** By pool. */
+	/** By pool and workspace, see `serviceKey`. */
 	tickets: Table<Ticket>;
 	/** By target. */
 	permits: Table<Permit>;
+	/** Owner's view of service, by pool. */
 	services: Table<Service>;
+	/** Demand of the callers of this router. */
+	demands: Table<Demand>;
+	/** Owners of each pool's targets, rebuilt by `routesSystem`. */
+	routes: Map<string, Route[]>;
 	/** Continuations of store operations in flight, by operation. */
 	operations: Map<number, (reply: StoreReply) => void>;
 	nextOperation: number;
@@ -70,6 +75,8 @@
 	/** Virtual time at which a workspace was last served. */
 	virtualTime: number;
 	generator: RandomGenerator;
+	/** Messages of this router to itself, handled within the same step. */
+	loopback: PeerMessage[];
 	outbox: Outbound[];
 };
 
@@ -97,21 +104,24 @@
 		ownerships: createTable<Ownership>({key: ownership => ownership.target}),
 		budgets: createTable<Budget>({key: budget => budget.target}),
 		requests: createTable<Request>({key: request => request.id}),
-		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => ticket.pool}),
+		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => serviceKey(ticket)}),
 		permits: createTable<Permit>({key: permit => permit.ticket, index: permit => permit.target}),
-		services: createTable<Service>({key: service => service.workspace}),
+		services: createTable<Service>({key: service => serviceKey(service), index: service => service.pool}),
+		demands: createTable<Demand>({key: demand => serviceKey(demand)}),
+		routes: new Map(),
 		operations: new Map(),
 		nextOperation: 1,
 		ranAt: new Map(),
 		virtualTime: 0,
 		generator: xoroshiro128plus(seed),
+		loopback: [],
 		outbox: [],
 	};
 }
 
 /** Uniform number in [0, 1). */
 export function random(world: World): number {
-	return (world.generator.unsafeNext() >>> 0) / 0x1_00_00_00_00;
+	return (world.generator.unsafeNext() / 0x1_00_00_00_00) + 0.5;
 }
 
 /** Uniform element of a list that isn't empty. */
@@ -129,10 +139,20 @@
 	return text;
 }
 
-/** Sends a message to another member; messages to members that are not known are dropped. */
+/** Key of the rows that stand for one workspace in one pool. */
+export function serviceKey({pool, workspace}: {pool: string; workspace: string}): string {
+	return `${pool}/${workspace}`;
+}
+
+/** Sends a message to a member, this router included; messages to members that are not known are dropped. */
 export function send(world: World, to: string, message: PeerMessage) {
+	if (to === world.self.id) {
+		world.loopback.push(message);
+		return;
+	}
+
 	const member = world.members.get(to);
-	if (member && to !== world.self.id) {
+	if (member) {
 		world.outbox.push({
 			kind: 'send', to, peerUrl: member.peerUrl, message,
 		});
--- a/xo.config.js
+++ b/xo.config.js
@@ -26,7 +26,8 @@
 			'unicorn/no-null': 'off',
 			// `capitalized-comments` splits prose comments over several lines.
 			'capitalized-comments': 'off',
-			// Numbers in arithmetic are named at their declaration; XO's own default keeps this off for tests only.
+			// A table of handlers is indexed by a tag that the type checker can't tie to its argument.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			'max-params': ['error', {max: 5}],
 		},
 	},
