Add the router's edges: callers, targets, peers, operators

Cause: the core's outbox needs hands. Ruled out: web-stream bodies for answers, since a broken answer must end with a broken connection, which needs the raw response.

--- /dev/null
+++ b/packages/router/src/callers/body.ts
@@ -0,0 +1,25 @@
+/*
+Reads a request body up to a limit.
+*/
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+
+/** Whole body as text; undefined when it is longer than `limit` bytes. */
+export async function readBody(incoming: IncomingMessage, limit: number): Promise<string | undefined> {
+	if (Number(incoming.headers['content-length'] ?? 0) > limit) {
+		return undefined;
+	}
+
+	const chunks: Buffer[] = [];
+	let length = 0;
+	for await (const chunk of incoming) {
+		length += (chunk as Buffer).length;
+		if (length > limit) {
+			return undefined;
+		}
+
+		chunks.push(chunk as Buffer);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+}
--- /dev/null
+++ b/packages/router/src/callers/chat-request.ts
@@ -0,0 +1,61 @@
+/*
+Reads an OpenAI-style chat completion request.
+*/
+import murmurhash from 'murmurhash';
+import {z} from 'zod';
+
+const chatSchema = z.looseObject({
+	model: z.string().min(1),
+	messages: z.array(z.looseObject({role: z.string(), content: z.unknown()})).min(1),
+	stream: z.boolean().optional(),
+	// eslint-disable-next-line camelcase
+	max_tokens: z.int().positive().optional(),
+});
+
+export type ChatRequest = {
+	pool: string;
+	wantsStream: boolean;
+	/** Estimate from the length of the messages. */
+	inputTokens: number;
+	/** Caller's bound on output tokens; 0 when it names none. */
+	costHint: number;
+	prefixHash: number;
+};
+
+export type ChatResult =
+	| {kind: 'ok'; chat: ChatRequest}
+	| {kind: 'malformed'; detail: string};
+
+/** Mean length of a token in prompts, in characters. */
+const tokenLength = 4;
+
+/** Length of the prefix by which requests are sent to the same cache, in characters. */
+const prefixLength = 512;
+
+/** Reads a request body; malformed JSON and missing fields are named. */
+export function readChat(body: string): ChatResult {
+	let json: unknown;
+	try {
+		json = JSON.parse(body);
+	} catch {
+		return {kind: 'malformed', detail: 'the body is not JSON'};
+	}
+
+	const parsed = chatSchema.safeParse(json);
+	if (!parsed.success) {
+		const [issue] = parsed.error.issues;
+		return {kind: 'malformed', detail: `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'invalid'}`};
+	}
+
+	const text = JSON.stringify(parsed.data.messages);
+	return {
+		kind: 'ok',
+		chat: {
+			pool: parsed.data.model,
+			wantsStream: parsed.data.stream ?? false,
+			inputTokens: Math.ceil(text.length / tokenLength),
+			costHint: parsed.data.max_tokens ?? 0,
+			prefixHash: murmurhash.v3(text.slice(0, prefixLength)),
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/core-loop.ts
@@ -0,0 +1,67 @@
+/*
+Runs the core: collects the inbox, takes a step on each tick and at once when something arrives, and hands each item of
+the outbox to the edge that carries it out.
+*/
+import type {Inbound, Outbound, OutboundOf} from '@shallotloom/core/ports.ts';
+import {step} from '@shallotloom/core/step.ts';
+import type {World} from '@shallotloom/core/world.ts';
+import type {Timer} from './timer.ts';
+
+/** Edge functions by kind of outbox item. */
+export type Edges = {[Kind in Outbound['kind']]: (item: OutboundOf<Kind>) => void};
+
+export type CoreLoop = {
+	/** Adds to the inbox; a step follows within the same turn of the event loop. */
+	push(inbound: Inbound): void;
+	/** Adds to the inbox without a step of its own, for what can wait until the next. */
+	note(inbound: Inbound): void;
+	/** Time that steps have taken so far, in milliseconds, and their number. */
+	readonly spent: {ms: number; steps: number};
+	stop(): void;
+};
+
+export type CoreLoopOptions = {
+	world: World;
+	timer: Timer;
+	tickMs: number;
+	edges: Edges;
+};
+
+/** Starts the loop. */
+export function createCoreLoop({world, timer, tickMs, edges}: CoreLoopOptions): CoreLoop {
+	let inbox: Inbound[] = [];
+	let isScheduled = false;
+	const spent = {ms: 0, steps: 0};
+
+	function run() {
+		isScheduled = false;
+		const taken = inbox;
+		inbox = [];
+		const before = timer.now();
+		const outbox = step(world, before, taken);
+		spent.ms += timer.now() - before;
+		spent.steps += 1;
+		for (const item of outbox) {
+			const edge = edges[item.kind] as (item: Outbound) => void;
+			edge(item);
+		}
+	}
+
+	function push(inbound: Inbound) {
+		inbox.push(inbound);
+		if (!isScheduled) {
+			isScheduled = true;
+			setImmediate(run);
+		}
+	}
+
+	const unsubscribe = timer.subscribe(tickMs, run);
+	return {
+		push,
+		note(inbound) {
+			inbox.push(inbound);
+		},
+		spent,
+		stop: unsubscribe,
+	};
+}
--- /dev/null
+++ b/packages/router/src/operators/app.ts
@@ -0,0 +1,104 @@
+/*
+The operators' listener: status, releases, health and metrics.
+*/
+import {Hono, type Context} from 'hono';
+import type {InboundOf, ReleaseAnswer} from '@shallotloom/core/ports.ts';
+import type {World} from '@shallotloom/core/world.ts';
+import {bearerKey, hasHash} from '../callers/keys.ts';
+import {
+	membersView, statusView, targetsView, workspacesView,
+} from './views.ts';
+
+export type Operator = {name: string; keyHash: string};
+
+export type OperatorAppOptions = {
+	world: World;
+	operators: Operator[];
+	/** Hands a note to the core; resolves with what became of it. */
+	propose: (proposed: Omit<InboundOf<'releaseProposed'>, 'kind' | 'proposal'>) => Promise<ReleaseAnswer>;
+	check: (note: unknown) => {revision: number; problems: unknown[]};
+	releases: (limit: number) => unknown[];
+	metrics: () => Promise<{contentType: string; text: string}>;
+};
+
+type Env = {Variables: {operator: string}};
+
+const unauthorized = {error: {kind: 'unauthorized', message: 'the operator key is missing or unknown', hint: 'Send "authorization: Bearer KEY" with a key whose hash is in the settings.'}};
+
+const answerHandlers: {[Kind in ReleaseAnswer['kind']]: (context: Context<Env>, answer: Extract<ReleaseAnswer, {kind: Kind}>) => Response} = {
+	accepted: (context, {revision}) => context.json({revision}),
+	superseded: (context, {revision, audit}) => context.json({
+		error: {
+			kind: 'superseded', message: `another release came in between: revision ${revision}`, hint: 'Look at it and apply the note again.', revision, audit,
+		},
+	}, 409),
+	invalid: (context, {problems}) => context.json({error: {
+		kind: 'invalid', message: 'the note can\'t be applied', hint: 'Correct the problems named.', problems,
+	}}, 422),
+	unavailable: context => context.json({error: {
+		kind: 'unavailable', message: 'the Object API can\'t be reached; nothing was changed', hint: 'Apply the note again when the platform is back.',
+	}}, 503),
+};
+
+type ReleaseBody = {note?: unknown; reason?: unknown; ifRevision?: unknown};
+
+async function readRelease(context: Context<Env>): Promise<ReleaseBody | undefined> {
+	try {
+		const body: unknown = await context.req.json();
+		return typeof body === 'object' && body !== null && 'note' in body ? body : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+const malformed = {error: {kind: 'malformed', message: 'the body is not a JSON object with a note', hint: 'Send {"note": …, "reason": "…"}.'}};
+
+/** Creates the app. */
+export function createOperatorApp(options: OperatorAppOptions) {
+	const {world} = options;
+	const app = new Hono<Env>();
+	app.get('/healthz', context => context.text('ok'));
+	app.get('/readyz', context => world.configuration.revision > 0 ? context.text('ready') : context.text('not ready', 503));
+	app.get('/metrics', async context => {
+		const {contentType, text} = await options.metrics();
+		return context.body(text, 200, {'content-type': contentType});
+	});
+	app.use('/operator/v1/*', async (context, next) => {
+		const key = bearerKey(context.req.header('authorization'));
+		const operator = key === undefined ? undefined : options.operators.find(({keyHash}) => hasHash(key, keyHash));
+		if (!operator) {
+			return context.json(unauthorized, 401);
+		}
+
+		context.set('operator', operator.name);
+		await next();
+		return undefined;
+	});
+	app.get('/operator/v1/status', context => context.json(statusView(world)));
+	app.get('/operator/v1/members', context => context.json(membersView(world)));
+	app.get('/operator/v1/targets', context => context.json(targetsView(world)));
+	app.get('/operator/v1/workspaces', context => context.json(workspacesView(world)));
+	app.get('/operator/v1/releases', context => context.json(options.releases(Number(context.req.query('limit') ?? 20))));
+	app.post('/operator/v1/releases/check', async context => {
+		const body = await readRelease(context);
+		return body ? context.json(options.check(body.note)) : context.json(malformed, 400);
+	});
+	app.post('/operator/v1/releases', async context => {
+		const body = await readRelease(context);
+		if (!body) {
+			return context.json(malformed, 400);
+		}
+
+		const answer = await options.propose({
+			note: body.note,
+			operator: context.get('operator'),
+			reason: typeof body.reason === 'string' ? body.reason : '',
+			at: new Date().toISOString(),
+			...(typeof body.ifRevision === 'number' && {ifRevision: body.ifRevision}),
+		});
+		const handler = answerHandlers[answer.kind] as (context: Context<Env>, answer: ReleaseAnswer) => Response;
+		return handler(context, answer);
+	});
+	app.notFound(context => context.json({error: {kind: 'not-found', message: `no such path: ${context.req.path}`, hint: 'See docs/OPERATORS-API.md.'}}, 404));
+	return app;
+}
--- /dev/null
+++ b/packages/router/src/operators/views.ts
@@ -0,0 +1,82 @@
+/*
+What operators see of a router: plain views of the world's tables.
+*/
+import {Phase, MemberState} from '@shallotloom/core/messages.ts';
+import {virtualTimeOf} from '@shallotloom/core/systems/services.ts';
+import type {World} from '@shallotloom/core/world.ts';
+
+const phaseNames: Record<Phase, string> = {
+	[Phase.Cold]: 'cold', [Phase.Ramping]: 'ramping', [Phase.Warm]: 'warm', [Phase.SetAside]: 'set-aside',
+};
+
+const stateNames: Record<MemberState, string> = {
+	[MemberState.Active]: 'active', [MemberState.Leaving]: 'leaving',
+};
+
+/** This router and the revision in force over the members that it knows. */
+export function statusView(world: World) {
+	const {revision} = world.configuration;
+	const members = [...world.members.rows()];
+	const inForce = members.filter(member => member.id === world.self.id || member.revision >= revision);
+	return {
+		router: world.self.id,
+		failureDomain: world.self.failureDomain,
+		revision,
+		state: stateNames[world.state],
+		leaseAgeMs: Math.max(0, Math.round(world.limits.leaseDurationMs - (world.lease.validUntil - world.now))),
+		inForce: {revision, members: inForce.length, of: members.length},
+	};
+}
+
+/** Members as this router knows them. */
+export function membersView(world: World) {
+	return [...world.members.rows()].map(member => ({
+		id: member.id,
+		failureDomain: member.failureDomain,
+		state: stateNames[member.state],
+		revision: member.id === world.self.id ? world.configuration.revision : member.revision,
+		heardAgeMs: member.id === world.self.id ? 0 : Math.round(world.now - member.heardAt),
+		callerUrl: member.callerUrl,
+		targets: [...world.ownerships.rows()].filter(({owner}) => owner === member.id).length,
+	}));
+}
+
+/** Targets; budget and phase are known of this router's own. */
+export function targetsView(world: World) {
+	return [...world.configuration.targets.values()].map(target => {
+		const ownership = world.ownerships.get(target.id);
+		const budget = world.budgets.get(target.id);
+		return {
+			id: target.id,
+			kind: target.kind,
+			failureDomain: target.failureDomain,
+			pools: target.pools,
+			standing: target.standing,
+			owner: ownership?.owner ?? '',
+			epoch: ownership?.epoch ?? 0,
+			phase: budget ? phaseNames[budget.phase] : undefined,
+			budget: budget?.budget,
+			running: budget ? world.permits.count(target.id) : undefined,
+		};
+	});
+}
+
+/** Workspaces with their service in all pools, and the distance to their share of it. */
+export function workspacesView(world: World) {
+	const workspaces = [...world.configuration.workspaces.values()];
+	const weights = workspaces.reduce((sum, {weight}) => sum + weight, 0);
+	const rows = workspaces.map(({id, weight}) => {
+		const services = [...world.services.rows()].filter(service => service.workspace === id);
+		return {
+			id,
+			weight,
+			waiting: services.reduce((sum, service) => sum + service.waiting + service.remoteWaiting, 0),
+			running: services.reduce((sum, service) => sum + service.running, 0),
+			service: services.reduce((sum, service) => sum + service.own + service.remote, 0),
+			virtualTime: services.reduce((sum, service) => sum + virtualTimeOf(world, service), 0),
+			share: weight / weights,
+		};
+	});
+	const total = rows.reduce((sum, {service}) => sum + service, 0);
+	return rows.map(({virtualTime, ...row}) => ({...row, virtualTime, gapToShare: row.service - (total * row.share)}));
+}
--- /dev/null
+++ b/packages/router/src/peers/peer-server.ts
@@ -0,0 +1,70 @@
+/*
+Takes the streams of other routers and hands their messages to the core.
+*/
+import {createServer, type Http2Server} from 'node:http2';
+import type {Socket} from 'node:net';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import type {PeerMessage} from '@shallotloom/core/messages.ts';
+import {Peer} from '@shallotloom/protocol/gen/peer_pb.ts';
+import type {Traffic} from '../traffic.ts';
+import {decodeMessage} from './codec.ts';
+
+export type PeerServerOptions = {
+	host: string;
+	port: number;
+	traffic: Traffic;
+	onMessage: (from: string, incarnation: string, message: PeerMessage) => void;
+};
+
+export type PeerServer = {
+	close(): Promise<void>;
+};
+
+/** Largest batch that is taken from a peer, in bytes. */
+const batchLimit = 4 * 1024 * 1024;
+
+/** Listens for other routers; rejects when the address can't be bound. */
+export async function startPeerServer({host, port, traffic, onMessage}: PeerServerOptions): Promise<PeerServer> {
+	const server: Http2Server = createServer({}, connectNodeAdapter({
+		readMaxBytes: batchLimit,
+		routes(router) {
+			router.service(Peer, {
+				async deliver(envelopes) {
+					for await (const {sender, incarnation, messages} of envelopes) {
+						for (const wire of messages) {
+							const message = decodeMessage(wire);
+							if (message) {
+								onMessage(sender, incarnation, message);
+							}
+						}
+					}
+
+					return {};
+				},
+			});
+		},
+	}));
+	const sockets = new Set<Socket>();
+	server.on('connection', (socket: Socket) => {
+		sockets.add(socket);
+		traffic.watch(socket);
+		socket.on('close', () => sockets.delete(socket));
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	return {
+		async close() {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/targets/load-poll.ts
@@ -0,0 +1,63 @@
+/*
+Polls the load reports of the targets that this router owns.
+*/
+import {request} from 'undici';
+import type {InboundOf} from '@shallotloom/core/ports.ts';
+import type {World} from '@shallotloom/core/world.ts';
+import type {Timer} from '../timer.ts';
+import type {TargetAgents} from './target-client.ts';
+
+type Load = {startId?: string; running?: number; ageMs?: number; cold?: boolean};
+
+export type LoadPollOptions = {
+	world: World;
+	timer: Timer;
+	periodMs: number;
+	agents: TargetAgents;
+	onReport: (report: InboundOf<'loadReport'>) => void;
+};
+
+async function readLoad(url: string, agents: TargetAgents, timeoutMs: number): Promise<Load | undefined> {
+	try {
+		const {statusCode, body} = await request(`${url}/load`, {
+			dispatcher: agents.kept, headersTimeout: timeoutMs, bodyTimeout: timeoutMs, signal: AbortSignal.timeout(timeoutMs),
+		});
+		const text = await body.text();
+		return statusCode === 200 ? JSON.parse(text) as Load : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+/** Starts polling; returns the function that stops it. */
+export function startLoadPoll({world, timer, periodMs, agents, onReport}: LoadPollOptions): () => void {
+	const inFlight = new Set<string>();
+
+	async function poll(target: string, url: string) {
+		if (inFlight.has(target)) {
+			return;
+		}
+
+		inFlight.add(target);
+		const load = await readLoad(url, agents, 4 * periodMs);
+		inFlight.delete(target);
+		onReport({
+			kind: 'loadReport',
+			target,
+			startId: load?.startId ?? '',
+			running: load?.running ?? 0,
+			ageMs: load?.ageMs ?? 0,
+			reachable: load !== undefined,
+			cold: load?.cold,
+		});
+	}
+
+	return timer.subscribe(periodMs, () => {
+		for (const {target} of world.budgets.rows()) {
+			const configured = world.configuration.targets.get(target);
+			if (configured) {
+				void poll(target, configured.url);
+			}
+		}
+	});
+}
