--- /dev/null
+++ b/packages/router/src/cli/main.ts
@@ -0,0 +1,85 @@
+/*
+Program `shallotloom-router`: reads its settings, starts the router, and stops as planned on SIGTERM and SIGINT.
+Exit codes: 0 stopped as planned or settings valid, 1 couldn't start, 2 settings invalid.
+*/
+import process from 'node:process';
+import sade from 'sade';
+import {checkRouterSettings, loadRouterSettings} from '@shallotloom/settings/router-settings.ts';
+import {describeProblems} from '@shallotloom/settings/problems.ts';
+import {startRouter} from '../router.ts';
+
+declare const SHALLOTLOOM_VERSION: string | undefined;
+
+type Options = {settings?: string; 'check-settings'?: boolean};
+
+const version = typeof SHALLOTLOOM_VERSION === 'string' ? SHALLOTLOOM_VERSION : 'development';
+
+async function check(file: string) {
+	const {text, exitCode} = await checkRouterSettings(file);
+	console.log(text);
+	process.exitCode = exitCode;
+}
+
+async function serve(file: string) {
+	const result = await loadRouterSettings(file);
+	if (result.kind !== 'ok') {
+		console.error(`${file}: ${result.kind}\n${describeProblems(result.problems)}`);
+		process.exitCode = 2;
+		return;
+	}
+
+	const {settings} = result;
+	const router = await startRouter({
+		settings,
+		onLog({part, level, text}) {
+			console.error(`${level} [${part}] ${text}`);
+		},
+		async onStopped() {
+			clearTimeout(graceTimer);
+			await router.close();
+			process.exit(0); // eslint-disable-line unicorn/no-process-exit
+		},
+	});
+	let graceTimer: NodeJS.Timeout | undefined;
+
+	function stop() {
+		router.stop();
+		graceTimer ??= setTimeout(() => {
+			console.error(`error [stop] answers still ran after ${settings.stop.graceMs} ms`);
+			process.exit(1); // eslint-disable-line unicorn/no-process-exit
+		}, settings.stop.graceMs);
+	}
+
+	process.on('SIGTERM', stop);
+	process.on('SIGINT', stop);
+	console.log(`listening callers=${settings.advertise.callers} peers=${settings.advertise.peers} operators=http://${settings.listen.operators}`);
+}
+
+async function run(options: Options) {
+	if (options.settings === undefined) {
+		console.error('--settings FILE is missing; see --help');
+		process.exitCode = 2;
+		return;
+	}
+
+	await (options['check-settings'] ? check(options.settings) : serve(options.settings));
+}
+
+try {
+	sade('shallotloom-router', true)
+		.version(version)
+		.describe('Routes callers\' requests to model engines and application services.')
+		.option('--settings', 'Settings file, in YAML')
+		.option('--check-settings', 'Check the settings file and exit')
+		.example('--settings examples/council/suva-1.yaml')
+		.action((options: Options) => {
+			// eslint-disable-next-line unicorn/prefer-top-level-await
+			run(options).catch((error: unknown) => {
+				console.error(`error [router] ${error instanceof Error ? error.message : String(error)}`);
+				process.exitCode = 1;
+			});
+		})
+		.parse(process.argv);
+} catch (error) {
+	console.error(error);
+}
