Add the platform client and the stand-ins

The core needs an Object API to speak to, and tests need a platform, model engines, application services and a network whose faults can be switched on.

The client maps every way in which a call can end to a result of the core: refused connections, 429 and 503 are `unavailable`, timeouts and broken connections are `unknown`. Retrying inside the client was ruled out, since only the core knows whether a write may be repeated. Watches remember the revision of each prefix's listing; polling from the first listing alone would have delivered changes that a later listing had already overtaken.

--- /dev/null
+++ b/packages/platform/test/object-store.test.ts
@@ -0,0 +1,175 @@
+/*
+The client of the Object API against the stand-in: conditional updates, lost answers, outages, and watches.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {StoredObject} from '@shallotloom/core/ports.ts';
+import {createPlatformStandin, type PlatformStandin, type PlatformStandinOptions} from '@shallotloom/standin/platform-standin.ts';
+import {createObjectStore, type ObjectStore} from '../src/object-store.ts';
+import {pollInstanceList} from '../src/instance-list.ts';
+
+let platform: PlatformStandin;
+let store: ObjectStore;
+let url: string;
+
+async function open(options: PlatformStandinOptions = {}) {
+	platform = createPlatformStandin(options);
+	({url} = await platform.start());
+	store = createObjectStore({url, callTimeoutMs: 500, pageSize: 2});
+}
+
+afterEach(async () => {
+	await store.close();
+	await platform.stop();
+});
+
+async function put(key: string, value: string, ifVersion: number) {
+	const {result} = await store.run({
+		kind: 'put', key, value, ifVersion,
+	});
+	return result;
+}
+
+async function get(key: string) {
+	const {result} = await store.run({kind: 'get', key});
+	return result;
+}
+
+async function until(condition: () => boolean) {
+	for (let tries = 0; tries < 500 && !condition(); tries++) {
+		await sleep(10);
+	}
+
+	expect(condition()).toBe(true);
+}
+
+function watch(prefixes: string[]) {
+	const seen: StoredObject[] = [];
+	const errors: string[] = [];
+	const handle = store.watch({
+		prefixes,
+		onObject(object) {
+			seen.push(object);
+		},
+		onError(error) {
+			errors.push(error.kind);
+		},
+	});
+	return {seen, errors, handle};
+}
+
+test('writes only when the condition holds', async () => {
+	await open();
+	expect(await put('lease/a b/ü', 'one', 0)).toEqual({kind: 'ok', version: 1, value: ''});
+	expect(await put('lease/a b/ü', 'two', 0)).toEqual({kind: 'conflict'});
+	expect(await put('lease/a b/ü', 'two', 7)).toEqual({kind: 'conflict'});
+	expect(await put('lease/a b/ü', 'two', 1)).toEqual({kind: 'ok', version: 2, value: ''});
+	expect(await get('lease/a b/ü')).toEqual({kind: 'ok', version: 2, value: 'two'});
+
+	const stale = await store.run({kind: 'delete', key: 'lease/a b/ü', ifVersion: 1});
+	expect(stale.result).toEqual({kind: 'conflict'});
+	const deleted = await store.run({kind: 'delete', key: 'lease/a b/ü', ifVersion: 2});
+	expect(deleted.result).toEqual({kind: 'ok', version: 3, value: ''});
+	expect(await get('lease/a b/ü')).toEqual({kind: 'absent'});
+	expect(store.calls()).toEqual({reads: 2, writes: 6});
+});
+
+test('lists all pages by key', async () => {
+	await open();
+	for (const key of ['a/3', 'a/1', 'b/1', 'a/2', 'a/10', 'a/5']) {
+		await put(key, key, 0);
+	}
+
+	const {result, objects} = await store.run({kind: 'list', prefix: 'a/'});
+	expect(result).toEqual({kind: 'ok', version: 6, value: ''});
+	expect(objects?.map(object => object.key)).toEqual(['a/1', 'a/10', 'a/2', 'a/3', 'a/5']);
+});
+
+test('reports a lost answer as unknown, and the write took effect', async () => {
+	await open();
+	platform.setFaults({loseAnswers: 1});
+	expect(await put('key', 'value', 0)).toEqual({kind: 'unknown'});
+	expect(await get('key')).toEqual({kind: 'ok', version: 1, value: 'value'});
+	expect(await put('key', 'next', 1)).toEqual({kind: 'ok', version: 2, value: ''});
+});
+
+test('tells a refusal from a missing answer', async () => {
+	await open({writesPerSecond: 1});
+	platform.setFaults({down: true});
+	expect(await put('key', 'value', 0)).toEqual({kind: 'unavailable'});
+	platform.clearFaults();
+	expect(await put('key', 'value', 0)).toEqual({kind: 'ok', version: 1, value: ''});
+	// The second write of the second is over the rate.
+	expect(await put('key', 'value', 1)).toEqual({kind: 'unavailable'});
+	platform.setFaults({slowMs: 2000});
+	expect(await get('key')).toEqual({kind: 'unknown'});
+	await platform.stop();
+	await store.close();
+	// A new client has no open connection on which the call could have left.
+	store = createObjectStore({url});
+	expect(await get('key')).toEqual({kind: 'unavailable'});
+});
+
+test('watches from a listing through changes, deletions and an outage', async () => {
+	await open();
+	await put('a/1', 'one', 0);
+	const {seen, errors, handle} = watch(['a/', 'c/']);
+	await until(() => seen.length === 1);
+	await put('b/1', 'other', 0);
+	await put('c/1', 'two', 0);
+	await store.run({kind: 'delete', key: 'a/1', ifVersion: 1});
+	await until(() => seen.length === 3);
+	platform.setFaults({down: true});
+	await until(() => errors.length > 0);
+	platform.clearFaults();
+	await put('a/2', 'three', 0);
+	await until(() => seen.length === 4);
+	handle.stop();
+	expect(seen.map(({key, value}) => [key, value])).toEqual([['a/1', 'one'], ['c/1', 'two'], ['a/1', ''], ['a/2', 'three']]);
+});
+
+test('delivers as deleted what went while the platform kept no history', async () => {
+	await open({historyLimit: 1});
+	await put('a/1', 'one', 0);
+	const {seen, errors, handle} = watch(['a/']);
+	await until(() => seen.length === 1);
+	platform.setFaults({down: true});
+	await until(() => errors.length > 0);
+	platform.clearFaults();
+	await store.run({kind: 'delete', key: 'a/1', ifVersion: 1});
+	for (let version = 0; version < 4; version++) {
+		await put(`b/${version}`, '', 0);
+	}
+
+	await until(() => seen.length === 2);
+	handle.stop();
+	expect(seen.at(-1)).toMatchObject({key: 'a/1', value: ''});
+});
+
+test('answers 410 to a watch older than the history', async () => {
+	await open({historyLimit: 1});
+	for (let version = 0; version < 4; version++) {
+		await put(`a/${version}`, '', 0);
+	}
+
+	const {status} = await fetch(`${url}/watch?prefix=a/&since=1&timeoutMs=10`);
+	expect(status).toBe(410);
+});
+
+test('polls the instance list', async () => {
+	await open();
+	platform.setInstances([{id: 'router-1', state: 'leaving'}]);
+	const seen: unknown[] = [];
+	const poll = pollInstanceList({
+		url,
+		pollMs: 10,
+		onInstances(instances) {
+			seen.push(instances);
+		},
+		onError() {
+			seen.push('error');
+		},
+	});
+	await until(() => seen.length > 1);
+	await poll.stop();
+	expect(seen[0]).toEqual([{id: 'router-1', state: 'leaving'}]);
+});
