--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -101,8 +101,6 @@
 	/** Final answer from the run record. */
 		| {kind: 'replay'; request: string; answer: string}
 		| {kind: 'store'; operation: number; action: StoreOperation}
-	/** Targets whose load the edge polls from now on. */
-		| {kind: 'pollLoads'; targets: Array<{id: string; url: string}>}
 		| {kind: 'log'; part: LogPart; level: 'debug' | 'info' | 'warn' | 'error'; text: string; request?: string}
 	/** Answer to `releaseProposed`. */
 		| {kind: 'releaseAnswered'; proposal: string; answer: ReleaseAnswer}
--- a/packages/core/src/release-codec.ts
+++ b/packages/core/src/release-codec.ts
@@ -80,7 +80,7 @@
 
 	const problems = check(value);
 	// Checked above, field by field.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return problems.length > 0 ? {kind: 'malformed', problems} : {kind: 'ok', value: value as Value};
 }
 
--- a/packages/core/src/release-note.ts
+++ b/packages/core/src/release-note.ts
@@ -109,7 +109,7 @@
 /** Message of one problem. */
 export function noteProblemMessage(problem: NoteProblem): string {
 	// The table is indexed by the problem's own kind, which TypeScript can't relate to the parameter.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	const entry = noteProblems[problem.kind] as {message: (problem: NoteProblem) => string};
 	return entry.message(problem);
 }
@@ -148,7 +148,7 @@
 	}
 
 	// Checked above, field by field.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return {kind: 'ok', note: value as ReleaseNote};
 }
 
--- a/packages/core/src/release.ts
+++ b/packages/core/src/release.ts
@@ -149,7 +149,7 @@
 		}
 
 		// `readNote` has found every field of an added entity.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 		table.set(id, entry as Entity);
 		return [];
 	},
--- a/packages/router/src/callers/app.ts
+++ b/packages/router/src/callers/app.ts
@@ -7,7 +7,9 @@
 import {Hono, type Context} from 'hono';
 import {TargetKind, type Workspace} from '@shallotloom/core/configuration.ts';
 import type {CallerRequest} from '@shallotloom/core/ports.ts';
-import {Outcome, RefusalKind, refusals, type Refusal} from '@shallotloom/core/refusal.ts';
+import {
+	Outcome, RefusalKind, refusals, type Refusal,
+} from '@shallotloom/core/refusal.ts';
 import {addresses} from '@shallotloom/core/systems/addresses.ts';
 import {takesRequests} from '@shallotloom/core/systems/requests.ts';
 import type {World} from '@shallotloom/core/world.ts';
@@ -44,7 +46,7 @@
 /** Creates the app. */
 export function createCallerApp(options: CallerAppOptions) {
 	const {world} = options;
-	const keys = createWorkspaceKeys();
+	const workspaceKeys = createWorkspaceKeys();
 	let requests = 0;
 
 	function refuse(context: CallerContext, refusal: Refusal) {
@@ -93,7 +95,7 @@
 			return refuse(context, {...notRun(RefusalKind.NotReady), retryAfterMs: 1000});
 		}
 
-		const workspace = keys.find(world.configuration, context.req.header('authorization'));
+		const workspace = workspaceKeys.workspaceOf(world.configuration, context.req.header('authorization'));
 		return workspace ? run(workspace) : refuse(context, notRun(RefusalKind.UnknownWorkspace));
 	}
 
@@ -152,7 +154,7 @@
 }
 
 function createExchange(context: CallerContext, request: CallerRequest, call: Call, body: string | undefined): Exchange {
-	const {incoming, outgoing} = context.env as {incoming: IncomingMessage; outgoing: ServerResponse};
+	const {incoming, outgoing} = context.env;
 	const hasBody = incoming.method !== 'GET' && incoming.method !== 'HEAD';
 	return {
 		request: request.id,
--- a/packages/router/src/callers/chat-request.ts
+++ b/packages/router/src/callers/chat-request.ts
@@ -8,7 +8,7 @@
 	model: z.string().min(1),
 	messages: z.array(z.looseObject({role: z.string(), content: z.unknown()})).min(1),
 	stream: z.boolean().optional(),
-	// eslint-disable-next-line camelcase
+
 	max_tokens: z.int().positive().optional(),
 });
 
@@ -22,9 +22,9 @@
 	prefixHash: number;
 };
 
-export type ChatResult =
-	| {kind: 'ok'; chat: ChatRequest}
-	| {kind: 'malformed'; detail: string};
+export type ChatResult
+	= | {kind: 'ok'; chat: ChatRequest}
+		| {kind: 'malformed'; detail: string};
 
 /** Mean length of a token in prompts, in characters. */
 const tokenLength = 4;
--- a/packages/router/src/callers/keys.ts
+++ b/packages/router/src/callers/keys.ts
@@ -12,7 +12,7 @@
 
 /** Key of an `authorization: Bearer KEY` header; undefined when the header is missing or of another form. */
 export function bearerKey(header: string | undefined): string | undefined {
-	const match = /^bearer\s+(?<key>\S+)$/i.exec(header ?? '');
+	const match = /^bearer\s+(?<key>\S+)$/iv.exec(header ?? '');
 	return match?.groups!.key;
 }
 
@@ -25,7 +25,7 @@
 
 export type WorkspaceKeys = {
 	/** Workspace of an authorization header; undefined when there is none. */
-	find(configuration: Configuration, header: string | undefined): Workspace | undefined;
+	workspaceOf(configuration: Configuration, header: string | undefined): Workspace | undefined;
 };
 
 /** Creates the look-up; its index follows the configuration. */
@@ -33,7 +33,7 @@
 	let indexed: Configuration | undefined;
 	let byHash = new Map<string, Workspace>();
 	return {
-		find(configuration, header) {
+		workspaceOf(configuration, header) {
 			const key = bearerKey(header);
 			if (key === undefined) {
 				return undefined;
--- a/packages/router/src/cli/main.ts
+++ b/packages/router/src/cli/main.ts
@@ -6,7 +6,7 @@
 import sade from 'sade';
 import {checkRouterSettings, loadRouterSettings} from '@shallotloom/settings/router-settings.ts';
 import {describeProblems} from '@shallotloom/settings/problems.ts';
-import {startRouter} from '../router.ts';
+import {startRouter, type Router} from '../router.ts';
 
 declare const SHALLOTLOOM_VERSION: string | undefined;
 
@@ -20,6 +20,11 @@
 	process.exitCode = exitCode;
 }
 
+async function leave(router: Router) {
+	await router.close();
+	process.exit(0); // eslint-disable-line unicorn/no-process-exit
+}
+
 async function serve(file: string) {
 	const result = await loadRouterSettings(file);
 	if (result.kind !== 'ok') {
@@ -34,10 +39,9 @@
 		onLog({part, level, text}) {
 			console.error(`${level} [${part}] ${text}`);
 		},
-		async onStopped() {
+		onStopped() {
 			clearTimeout(graceTimer);
-			await router.close();
-			process.exit(0); // eslint-disable-line unicorn/no-process-exit
+			void leave(router);
 		},
 	});
 	let graceTimer: NodeJS.Timeout | undefined;
@@ -73,7 +77,6 @@
 		.option('--check-settings', 'Check the settings file and exit')
 		.example('--settings examples/council/suva-1.yaml')
 		.action((options: Options) => {
-			// eslint-disable-next-line unicorn/prefer-top-level-await
 			run(options).catch((error: unknown) => {
 				console.error(`error [router] ${error instanceof Error ? error.message : String(error)}`);
 				process.exitCode = 1;
--- a/packages/router/src/core-loop.ts
+++ b/packages/router/src/core-loop.ts
@@ -11,12 +11,12 @@
 export type Edges = {[Kind in Outbound['kind']]: (item: OutboundOf<Kind>) => void};
 
 export type CoreLoop = {
+	/** Time that steps have taken so far, in milliseconds, and their number. */
+	readonly spent: {ms: number; steps: number};
 	/** Adds to the inbox; a step follows within the same turn of the event loop. */
 	push(inbound: Inbound): void;
 	/** Adds to the inbox without a step of its own, for what can wait until the next. */
 	note(inbound: Inbound): void;
-	/** Time that steps have taken so far, in milliseconds, and their number. */
-	readonly spent: {ms: number; steps: number};
 	stop(): void;
 };
 
--- a/packages/router/src/operators/app.ts
+++ b/packages/router/src/operators/app.ts
@@ -21,28 +21,32 @@
 	metrics: () => Promise<{contentType: string; text: string}>;
 };
 
-type Env = {Variables: {operator: string}};
+type Environment = {Variables: {operator: string}};
 
 const unauthorized = {error: {kind: 'unauthorized', message: 'the operator key is missing or unknown', hint: 'Send "authorization: Bearer KEY" with a key whose hash is in the settings.'}};
 
-const answerHandlers: {[Kind in ReleaseAnswer['kind']]: (context: Context<Env>, answer: Extract<ReleaseAnswer, {kind: Kind}>) => Response} = {
+const answerHandlers: {[Kind in ReleaseAnswer['kind']]: (context: Context<Environment>, answer: Extract<ReleaseAnswer, {kind: Kind}>) => Response} = {
 	accepted: (context, {revision}) => context.json({revision}),
 	superseded: (context, {revision, audit}) => context.json({
 		error: {
 			kind: 'superseded', message: `another release came in between: revision ${revision}`, hint: 'Look at it and apply the note again.', revision, audit,
 		},
 	}, 409),
-	invalid: (context, {problems}) => context.json({error: {
-		kind: 'invalid', message: 'the note can\'t be applied', hint: 'Correct the problems named.', problems,
-	}}, 422),
-	unavailable: context => context.json({error: {
-		kind: 'unavailable', message: 'the Object API can\'t be reached; nothing was changed', hint: 'Apply the note again when the platform is back.',
-	}}, 503),
+	invalid: (context, {problems}) => context.json({
+		error: {
+			kind: 'invalid', message: 'the note can\'t be applied', hint: 'Correct the problems named.', problems,
+		},
+	}, 422),
+	unavailable: context => context.json({
+		error: {
+			kind: 'unavailable', message: 'the Object API can\'t be reached; nothing was changed', hint: 'Apply the note again when the platform is back.',
+		},
+	}, 503),
 };
 
 type ReleaseBody = {note?: unknown; reason?: unknown; ifRevision?: unknown};
 
-async function readRelease(context: Context<Env>): Promise<ReleaseBody | undefined> {
+async function readRelease(context: Context<Environment>): Promise<ReleaseBody | undefined> {
 	try {
 		const body: unknown = await context.req.json();
 		return typeof body === 'object' && body !== null && 'note' in body ? body : undefined;
@@ -56,7 +60,7 @@
 /** Creates the app. */
 export function createOperatorApp(options: OperatorAppOptions) {
 	const {world} = options;
-	const app = new Hono<Env>();
+	const app = new Hono<Environment>();
 	app.get('/healthz', context => context.text('ok'));
 	app.get('/readyz', context => world.configuration.revision > 0 ? context.text('ready') : context.text('not ready', 503));
 	app.get('/metrics', async context => {
@@ -96,7 +100,7 @@
 			at: new Date().toISOString(),
 			...(typeof body.ifRevision === 'number' && {ifRevision: body.ifRevision}),
 		});
-		const handler = answerHandlers[answer.kind] as (context: Context<Env>, answer: ReleaseAnswer) => Response;
+		const handler = answerHandlers[answer.kind] as (context: Context<Environment>, answer: ReleaseAnswer) => Response;
 		return handler(context, answer);
 	});
 	app.notFound(context => context.json({error: {kind: 'not-found', message: `no such path: ${context.req.path}`, hint: 'See docs/OPERATORS-API.md.'}}, 404));
--- a/packages/router/src/peers/codec.ts
+++ b/packages/router/src/peers/codec.ts
@@ -4,15 +4,18 @@
 */
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import type {PeerMessage} from '@shallotloom/core/messages.ts';
-import {EnvelopeSchema, type Envelope, type Message, type MessageSchema} from '@shallotloom/protocol/gen/peer_pb.ts';
+import {
+	EnvelopeSchema, type Envelope, type Message, type MessageSchema,
+} from '@shallotloom/protocol/gen/peer_pb.ts';
+
+function encodeMessage(message: PeerMessage): MessageInitShape<typeof MessageSchema> {
+	const body: unknown = {case: message.kind, value: message};
+	return {body: body as MessageInitShape<typeof MessageSchema>['body']};
+}
 
 /** Wire form of a batch of messages. */
 export function encodeEnvelope(sender: string, incarnation: string, messages: PeerMessage[]): Envelope {
-	return create(EnvelopeSchema, {
-		sender,
-		incarnation,
-		messages: messages.map(message => ({body: {case: message.kind, value: message}}) as MessageInitShape<typeof MessageSchema>),
-	});
+	return create(EnvelopeSchema, {sender, incarnation, messages: messages.map(message => encodeMessage(message))});
 }
 
 /** Core form of one message; undefined for a kind that this version doesn't know. */
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -48,7 +48,9 @@
 	server.on('connection', (socket: Socket) => {
 		sockets.add(socket);
 		traffic.watch(socket);
-		socket.on('close', () => sockets.delete(socket));
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
 	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,9 +4,10 @@
 import {createServer, type Server} from 'node:http';
 import {randomBytes} from 'node:crypto';
 import {getRequestListener} from '@hono/node-server';
-import type {Hono} from 'hono';
-import type {CallerRequest, OutboundOf, ReleaseAnswer} from '@shallotloom/core/ports.ts';
-import {RefusalKind, refusals, type Refusal} from '@shallotloom/core/refusal.ts';
+import type {
+	CallerRequest, OutboundOf, ReleaseAnswer, StoreOperation,
+} from '@shallotloom/core/ports.ts';
+import type {RefusalKind, Refusal} from '@shallotloom/core/refusal.ts';
 import {applyNote} from '@shallotloom/core/release.ts';
 import type {ReleaseNote} from '@shallotloom/core/release-note.ts';
 import {watchedPrefixes} from '@shallotloom/core/step.ts';
@@ -43,6 +44,7 @@
 /** Period at which the core hears of streamed tokens, in milliseconds. */
 const tokenReportMs = 200;
 
+type App = {fetch: Parameters<typeof getRequestListener>[0]};
 type Listen = {host: string; port: number};
 
 function parseListen(address: string): Listen {
@@ -60,13 +62,16 @@
 	};
 }
 
-async function listen(app: Hono<any>, {host, port}: Listen, limits: RouterSettings['limits']): Promise<Server> { // eslint-disable-line @typescript-eslint/no-explicit-any
+async function listen(app: App, {host, port}: Listen, limits: RouterSettings['limits']): Promise<Server> {
+	const listener = getRequestListener(app.fetch);
 	const server = createServer({
 		maxHeaderSize: limits.headerBytes,
 		headersTimeout: limits.headersTimeoutMs,
 		requestTimeout: limits.requestTimeoutMs,
 		noDelay: true,
-	}, getRequestListener(app.fetch));
+	}, (incoming, outgoing) => {
+		void listener(incoming, outgoing);
+	});
 	server.maxConnections = limits.connections;
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
@@ -136,6 +141,13 @@
 		}
 	}
 
+	async function runStore(operation: number, action: StoreOperation) {
+		const {result, objects} = await store.run(action);
+		loop.push({
+			kind: 'storeReply', operation, result, ...(objects && {objects}),
+		});
+	}
+
 	const edges: Edges = {
 		send({to, peerUrl, message}) {
 			peers.send(to, peerUrl, message);
@@ -172,11 +184,8 @@
 				deliver(exchange, JSON.parse(answer) as Parameters<typeof deliver>[1]);
 			});
 		},
-		async store({operation, action}) {
-			const {result, objects} = await store.run(action);
-			loop.push({
-				kind: 'storeReply', operation, result, ...(objects && {objects}),
-			});
+		store({operation, action}) {
+			void runStore(operation, action);
 		},
 		log: onLog,
 		releaseAnswered({proposal, answer}) {
@@ -252,8 +261,8 @@
 			});
 		},
 	});
-	const callerServer = await listen(callerApp as Hono, parseListen(settings.listen.callers), settings.limits);
-	const operatorServer = await listen(operatorApp as unknown as Hono, parseListen(settings.listen.operators), settings.limits);
+	const callerServer = await listen(callerApp, parseListen(settings.listen.callers), settings.limits);
+	const operatorServer = await listen(operatorApp, parseListen(settings.listen.operators), settings.limits);
 
 	return {
 		world,
@@ -275,5 +284,3 @@
 		},
 	};
 }
-
-export {refusals};
--- a/packages/router/src/targets/attempt.ts
+++ b/packages/router/src/targets/attempt.ts
@@ -1,6 +1,7 @@
 /*
 One attempt of an exchange at a target, as the core ordered it.
 */
+import type {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {StringDecoder} from 'node:string_decoder';
 import {request as fetchTarget, type Dispatcher} from 'undici';
@@ -19,7 +20,7 @@
 };
 
 type Place = {target: string; url: string};
-type Answer = Dispatcher.ResponseData;
+type Answer = Dispatcher.ResponseData<unknown>;
 
 /** Statuses by which an engine says that it didn't take the request. */
 const refusedStatuses = new Set([429, 503]);
@@ -169,7 +170,7 @@
 			exchange.firstByteAt = 0;
 			exchange.offset = 0;
 			void run(exchange, place, {
-				path: exchange.path, method: exchange.method as Dispatcher.HttpMethod, body: exchange.body, headers: headersOf(exchange),
+				path: exchange.path, method: exchange.method, body: exchange.body, headers: headersOf(exchange),
 			});
 		},
 		resume(exchange: Exchange, place: Place) {
--- a/packages/settings/src/problems.ts
+++ b/packages/settings/src/problems.ts
@@ -84,7 +84,7 @@
 function expectation(issue: Issue): string {
 	const words = (limitWords as Partial<Record<string, (issue: never) => string>>)[issue.code];
 	// The table is indexed by the issue's own code, which TypeScript can't relate to the parameter.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return words === undefined ? issue.message : words(issue as never);
 }
 
--- a/packages/settings/src/release-note.ts
+++ b/packages/settings/src/release-note.ts
@@ -107,7 +107,7 @@
 function withoutDefaults<Fields extends Record<string, z.ZodType>>(fields: Fields): WithoutDefaults<Fields> {
 	const entries = Object.entries(fields).map(([name, field]) => [name, field.def.type === 'default' ? innerOf(field) : field] as const);
 	// `Object.fromEntries` forgets the names of the fields.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return Object.fromEntries(entries) as WithoutDefaults<Fields>;
 }
 
