--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -19,6 +19,14 @@
 	leaseRenewMs: number;
 	/** Allowance for clocks that run at different rates, as a fraction of the lease. */
 	clockDrift: number;
+	/** A renewal that another member sent so much later than this router's last one shows that the Object API is up. */
+	outageSlackMs: number;
+	/** Least period at which the leases are listed; grows with the fleet. */
+	leaseListMs: number;
+	/** Time for which the preferred owner of a target must stay the same before a claim or handover. */
+	preferenceMs: number;
+	/** A router hands over at most one target in this time for the sake of balance. */
+	balanceMs: number;
 	digestMs: number;
 	progressMs: number;
 	/** A member counts as heard while its last digest, direct or by another, is younger. */
@@ -64,6 +72,10 @@
 	leaseDurationMs: 6 * second,
 	leaseRenewMs: 2 * second,
 	clockDrift: 0.05,
+	outageSlackMs: 4 * second,
+	leaseListMs: 2 * second,
+	preferenceMs: second,
+	balanceMs: second,
 	digestMs: 250,
 	progressMs: 500,
 	heardMs: 1.5 * second,
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -134,6 +134,10 @@
 	target: string;
 	/** Epoch of the new owner. */
 	epoch: number;
+	/** Tenure of the new owner's lease that the record names. */
+	tenure: string;
+	/** Version of the record. */
+	version: number;
 	phase: Phase;
 	budget: number;
 	entries: Array<{ticket: string; workspace: string; pool: string; inputTokens: number; outputTokens: number}>;
@@ -158,13 +162,17 @@
 	frontier: number;
 };
 
-/** What a member has heard of another member. */
+/** What a member has heard of another member. The entry of the sender itself has age 0. */
 export type HeardEntry = {
 	member: string;
 	incarnation: string;
-	/** Time since the member was heard from, directly or by another. */
+	/** Upper bound of the time since the member sent the last digest that was heard of it, directly or by another. */
 	ageMs: number;
 	leaseSequence: number;
+	/** Number of that digest, counted by the member since its start. */
+	digestSequence: number;
+	/** Tenure of the member's lease, '' while it has none. */
+	tenure: string;
 };
 
 /** Periodic state of one router. */
@@ -177,7 +185,10 @@
 	/** Revision of the configuration in force at the sender. */
 	revision: number;
 	leaseSequence: number;
-	/** Time since the sender, or a member that it hears, reached the Object API; -1 when never. */
+	/**
+	Time since the sender sent the renewal of its lease that last took effect, directly or by a relay; -1 when it has no
+	lease, or when it knows that members go on renewing theirs while its own has stopped.
+	*/
 	storeAgeMs: number;
 	services: ServiceEntry[];
 	pools: PoolEntry[];
@@ -207,6 +218,8 @@
 export type LeaseRelayResult = {
 	kind: 'leaseRelayResult';
 	key: string;
+	/** Nonce of the renewal that was relayed. */
+	nonce: string;
 	/** New version, or 0 when the write didn't take effect. */
 	version: number;
 };
--- /dev/null
+++ b/packages/core/src/records.ts
@@ -0,0 +1,85 @@
+/*
+Values of the objects that membership and ownership keep in the Object API, and their stored form.
+*/
+import type {MemberState} from './messages.ts';
+
+/** Value of `lease/ROUTER`. */
+export type LeaseRecord = {
+	/** Random, new with each write; recognises the writer's own write when its answer was lost. */
+	nonce: string;
+	/** Start of the process that holds the lease. */
+	incarnation: string;
+	/** Random, new whenever the lease is created or taken from an earlier start. */
+	tenure: string;
+	/** Grows with each write. */
+	sequence: number;
+	state: MemberState;
+	failureDomain: string;
+	callerUrl: string;
+	peerUrl: string;
+	durationMs: number;
+};
+
+/** Value of `owner/TARGET`. */
+export type OwnerRecord = {
+	owner: string;
+	/** Tenure of the owner's lease; the record is void once that tenure has ended. */
+	incarnation: string;
+	/** Grows with each change of owner; fences orders to the target. */
+	epoch: number;
+	nonce: string;
+};
+
+export const leasePrefix = 'lease/';
+export const ownerPrefix = 'owner/';
+
+/** Key of a router's lease in the Object API. */
+export function leaseKey(router: string): string {
+	return leasePrefix + router;
+}
+
+/** Key of a target's ownership record in the Object API. */
+export function ownerKey(target: string): string {
+	return ownerPrefix + target;
+}
+
+/** Reads a stored lease; undefined when it isn't one. Never throws. */
+export function decodeLease(text: string): LeaseRecord | undefined {
+	return decode<LeaseRecord>(text, {
+		nonce: 'string',
+		incarnation: 'string',
+		tenure: 'string',
+		sequence: 'number',
+		state: 'number',
+		failureDomain: 'string',
+		callerUrl: 'string',
+		peerUrl: 'string',
+		durationMs: 'number',
+	});
+}
+
+/** Reads a stored ownership record; undefined when it isn't one. Never throws. */
+export function decodeOwner(text: string): OwnerRecord | undefined {
+	return decode<OwnerRecord>(text, {
+		owner: 'string', incarnation: 'string', epoch: 'number', nonce: 'string',
+	});
+}
+
+function decode<Value extends object>(text: string, fields: Record<keyof Value & string, 'string' | 'number'>): Value | undefined {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+
+	if (typeof value !== 'object' || value === null) {
+		return undefined;
+	}
+
+	const entries = new Map<string, unknown>(Object.entries(value));
+	const sound = Object.entries(fields).every(([field, type]) => typeof entries.get(field) === type);
+	// Checked above, field by field.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	return sound ? value as Value : undefined;
+}
--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -3,7 +3,10 @@
 monotonic clock.
 */
 import type {CallerRequest} from './ports.ts';
-import type {MemberState, Phase, PoolEntry} from './messages.ts';
+import type {
+	MemberState, Phase, PoolEntry, TargetHandover,
+} from './messages.ts';
+import type {OwnerRecord} from './records.ts';
 
 /** Another router, or this one, as far as it is known here. */
 export type Member = {
@@ -19,7 +22,7 @@
 	leaseSequence: number;
 	/** When that sequence was first known here: its lease was sent before then. */
 	leaseSeenAt: number;
-	/** When it was last heard, directly or through another member. */
+	/** It sent its last digest later than this, by the echo of this router's own digests; -Infinity before an echo. */
 	heardAt: number;
 	/** When its own digest last arrived. */
 	digestAt: number;
@@ -33,15 +36,75 @@
 	pools: Map<string, PoolEntry>;
 };
 
+/** A renewal of another router's lease that it told of in a digest. */
+export type Renewal = {
+	sequence: number;
+	/** The renewal was sent later than this. */
+	after: number;
+	/** When the digest that told of it arrived here. */
+	toldAt: number;
+};
+
+/** What leases and digests prove about another router. */
+export type Contact = {
+	member: string;
+	/** Tenure of its lease; '' while it has none that is known. */
+	tenure: string;
+	/** Version of its lease object, as last read; 0 while it was not read. */
+	version: number;
+	/** When it was first known here. */
+	joinedAt: number;
+	/** When this tenure was first known here. */
+	tenureAt: number;
+	/** Incarnation and number of its latest digest heard, directly or through another member. */
+	incarnation: string;
+	digestSequence: number;
+	/** Whether its last digest said that its lease is in order, or that the Object API is down for it too. */
+	supports: boolean;
+	/** Latest renewals that it told of itself, oldest first. */
+	renewals: Renewal[];
+};
+
+/** What this router is doing about the ownership of a target. */
+export enum MoveKind {
+	Claim = 'claim',
+	Handover = 'handover',
+}
+
+/** Claim or handover in progress. */
+export type Move = {
+	target: string;
+	kind: MoveKind;
+	/** A claim is tried again, and the result of a handover looked up, from this time on. */
+	retryAt: number;
+	/** What a handover writes. */
+	record?: OwnerRecord;
+	/** Budget of the target when the handover began. */
+	handover?: TargetHandover;
+};
+
+/** Router that should own a target, as seen here. */
+export type Preference = {
+	target: string;
+	member: string;
+	/** Since when this has been so without a change. */
+	since: number;
+};
+
 /** Who owns a target. */
 export type Ownership = {
 	target: string;
 	/** Router id, or '' while not known. */
 	owner: string;
+	/** Tenure of the owner's lease under which it owns the target. */
 	incarnation: string;
 	epoch: number;
 	/** Version of the object `owner/TARGET`; 0 while it doesn't exist. */
 	version: number;
+	/** When this was learnt. */
+	learntAt: number;
+	/** What the owner before told of the target, when it handed it to this router. */
+	handover?: TargetHandover;
 };
 
 /** Budget of a target that this router owns. */
--- /dev/null
+++ b/packages/core/src/systems/handovers.ts
@@ -0,0 +1,113 @@
+/*
+Hands targets over to other live members: this router stops to serve the target, writes the new record, and then tells
+the new owner. It takes the target back when the write is known not to have taken effect.
+*/
+import {Phase, type TargetHandover} from '../messages.ts';
+import {decodeOwner, ownerKey, type OwnerRecord} from '../records.ts';
+import {MoveKind, type Move, type Ownership} from '../rows.ts';
+import {
+	nonce, send, store, type World,
+} from '../world.ts';
+import {drop} from './holdings.ts';
+import {applyOwner, settle} from './owner-records.ts';
+
+/** Time after which the result of a handover is looked up again. */
+const lookupMs = 500;
+
+/** Hands a target over to a member whose lease is known. */
+export function handOver(world: World, ownership: Ownership, to: string) {
+	const {target, epoch, version} = ownership;
+	const tenure = world.contacts.get(to)?.tenure ?? '';
+	if (tenure === '') {
+		return;
+	}
+
+	const record: OwnerRecord = {
+		owner: to, incarnation: tenure, epoch: epoch + 1, nonce: nonce(world),
+	};
+	const move: Move = {
+		target,
+		kind: MoveKind.Handover,
+		retryAt: world.now + lookupMs,
+		record,
+		handover: {
+			kind: 'targetHandover', target, epoch, tenure, version, ...coldBudget, ...drop(world, target),
+		},
+	};
+	world.moves.set(move);
+	write(world, move, record, version);
+}
+
+/** Looks up the result of a handover whose answer was lost. */
+export function lookUp(world: World, move: Move) {
+	move.retryAt = world.now + lookupMs;
+	store(world, {kind: 'get', key: ownerKey(move.target)}, ({result}) => {
+		if (world.moves.get(move.target) !== move || result.kind !== 'ok') {
+			return;
+		}
+
+		const record = decodeOwner(result.value);
+		const ownership = world.ownerships.get(move.target);
+		if (record === undefined || record.nonce === move.record?.nonce || result.version !== ownership?.version) {
+			finish(world, move, result.version, record);
+		} else {
+			takeBack(world, move, ownership);
+		}
+	});
+}
+
+const coldBudget: Pick<TargetHandover, 'phase' | 'budget' | 'entries'> = {phase: Phase.Cold, budget: 0, entries: []};
+
+function write(world: World, move: Move, record: OwnerRecord, ifVersion: number) {
+	store(world, {
+		kind: 'put', key: ownerKey(move.target), value: JSON.stringify(record), ifVersion,
+	}, ({result}) => {
+		if (world.moves.get(move.target) !== move) {
+			return;
+		}
+
+		if (result.kind === 'ok') {
+			finish(world, move, result.version, record);
+		} else if (result.kind === 'unavailable') {
+			restore(world, move);
+		} else {
+			lookUp(world, move);
+		}
+	});
+}
+
+/** Ends a move with the record that is in force. */
+function finish(world: World, move: Move, version: number, record: OwnerRecord | undefined) {
+	world.moves.delete(move.target);
+	if (record === undefined) {
+		return;
+	}
+
+	applyOwner(world, move.target, version, record, move.handover);
+	if (record.nonce === move.record?.nonce && move.handover !== undefined) {
+		send(world, record.owner, {...move.handover, epoch: record.epoch, version});
+	}
+}
+
+/** Writes the old record once more, so that the lost write can't take effect later, and serves the target again. */
+function takeBack(world: World, move: Move, ownership: Ownership) {
+	const {owner, incarnation, epoch, version} = ownership;
+	write(world, move, {
+		owner, incarnation, epoch, nonce: nonce(world),
+	}, version);
+}
+
+/** Serves a target again whose handover was refused by the Object API. */
+function restore(world: World, move: Move) {
+	const ownership = world.ownerships.get(move.target);
+	world.moves.delete(move.target);
+	const preference = world.preferences.get(move.target);
+	if (preference) {
+		preference.since = world.now;
+	}
+
+	if (ownership !== undefined) {
+		ownership.handover = move.handover;
+		settle(world, ownership);
+	}
+}
--- /dev/null
+++ b/packages/core/src/systems/holdings.ts
@@ -0,0 +1,35 @@
+/*
+The targets that this router serves as owner: starts and ends their budgets as ownership comes and goes.
+*/
+import type {TargetHandover} from '../messages.ts';
+import {LogPart} from '../ports.ts';
+import {log, type World} from '../world.ts';
+import {releaseTarget, takeTarget} from './budgets.ts';
+
+/** Starts to serve a target as its owner under `epoch`. */
+export function hold(world: World, target: string, epoch: number, handover?: TargetHandover) {
+	world.holdings.set(target, epoch);
+	takeTarget(world, target, epoch, handover);
+	log(world, LogPart.Ownership, `took ${target} at epoch ${epoch}`);
+}
+
+/** Stops to serve a target; returns what the next owner needs. */
+export function drop(world: World, target: string): ReturnType<typeof releaseTarget> {
+	if (!world.holdings.delete(target)) {
+		return undefined;
+	}
+
+	log(world, LogPart.Ownership, `dropped ${target}`);
+	return releaseTarget(world, target);
+}
+
+/** Stops to serve every target, since the lease under which they were owned is lost. */
+export function dropHoldings(world: World) {
+	for (const target of world.holdings.keys()) {
+		drop(world, target);
+	}
+
+	for (const move of world.moves.rows()) {
+		world.moves.delete(move.target);
+	}
+}
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/lease.ts
@@ -1,23 +1,322 @@
 /*
-Renews this router's lease and tells whether it may dispatch.
+Renews this router's lease and tells whether it may dispatch. The lease object is written by conditional updates only.
+Its tenure lasts until another router or a later start of this one ends it; a router whose tenure was ended owns nothing
+and starts a new one.
 */
-import type {PeerMessageOf} from '../messages.ts';
-import type {World} from '../world.ts';
+import {MemberState, type PeerMessageOf} from '../messages.ts';
+import {LogPart} from '../ports.ts';
+import {decodeLease, leaseKey, type LeaseRecord} from '../records.ts';
+import type {Member} from '../rows.ts';
+import {
+	log, nonce, pick, send, store, type LeaseRenewal, type StoreReply, type World,
+} from '../world.ts';
+import {dropHoldings} from './holdings.ts';
+import {
+	hearsMajority, isHeard, mayEndLease, voters,
+} from './quorum.ts';
 
-/** Renews the lease when it is due. */
-export function leaseSystem(_world: World) {
-	// Filled by the membership work.
+/** Renews the lease when it is due; deletes it at the end of a planned stop. */
+export function leaseSystem(world: World) {
+	const {lease, limits, now} = world;
+	if (lease.released) {
+		return;
+	}
+
+	if (lease.renewal !== undefined) {
+		attendRenewal(world, lease.renewal);
+		return;
+	}
+
+	if (isStopped(world)) {
+		releaseLease(world);
+		return;
+	}
+
+	if (now >= lease.nextRenewalAt) {
+		lease.nextRenewalAt = now + limits.leaseRenewMs;
+		if (lease.version === 0) {
+			const renewal = {record: undefined, sentAt: now, relayed: false};
+			lease.renewal = renewal;
+			readLease(world, renewal);
+		} else {
+			writeLease(world);
+		}
+	}
 }
 
 /** Whether this router may start new work at the targets that it owns, at this very moment. */
-export function mayDispatch(_world: World): boolean {
-	return true;
+export function mayDispatch(world: World): boolean {
+	return world.lease.tenure !== '' && !world.lease.released && (hasValidLease(world) || isOutage(world));
+}
+
+/** Whether the lease itself is valid, by time counted from before its renewal was sent. */
+export function hasValidLease(world: World): boolean {
+	return world.now < world.lease.validUntil;
+}
+
+/** Marks the lease as leaving without waiting for the next renewal. */
+export function renewNow(world: World) {
+	world.lease.nextRenewalAt = world.now;
+}
+
+/** Renews the lease of a peer that can't reach the Object API. */
+export function onLeaseRelay(world: World, from: string, {key, value, ifVersion}: PeerMessageOf<'leaseRelay'>) {
+	const renewal = decodeLease(value);
+	if (renewal === undefined || key !== leaseKey(from)) {
+		return;
+	}
+
+	const answer = (version: number) => {
+		send(world, from, {
+			kind: 'leaseRelayResult', key, nonce: renewal.nonce, version,
+		});
+	};
+
+	const put = (version: number, onConflict: () => void) => {
+		store(world, {
+			kind: 'put', key, value, ifVersion: version,
+		}, ({result}) => {
+			relayHandlers[result.kind]?.(result.kind === 'ok' ? result.version : 0, answer, onConflict);
+		});
+	};
+
+	put(ifVersion, () => {
+		store(world, {kind: 'get', key}, ({result}) => {
+			const current = result.kind === 'ok' ? decodeLease(result.value) : undefined;
+			if (result.kind === 'ok' && current?.nonce === renewal.nonce) {
+				answer(result.version);
+			} else if (result.kind === 'ok' && current?.tenure === renewal.tenure && current.sequence < renewal.sequence) {
+				put(result.version, () => undefined);
+			} else if (result.kind === 'ok' || result.kind === 'absent') {
+				answer(0);
+			}
+		});
+	});
+}
+
+/** Takes the result of a relayed renewal; one of an earlier renewal says nothing of the one in flight. */
+export function onLeaseRelayResult(world: World, _from: string, {key, nonce: relayed, version}: PeerMessageOf<'leaseRelayResult'>) {
+	const {renewal} = world.lease;
+	if (key !== leaseKey(world.self.id) || renewal?.record?.nonce !== relayed) {
+		return;
+	}
+
+	if (version === 0) {
+		loseLease(world, 'a relayed renewal found another tenure');
+	} else {
+		confirm(world, renewal, version);
+	}
+}
+
+type RelayHandler = (version: number, answer: (version: number) => void, onConflict: () => void) => void;
+
+const relayHandlers: Partial<Record<StoreReply['result']['kind'], RelayHandler>> = {
+	ok(version, answer) {
+		answer(version);
+	},
+	conflict(_version, _answer, onConflict) {
+		onConflict();
+	},
+	absent(_version, answer) {
+		answer(0);
+	},
+};
+
+/** Whether the lease lapsed in an outage of the Object API and most of the fleet is still with this router. */
+function isOutage(world: World): boolean {
+	const {lease} = world;
+	return !lease.outranked && world.storeReachedAt <= lease.validUntil && hearsMajority(world);
+}
+
+/** A stopping router gives its lease up once it owns nothing and serves no caller any more. */
+function isStopped(world: World): boolean {
+	return world.state === MemberState.Leaving && world.holdings.size === 0 && world.moves.size === 0
+		&& world.requests.size === 0;
+}
+
+function releaseLease(world: World) {
+	const {lease} = world;
+	lease.released = true;
+	if (lease.version > 0) {
+		// A lost answer or an outage leaves the lease to lapse.
+		store(world, {kind: 'delete', key: leaseKey(world.self.id), ifVersion: lease.version}, () => undefined);
+	}
+}
+
+function recordOf(world: World, tenure: string): LeaseRecord {
+	const {self, lease, limits} = world;
+	return {
+		nonce: nonce(world),
+		incarnation: self.incarnation,
+		tenure,
+		sequence: lease.sequence + 1,
+		state: world.state,
+		failureDomain: self.failureDomain,
+		callerUrl: self.callerUrl,
+		peerUrl: self.peerUrl,
+		durationMs: limits.leaseDurationMs,
+	};
+}
+
+/** Writes the lease over the version that is known; a new tenure starts when the write takes effect. */
+function writeLease(world: World, tenure = world.lease.tenure) {
+	const {lease, now} = world;
+	const record = recordOf(world, tenure);
+	const renewal = {record, sentAt: now, relayed: false};
+	lease.renewal = renewal;
+	store(world, {
+		kind: 'put', key: leaseKey(world.self.id), value: JSON.stringify(record), ifVersion: lease.version,
+	}, ({result}) => {
+		if (lease.renewal !== renewal) {
+			return;
+		}
+
+		if (result.kind === 'ok') {
+			confirm(world, renewal, result.version);
+		} else if (result.kind === 'unavailable') {
+			relayRenewal(world, renewal);
+		} else {
+			readLease(world, renewal);
+		}
+	});
+}
+
+/** Reads the lease object to learn its version, and whether a write whose answer was lost took effect. */
+function readLease(world: World, renewal: LeaseRenewal) {
+	const {lease} = world;
+	store(world, {kind: 'get', key: leaseKey(world.self.id)}, ({result}) => {
+		if (lease.renewal !== renewal) {
+			return;
+		}
+
+		if (result.kind === 'ok') {
+			onLeaseRead(world, renewal, result.version, decodeLease(result.value));
+		} else if (result.kind === 'absent') {
+			onLeaseAbsent(world);
+		} else {
+			relayRenewal(world, renewal);
+		}
+	});
+}
+
+function onLeaseRead(world: World, renewal: LeaseRenewal, version: number, current: LeaseRecord | undefined) {
+	const {lease, now} = world;
+	if (renewal.record !== undefined && current?.nonce === renewal.record.nonce) {
+		confirm(world, renewal, version);
+	} else if (lease.tenure !== '' && current?.tenure === lease.tenure) {
+		// An earlier renewal took effect after all; renew again over its version.
+		lease.renewal = undefined;
+		lease.version = version;
+		lease.sequence = Math.max(lease.sequence, current.sequence);
+		lease.nextRenewalAt = now;
+	} else if (lease.tenure === '') {
+		succeed(world, version, current);
+	} else {
+		loseLease(world, 'another tenure holds the lease');
+	}
+}
+
+function onLeaseAbsent(world: World) {
+	const {lease} = world;
+	if (lease.tenure !== '') {
+		loseLease(world, 'the lease was ended by another router');
+	}
+
+	lease.version = 0;
+	lease.predecessor = undefined;
+	writeLease(world, nonce(world));
+}
+
+/** Takes the lease over from an earlier start of this router, once that one has surely stopped. */
+function succeed(world: World, version: number, current: LeaseRecord | undefined) {
+	const {lease, now, self} = world;
+	const held = current?.nonce ?? '';
+	if (lease.predecessor?.nonce !== held) {
+		lease.predecessor = {nonce: held, seenAt: now};
+	}
+
+	if (current === undefined || mayEndLease(world, self.id, lease.predecessor.seenAt)) {
+		lease.version = version;
+		lease.sequence = current?.sequence ?? 0;
+		lease.predecessor = undefined;
+		writeLease(world, nonce(world));
+	} else {
+		endAttempt(world);
+	}
+}
+
+function confirm(world: World, {record, sentAt}: LeaseRenewal, version: number) {
+	const {lease, limits, now} = world;
+	if (record === undefined) {
+		return;
+	}
+
+	if (lease.tenure !== record.tenure) {
+		log(world, LogPart.Lease, `started tenure ${record.tenure}`);
+		lease.startedAt = now;
+	}
+
+	lease.tenure = record.tenure;
+	lease.sequence = record.sequence;
+	lease.version = version;
+	lease.renewal = undefined;
+	lease.validUntil = sentAt + (limits.leaseDurationMs * (1 - limits.clockDrift));
+	lease.renewedAt = sentAt;
+	lease.confirmedAt = now;
+	lease.outranked = false;
+}
+
+function endAttempt(world: World) {
+	const {lease, limits, now} = world;
+	lease.renewal = undefined;
+	lease.nextRenewalAt = Math.min(lease.nextRenewalAt, now + (limits.leaseRenewMs / 4));
+}
+
+/** Has a renewal that gets no answer relayed, and then gives it up; a conflict later shows whether it took effect. */
+function attendRenewal(world: World, renewal: LeaseRenewal) {
+	const {leaseRenewMs} = world.limits;
+	const waited = world.now - renewal.sentAt;
+	if (waited >= leaseRenewMs) {
+		endAttempt(world);
+	} else if (waited >= leaseRenewMs / 2 && !renewal.relayed) {
+		relayRenewal(world, renewal);
+	}
+}
+
+/** Asks a peer that reaches the Object API to write the renewal. */
+function relayRenewal(world: World, renewal: LeaseRenewal) {
+	const {lease} = world;
+	if (renewal.relayed) {
+		return;
+	}
+
+	const peer = pick(world, relayPeers(world));
+	if (peer === undefined || renewal.record === undefined || lease.tenure === '') {
+		endAttempt(world);
+		return;
+	}
+
+	renewal.relayed = true;
+	send(world, peer.id, {
+		kind: 'leaseRelay', key: leaseKey(world.self.id), value: JSON.stringify(renewal.record), ifVersion: lease.version,
+	});
 }
 
-export function onLeaseRelay(_world: World, _from: string, _message: PeerMessageOf<'leaseRelay'>) {
-	// Filled by the membership work.
+/** Members that are heard and whose lease was renewed of late. */
+function relayPeers(world: World): Member[] {
+	const {limits, now} = world;
+	return voters(world).flatMap(contact => world.members.get(contact.member) ?? [])
+		.filter(member => isHeard(world, member) && now - member.leaseSeenAt < 2 * limits.leaseRenewMs);
 }
 
-export function onLeaseRelayResult(_world: World, _from: string, _message: PeerMessageOf<'leaseRelayResult'>) {
-	// Filled by the membership work.
+function loseLease(world: World, reason: string) {
+	const {lease, now} = world;
+	log(world, LogPart.Lease, `lost tenure ${lease.tenure}: ${reason}`, 'warn');
+	lease.tenure = '';
+	lease.version = 0;
+	lease.renewal = undefined;
+	lease.validUntil = Number.NEGATIVE_INFINITY;
+	lease.renewedAt = Number.NEGATIVE_INFINITY;
+	lease.nextRenewalAt = now;
+	dropHoldings(world);
 }
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -1,35 +1,263 @@
 /*
-Knows the members: reads their leases, hears their digests, drops those whose lease has lapsed.
+Knows the members: lists their leases, hears their digests, ends leases that have lapsed.
+
+A digest is as old as the newest digest of this router that its sender had heard by then: the echo bounds its age, however
+long it was under way. What it says of other members has its age added. See docs/design/membership.md.
 */
-import type {PeerMessageOf, HeardEntry} from '../messages.ts';
-import type {StoredObject} from '../ports.ts';
-import type {Member} from '../rows.ts';
-import type {World} from '../world.ts';
+import {MemberState, type HeardEntry, type PeerMessageOf} from '../messages.ts';
+import type {InboundOf, StoredObject} from '../ports.ts';
+import {decodeLease, leasePrefix} from '../records.ts';
+import type {Contact, Member} from '../rows.ts';
+import {rendezvous} from '../rendezvous.ts';
+import {due, type World} from '../world.ts';
+import {
+	contactOf, memberOf, noteLease, noteRenewal, noteTenure, noteUnlisted,
+} from './contacts.ts';
+import {endLease} from './lapse.ts';
+import {listAll} from './listing.ts';
+import {
+	hasLapsed, isHeard, mayEndLease,
+} from './quorum.ts';
+
+/** Time for which the send times of this router's digests are kept. */
+const echoWindowMs = 10_000;
+
+/** Renewals kept a contact; older ones can't matter for a lease that lapses now. */
+const renewalsKept = 6;
+
+/** Age told of a member that was never heard; the wire form has 32 bits. */
+const unheardAgeMs = 1_000_000_000;
+
+/** Time for which the list of leases may grow old for each member, so that reads don't grow with the fleet's square. */
+const listMsPerMember = 50;
 
-export function membershipSystem(_world: World) {
-	// Filled by the membership work.
+/** Lists the leases when due and ends those that have lapsed. */
+export function membershipSystem(world: World) {
+	noteSelf(world);
+	if (due(world, 'membership.list', listPeriod(world))) {
+		listLeases(world);
+	}
+
+	if (due(world, 'membership.lapse', world.limits.heardMs)) {
+		endLapsedLeases(world);
+	}
 }
 
 /** Takes what a digest says of its sender and of the members that it heard. */
-export function hearDigest(_world: World, _from: string, _incarnation: string, _digest: PeerMessageOf<'digest'>) {
-	// Filled by the membership work.
+export function hearDigest(world: World, from: string, incarnation: string, digest: PeerMessageOf<'digest'>) {
+	if (from === world.self.id) {
+		return;
+	}
+
+	const contact = contactOf(world, from);
+	const own = digest.heard.find(entry => entry.member === from);
+	if (contact.incarnation === incarnation && own !== undefined && own.digestSequence <= contact.digestSequence) {
+		return;
+	}
+
+	const echoAt = echoTime(world, digest);
+	const member = memberOf(world, from);
+	if (contact.incarnation !== '' && contact.incarnation !== incarnation && echoAt < member.heardAt) {
+		return;
+	}
+
+	contact.incarnation = incarnation;
+	contact.digestSequence = own?.digestSequence ?? 0;
+	contact.supports = digest.storeAgeMs >= 0;
+	Object.assign(member, {
+		incarnation,
+		failureDomain: digest.failureDomain,
+		callerUrl: digest.callerUrl,
+		peerUrl: digest.peerUrl,
+		state: digest.state,
+		revision: digest.revision,
+		digestAt: world.now,
+	});
+	world.members.set(member);
+	member.heardAt = Math.max(member.heardAt, echoAt);
+	hearOwnLease(world, contact, digest, echoAt);
+	for (const entry of digest.heard) {
+		hearOf(world, from, entry, echoAt);
+	}
 }
 
-/** What this router's next digest says of the members that it hears. */
-export function heardEntries(_world: World): HeardEntry[] {
-	return [];
+/** What this router's next digest says of the members that it hears; each call numbers a new digest. */
+export function heardEntries(world: World): HeardEntry[] {
+	const {gossip, self, lease, now} = world;
+	gossip.sequence += 1;
+	gossip.sentAt.set(gossip.sequence, now);
+	for (const [sequence, sentAt] of gossip.sentAt) {
+		if (now - sentAt < echoWindowMs) {
+			break;
+		}
+
+		gossip.sentAt.delete(sequence);
+	}
+
+	const own: HeardEntry = {
+		member: self.id,
+		incarnation: self.incarnation,
+		ageMs: 0,
+		leaseSequence: lease.renewedAt === Number.NEGATIVE_INFINITY ? 0 : lease.sequence,
+		digestSequence: gossip.sequence,
+		tenure: lease.tenure,
+	};
+	return [own, ...[...world.contacts.rows()].filter(contact => contact.digestSequence > 0).map(contact => entryOf(world, contact))];
 }
 
-/** Time since this router, or a member that it hears, reached the Object API; -1 when never. */
-export function storeAge(_world: World): number {
-	return -1;
+/** Time since this router's lease was renewed; -1 when it has none or knows that others go on renewing theirs. */
+export function storeAge(world: World): number {
+	const {lease, now} = world;
+	return lease.tenure === '' || lease.outranked || lease.released ? -1 : now - lease.renewedAt;
 }
 
-export function onLeaseObject(_world: World, _object: StoredObject) {
-	// Filled by the membership work.
+/** Takes a lease object from the Object API; its value is '' when it was deleted. */
+export function onLeaseObject(world: World, object: StoredObject) {
+	const id = object.key.slice(leasePrefix.length);
+	const record = decodeLease(object.value);
+	if (id === world.self.id) {
+		return;
+	}
+
+	if (record !== undefined) {
+		noteLease(world, id, object.version, record);
+	}
 }
 
 /** Members that are active and not lapsed, this one included, by id. */
 export function liveMembers(world: World): Member[] {
-	return [...world.members.rows()];
+	return [...world.members.rows()].filter(member => isLive(world, member)).toSorted((a, b) => a.id < b.id ? -1 : 1);
+}
+
+/** Whether a member has a lease that has not lapsed, or is heard, and isn't leaving. */
+export function isLive(world: World, member: Member): boolean {
+	if (member.state !== MemberState.Active) {
+		return false;
+	}
+
+	if (member.id === world.self.id) {
+		return world.lease.tenure !== '';
+	}
+
+	const contact = world.contacts.get(member.id);
+	return contact !== undefined && contact.tenure !== ''
+		&& (isHeard(world, member) || !hasLapsed(world, member.leaseSeenAt));
+}
+
+/** Takes the platform's list of instances; an instance that has gone from it doesn't count in majorities. */
+export function onInstanceList(world: World, {instances}: InboundOf<'instanceList'>) {
+	world.instances = new Set(instances.map(instance => instance.id));
+}
+
+function noteSelf(world: World) {
+	const {self, lease, state, configuration, now} = world;
+	const member = memberOf(world, self.id);
+	Object.assign(member, {
+		incarnation: self.incarnation,
+		failureDomain: self.failureDomain,
+		callerUrl: self.callerUrl,
+		peerUrl: self.peerUrl,
+		state,
+		revision: configuration.revision,
+		leaseSequence: lease.sequence,
+		leaseSeenAt: lease.renewedAt,
+		heardAt: now,
+		digestAt: now,
+		storeReachedAt: world.storeReachedAt,
+	});
+	if (!world.members.has(self.id)) {
+		world.members.set(member);
+	}
+}
+
+function listPeriod(world: World): number {
+	const {lease, limits, now, contacts} = world;
+	if (now < lease.startedAt + limits.leaseDurationMs) {
+		return limits.leaseListMs / 4;
+	}
+
+	return Math.max(limits.leaseListMs, contacts.size * listMsPerMember);
+}
+
+function listLeases(world: World) {
+	const askedAt = world.now;
+	listAll(world, leasePrefix, objects => {
+		for (const object of objects) {
+			onLeaseObject(world, object);
+		}
+
+		noteUnlisted(world, new Set(objects.map(object => object.key.slice(leasePrefix.length))), askedAt);
+		world.leasesListedAt = Math.max(world.leasesListedAt, askedAt);
+	});
+}
+
+/** Each lapsed lease is ended by one live member, so that leases of crashed routers don't count for ever. */
+function endLapsedLeases(world: World) {
+	const live = liveMembers(world).map(member => member.id);
+	for (const contact of world.contacts.rows()) {
+		const member = world.members.get(contact.member);
+		const isMine = rendezvous(contact.member, live) === world.self.id;
+		if (member && isMine && contact.tenure !== '' && mayEndLease(world, member.id, member.leaseSeenAt)) {
+			endLease(world, member.id, contact.tenure, () => undefined);
+		}
+	}
+}
+
+/** When this router sent the newest of its digests that the sender of `digest` had heard by then. */
+function echoTime(world: World, digest: PeerMessageOf<'digest'>): number {
+	const echo = digest.heard.find(entry => entry.member === world.self.id);
+	return echo?.incarnation === world.self.incarnation
+		? world.gossip.sentAt.get(echo.digestSequence) ?? Number.NEGATIVE_INFINITY
+		: Number.NEGATIVE_INFINITY;
+}
+
+/** Takes what the sender of a digest says of its own lease. */
+function hearOwnLease(world: World, contact: Contact, digest: PeerMessageOf<'digest'>, echoAt: number) {
+	const own = digest.heard.find(entry => entry.member === contact.member);
+	const member = world.members.get(contact.member);
+	if (own === undefined || member === undefined || own.tenure === '') {
+		return;
+	}
+
+	const {clockDrift} = world.limits;
+	noteTenure(world, contact, own.tenure);
+	if (digest.storeAgeMs < 0) {
+		return;
+	}
+
+	const before = world.now - (digest.storeAgeMs * (1 - clockDrift));
+	noteRenewal(world, member, own.leaseSequence, before);
+	member.storeReachedAt = Math.max(member.storeReachedAt, before);
+	const after = echoAt - (digest.storeAgeMs * (1 + clockDrift));
+	if (after > Number.NEGATIVE_INFINITY && contact.renewals.at(-1)?.sequence !== own.leaseSequence) {
+		contact.renewals.push({sequence: own.leaseSequence, after, toldAt: world.now});
+		contact.renewals.splice(0, contact.renewals.length - renewalsKept);
+	}
+}
+
+/** Takes what the sender of a digest says of another member. */
+function hearOf(world: World, from: string, entry: HeardEntry, echoAt: number) {
+	const contact = world.contacts.get(entry.member);
+	const member = world.members.get(entry.member);
+	if (entry.member === from || !contact || !member || contact.tenure !== entry.tenure) {
+		return;
+	}
+
+	if (contact.incarnation === entry.incarnation) {
+		member.heardAt = Math.max(member.heardAt, echoAt - (entry.ageMs * (1 + world.limits.clockDrift)));
+	}
+
+	noteRenewal(world, member, entry.leaseSequence, world.now);
+}
+
+function entryOf(world: World, contact: Contact): HeardEntry {
+	const member = world.members.get(contact.member);
+	return {
+		member: contact.member,
+		incarnation: contact.incarnation,
+		ageMs: Math.min(Math.ceil(world.now - (member?.heardAt ?? Number.NEGATIVE_INFINITY)), unheardAgeMs),
+		leaseSequence: member?.leaseSequence ?? 0,
+		digestSequence: contact.digestSequence,
+		tenure: contact.tenure,
+	};
 }
--- /dev/null
+++ b/packages/core/src/systems/quorum.ts
@@ -0,0 +1,77 @@
+/*
+Decides from what leases and digests prove: whether this router may go on while the Object API is down, and whether the
+fleet knows so surely that the Object API is up that a silent member's lease may be ended. The two exclude each other,
+since each needs a strict majority of the same members; docs/design/membership.md has the argument.
+*/
+import type {Contact, Member} from '../rows.ts';
+import type {World} from '../world.ts';
+
+/** Other routers that count in majorities: those with a lease, less those that lapsed and whose instance is gone. */
+export function voters(world: World): Contact[] {
+	return [...world.contacts.rows()].filter(contact => contact.tenure !== '' && !isGone(world, contact));
+}
+
+/** Whether the last digest heard of a member is younger than `heardMs`. */
+export function isHeard(world: World, member: Member): boolean {
+	return world.now - member.heardAt < world.limits.heardMs;
+}
+
+/** Whether a lease that was first seen at `seenAt` has surely lapsed for its holder too. */
+export function hasLapsed(world: World, seenAt: number): boolean {
+	const {leaseDurationMs, clockDrift} = world.limits;
+	return world.now >= seenAt + (leaseDurationMs * (1 + clockDrift));
+}
+
+/** Whether this router hears a strict majority of the last-known members, itself included, that support going on. */
+export function hearsMajority(world: World): boolean {
+	if (!knowsMembers(world)) {
+		return false;
+	}
+
+	const others = voters(world);
+	const supporting = others.filter(contact => contact.supports && isHeardById(world, contact.member));
+	return isMajority(supporting.length + 1, others.length + 1);
+}
+
+/**
+Whether the lease of `holder`, whose latest renewal was first seen at `seenAt`, may be ended: it has lapsed, and a
+strict majority has told, for longer than any member counts as heard, of renewals that were sent so late that the holder
+must take the Object API for up. A router that succeeds its own earlier start counts itself without a lease.
+*/
+export function mayEndLease(world: World, holder: string, seenAt: number): boolean {
+	if (!hasLapsed(world, seenAt) || !knowsMembers(world)) {
+		return false;
+	}
+
+	const {outageSlackMs, heardMs, clockDrift} = world.limits;
+	const after = seenAt + (outageSlackMs * (1 + clockDrift));
+	const toldBy = world.now - (heardMs * (1 + (2 * clockDrift)));
+	const others = voters(world);
+	const settled = others.filter(contact => contact.joinedAt < seenAt);
+	const self = holder === world.self.id || (world.lease.renewedAt > after && world.lease.confirmedAt <= toldBy) ? 1 : 0;
+	// Routers that joined since may be unknown to the holder, so the majority must hold without them as well.
+	return [others, settled].every(list => {
+		const knowing = list.filter(contact => contact.renewals.some(renewal => renewal.after > after && renewal.toldAt <= toldBy));
+		return isMajority(knowing.length + self, list.length + 1);
+	});
+}
+
+/** Whether the leases have been listed since this router started. */
+function knowsMembers(world: World): boolean {
+	return world.leasesListedAt > Number.NEGATIVE_INFINITY;
+}
+
+function isMajority(part: number, whole: number): boolean {
+	return part * 2 > whole;
+}
+
+function isHeardById(world: World, id: string): boolean {
+	const member = world.members.get(id);
+	return member !== undefined && isHeard(world, member);
+}
+
+function isGone(world: World, contact: Contact): boolean {
+	const member = world.members.get(contact.member);
+	const listed = world.instances === undefined || world.instances.has(contact.member);
+	return !listed && (member === undefined || hasLapsed(world, member.leaseSeenAt));
+}
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -9,8 +9,9 @@
 import type {
 	LogPart, Outbound, StoreOperation, StoreResult, StoredObject,
 } from './ports.ts';
+import type {LeaseRecord} from './records.ts';
 import type {
-	Budget, Member, Ownership, Permit, Request, Service, Ticket,
+	Budget, Contact, Member, Move, Ownership, Permit, Preference, Request, Service, Ticket,
 } from './rows.ts';
 import {createTable, type Table} from './table.ts';
 
@@ -28,6 +29,14 @@
 	objects: StoredObject[];
 };
 
+/** Renewal of this router's lease whose result isn't known yet. */
+export type LeaseRenewal = {
+	/** Undefined while the object is read to learn its version. */
+	record: LeaseRecord | undefined;
+	sentAt: number;
+	relayed: boolean;
+};
+
 /** State of this router's own lease. */
 export type Lease = {
 	sequence: number;
@@ -35,9 +44,30 @@
 	version: number;
 	/** The lease is valid before this time; -Infinity before the first. */
 	validUntil: number;
-	/** When the renewal in flight was sent; undefined while none is. */
-	renewalSentAt: number | undefined;
+	/** The renewal in flight; undefined while none is. */
+	renewal: LeaseRenewal | undefined;
 	nextRenewalAt: number;
+	/** Names the time from creating the lease object to losing it; '' while this router has no lease. */
+	tenure: string;
+	/** When the last renewal that took effect was sent; -Infinity before the first. */
+	renewedAt: number;
+	/** When this router learnt that it took effect. */
+	confirmedAt: number;
+	/** When this tenure started. */
+	startedAt: number;
+	/** A member renewed its lease so long after this one that the Object API can't be down. */
+	outranked: boolean;
+	/** Leases of an earlier start of this router: the last value seen and when it was first seen. */
+	predecessor: {nonce: string; seenAt: number} | undefined;
+	/** Deleted for good, at the end of a planned stop. */
+	released: boolean;
+};
+
+/** Numbers this router's digests, so that echoes of them bound how old an answer is. */
+export type Gossip = {
+	sequence: number;
+	/** When each recent digest was sent, by its sequence. */
+	sentAt: Map<number, number>;
 };
 
 export type World = {
@@ -54,7 +84,23 @@
 	storeReachedAt: number;
 	/** All routers known, this one included. */
 	members: Table<Member>;
+	/** What leases and digests prove about each router. */
+	contacts: Table<Contact>;
+	gossip: Gossip;
+	/** When the latest complete list of the leases was asked for; -Infinity before the first. */
+	leasesListedAt: number;
+	/** Whether all ownership records have been read since the start. */
+	ownersListed: boolean;
+	/** Instances on the platform's list, by id; undefined before the first. */
+	instances: Set<string> | undefined;
 	ownerships: Table<Ownership>;
+	/** Epochs of the targets that this router serves as owner, by target. */
+	holdings: Map<string, number>;
+	/** Claims and handovers in progress. */
+	moves: Table<Move>;
+	preferences: Table<Preference>;
+	/** Preferred owners as last computed, by target, and the view that they follow from. */
+	placement: {view: string; owners: Map<string, string>};
 	budgets: Table<Budget>;
 	requests: Table<Request>;
 	/** By pool. */
@@ -90,11 +136,22 @@
 		stopAt: undefined,
 		configuration: emptyConfiguration(),
 		lease: {
-			sequence: 0, version: 0, validUntil: Number.NEGATIVE_INFINITY, renewalSentAt: undefined, nextRenewalAt: now,
+			sequence: 0, version: 0, validUntil: Number.NEGATIVE_INFINITY, renewal: undefined, nextRenewalAt: now,
+			tenure: '', renewedAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY, startedAt: Number.POSITIVE_INFINITY,
+			outranked: false, predecessor: undefined, released: false,
 		},
 		storeReachedAt: Number.NEGATIVE_INFINITY,
 		members: createTable<Member>({key: member => member.id, index: member => member.failureDomain}),
+		contacts: createTable<Contact>({key: contact => contact.member}),
+		gossip: {sequence: 0, sentAt: new Map()},
+		leasesListedAt: Number.NEGATIVE_INFINITY,
+		ownersListed: false,
+		instances: undefined,
 		ownerships: createTable<Ownership>({key: ownership => ownership.target}),
+		holdings: new Map(),
+		moves: createTable<Move>({key: move => move.target}),
+		preferences: createTable<Preference>({key: preference => preference.target}),
+		placement: {view: '', owners: new Map()},
 		budgets: createTable<Budget>({key: budget => budget.target}),
 		requests: createTable<Request>({key: request => request.id}),
 		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => ticket.pool}),
