--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -80,6 +80,6 @@
 	const entries = new Map<string, unknown>(Object.entries(value));
 	const sound = Object.entries(fields).every(([field, type]) => typeof entries.get(field) === type);
 	// Checked above, field by field.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return sound ? value as Value : undefined;
 }
--- a/packages/core/src/systems/listing.ts
+++ b/packages/core/src/systems/listing.ts
@@ -4,12 +4,20 @@
 import type {StoredObject} from '../ports.ts';
 import {store, type World} from '../world.ts';
 
+type ListOptions = {
+	/** Lists only keys that sort after this one. */
+	after?: string;
+	/** Runs when a page could not be read. */
+	otherwise?: () => void;
+};
+
 /** Lists a whole prefix; `then` runs only when every page was read. The last page is an empty one. */
-export function listAll(world: World, prefix: string, then: (objects: StoredObject[]) => void, after = '') {
+export function listAll(world: World, prefix: string, then: (objects: StoredObject[]) => void, options: ListOptions = {}) {
 	const objects: StoredObject[] = [];
-	const readPage = (from: string) => {
-		store(world, {kind: 'list', prefix, ...(from !== '' && {after: from})}, reply => {
+	const readPage = (after: string | undefined) => {
+		store(world, {kind: 'list', prefix, ...(after !== undefined && {after})}, reply => {
 			if (reply.result.kind !== 'ok' && reply.result.kind !== 'absent') {
+				options.otherwise?.();
 				return;
 			}
 
@@ -23,5 +31,5 @@
 		});
 	};
 
-	readPage(after);
+	readPage(options.after);
 }
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -6,9 +6,9 @@
 */
 import {MemberState, type HeardEntry, type PeerMessageOf} from '../messages.ts';
 import type {InboundOf, StoredObject} from '../ports.ts';
+import {rendezvous} from '../hash.ts';
 import {decodeLease, leasePrefix} from '../records.ts';
 import type {Contact, Member} from '../rows.ts';
-import {rendezvous} from '../rendezvous.ts';
 import {due, type World} from '../world.ts';
 import {
 	contactOf, memberOf, noteLease, noteRenewal, noteTenure, noteUnlisted,
@@ -196,7 +196,7 @@
 	const live = liveMembers(world).map(member => member.id);
 	for (const contact of world.contacts.rows()) {
 		const member = world.members.get(contact.member);
-		const isMine = rendezvous(contact.member, live) === world.self.id;
+		const isMine = rendezvous(contact.member, live, id => id) === world.self.id;
 		if (member && isMine && contact.tenure !== '' && mayEndLease(world, member.id, member.leaseSeenAt)) {
 			endLease(world, member.id, contact.tenure, () => undefined);
 		}
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -14,7 +14,7 @@
 import {hasValidLease} from './lease.ts';
 import {listAll} from './listing.ts';
 import {applyOwner, settle} from './owner-records.ts';
-import {updatePreferences} from './placement.ts';
+import {updatePreferences} from './preferences.ts';
 
 /** Period of the system; a step runs on each message, and placement needn't. */
 const periodMs = 100;
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -11,7 +11,7 @@
 } from './ports.ts';
 import type {LeaseRecord} from './records.ts';
 import type {
-	Budget, Contact, Member, Move, Ownership, Permit, Preference, Request, Service, Ticket,
+	Budget, Contact, Demand, Member, Move, Ownership, Permit, Preference, Request, Route, Service, Ticket,
 } from './rows.ts';
 import {createTable, type Table} from './table.ts';
 
@@ -70,6 +70,14 @@
 	sentAt: Map<number, number>;
 };
 
+/** Releases that this router knows besides the configuration in force. */
+export type Releases = {
+	/** Stored forms by revision: the latest in force, and later ones for which one before is still missing. */
+	texts: Map<number, string>;
+	/** Whether the configuration has been read from the Object API since the start. */
+	isRead: boolean;
+};
+
 export type World = {
 	readonly self: Self;
 	readonly limits: Limits;
@@ -79,6 +87,7 @@
 	/** When the stop was requested; undefined while none was. */
 	stopAt: number | undefined;
 	configuration: Configuration;
+	releases: Releases;
 	lease: Lease;
 	/** When this router itself last reached the Object API; -Infinity before. */
 	storeReachedAt: number;
@@ -100,14 +109,19 @@
 	moves: Table<Move>;
 	preferences: Table<Preference>;
 	/** Preferred owners as last computed, by target, and the view that they follow from. */
-	placement: {view: string; owners: Map<string, string>};
+	preferred: {view: string; owners: Map<string, string>};
 	budgets: Table<Budget>;
 	requests: Table<Request>;
-	/** By pool. */
+	/** By pool and workspace, see `serviceKey`. */
 	tickets: Table<Ticket>;
 	/** By target. */
 	permits: Table<Permit>;
+	/** Owner's view of service, by pool. */
 	services: Table<Service>;
+	/** Demand of the callers of this router. */
+	demands: Table<Demand>;
+	/** Owners of each pool's targets, rebuilt by `routesSystem`. */
+	routes: Map<string, Route[]>;
 	/** Continuations of store operations in flight, by operation. */
 	operations: Map<number, (reply: StoreReply) => void>;
 	nextOperation: number;
@@ -116,6 +130,8 @@
 	/** Virtual time at which a workspace was last served. */
 	virtualTime: number;
 	generator: RandomGenerator;
+	/** Messages of this router to itself, handled within the same step. */
+	loopback: PeerMessage[];
 	outbox: Outbound[];
 };
 
@@ -135,6 +151,7 @@
 		state: MemberState.Active,
 		stopAt: undefined,
 		configuration: emptyConfiguration(),
+		releases: {texts: new Map(), isRead: false},
 		lease: {
 			sequence: 0, version: 0, validUntil: Number.NEGATIVE_INFINITY, renewal: undefined, nextRenewalAt: now,
 			tenure: '', renewedAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY, startedAt: Number.POSITIVE_INFINITY,
@@ -151,24 +168,27 @@
 		holdings: new Map(),
 		moves: createTable<Move>({key: move => move.target}),
 		preferences: createTable<Preference>({key: preference => preference.target}),
-		placement: {view: '', owners: new Map()},
+		preferred: {view: '', owners: new Map()},
 		budgets: createTable<Budget>({key: budget => budget.target}),
 		requests: createTable<Request>({key: request => request.id}),
-		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => ticket.pool}),
+		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => serviceKey(ticket)}),
 		permits: createTable<Permit>({key: permit => permit.ticket, index: permit => permit.target}),
-		services: createTable<Service>({key: service => service.workspace}),
+		services: createTable<Service>({key: service => serviceKey(service), index: service => service.pool}),
+		demands: createTable<Demand>({key: demand => serviceKey(demand)}),
+		routes: new Map(),
 		operations: new Map(),
 		nextOperation: 1,
 		ranAt: new Map(),
 		virtualTime: 0,
 		generator: xoroshiro128plus(seed),
+		loopback: [],
 		outbox: [],
 	};
 }
 
 /** Uniform number in [0, 1). */
 export function random(world: World): number {
-	return (world.generator.unsafeNext() >>> 0) / 0x1_00_00_00_00;
+	return (world.generator.unsafeNext() / 0x1_00_00_00_00) + 0.5;
 }
 
 /** Uniform element of a list that isn't empty. */
@@ -186,10 +206,20 @@
 	return text;
 }
 
-/** Sends a message to another member; messages to members that are not known are dropped. */
+/** Key of the rows that stand for one workspace in one pool. */
+export function serviceKey({pool, workspace}: {pool: string; workspace: string}): string {
+	return `${pool}/${workspace}`;
+}
+
+/** Sends a message to a member, this router included; messages to members that are not known are dropped. */
 export function send(world: World, to: string, message: PeerMessage) {
+	if (to === world.self.id) {
+		world.loopback.push(message);
+		return;
+	}
+
 	const member = world.members.get(to);
-	if (member && to !== world.self.id) {
+	if (member) {
 		world.outbox.push({
 			kind: 'send', to, peerUrl: member.peerUrl, message,
 		});
