Add the bench: demo, load driver and the scenarios of the four measures

The users weigh the fairness gap, utilisation, control traffic and service during changes of failure domains; nothing could yet start a deployment or measure one.

One module starts stand-ins and routers behind relays of the network stand-in and ends just those; one open-loop driver serves every scenario. The gap is taken over any window in which both workspaces are backlogged, as the spread of the running difference, and a property test compares it with a search over all windows. Goodput is counted as engine time rather than tokens, since the mean size of a window's requests varies.

Ruled out: ports from the kernel's range for outgoing connections, which a connection can take before the program listens.

--- /dev/null
+++ b/packages/bench/src/cli/interrupt.ts
@@ -0,0 +1,27 @@
+/*
+Ends a deployment on Ctrl-C or SIGTERM, also while it is still in use.
+*/
+import process from 'node:process';
+
+export type Interrupt = {
+	/** Settles at the first SIGINT or SIGTERM. */
+	received: Promise<void>;
+	/** Stops listening for signals. */
+	release: () => void;
+};
+
+export function onInterrupt(): Interrupt {
+	let resolve!: () => void;
+	const received = new Promise<void>(settle => {
+		resolve = settle;
+	});
+	process.on('SIGINT', resolve);
+	process.on('SIGTERM', resolve);
+	return {
+		received,
+		release() {
+			process.off('SIGINT', resolve);
+			process.off('SIGTERM', resolve);
+		},
+	};
+}
--- /dev/null
+++ b/packages/bench/src/deployment/operators.ts
@@ -0,0 +1,38 @@
+/*
+The calls of the operators' listener that the bench needs: post a release note, and see how far it has come.
+*/
+import {callJson} from './http.ts';
+import {operatorKey} from './plan.ts';
+
+const headers = {authorization: `Bearer ${operatorKey}`};
+
+/** What a release note adds, changes and withdraws, in the shape that operators write. */
+export type ReleaseNote = {
+	added?: Record<string, unknown>;
+	changed?: Record<string, unknown>;
+	withdrawn?: Record<string, unknown>;
+};
+
+export type FleetStatus = {
+	/** How many members have the latest revision in force. */
+	inForce: {members: number; of: number};
+};
+
+/** Posts a release note and returns its revision once it is accepted. */
+export async function postRelease(operatorsUrl: string, note: ReleaseNote, reason: string): Promise<number> {
+	const {revision} = await callJson<{revision: number}>(`${operatorsUrl}/operator/v1/releases`, {
+		method: 'POST', headers, body: {note, reason}, timeoutMs: 10_000,
+	});
+	return revision;
+}
+
+export async function fleetStatus(operatorsUrl: string): Promise<FleetStatus> {
+	return callJson<FleetStatus>(`${operatorsUrl}/operator/v1/status`, {headers});
+}
+
+/** The router's own metrics in the text format of Prometheus. */
+export async function metricsText(operatorsUrl: string): Promise<string> {
+	const {request} = await import('undici');
+	const response = await request(`${operatorsUrl}/metrics`, {headers});
+	return response.body.text();
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/engines.ts
@@ -0,0 +1,27 @@
+/*
+Reads of the stand-in engines that several scenarios share.
+*/
+import {TargetKind} from '@shallotloom/core/configuration.ts';
+import type {Deployment, RunningTarget} from '../deployment/deployment.ts';
+import {engineStats, type EngineStats} from '../deployment/standin.ts';
+
+export function enginesOf({targets}: Pick<Deployment, 'targets'>, failureDomain?: string): RunningTarget[] {
+	return targets.filter(target => target.kind === TargetKind.Engine
+		&& (failureDomain === undefined || target.failureDomain === failureDomain));
+}
+
+export async function statsOf(engines: RunningTarget[]): Promise<EngineStats[]> {
+	return Promise.all(engines.map(async engine => engineStats(engine.directUrl)));
+}
+
+/** Times that an engine saw more than it carries while cold, over these engines. */
+export async function coldOverrunsOf(engines: RunningTarget[]): Promise<number> {
+	const stats = await statsOf(engines);
+	return stats.reduce((sum, {coldOverruns}) => sum + coldOverruns, 0);
+}
+
+/** Requests that run now, over these engines. */
+export async function runningOn(engines: RunningTarget[]): Promise<number> {
+	const stats = await statsOf(engines);
+	return stats.reduce((sum, {running}) => sum + running, 0);
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/failure-domain.ts
@@ -0,0 +1,106 @@
+/*
+A failure domain leaves and returns under full load: operators take it out by a release note, and bring it back by
+another. Callers use the addresses that they are told and follow Retry-After.
+*/
+import {Standing} from '@shallotloom/core/configuration.ts';
+import {sleep} from '../deployment/http.ts';
+import type {Deployment} from '../deployment/deployment.ts';
+import {openAddressBook} from '../load/address-book.ts';
+import {startLoad, type LoadResult, type RunningLoad} from '../load/load.ts';
+import {endings, isFailure} from '../load/record.ts';
+import {schedule} from '../load/schedule.ts';
+import {atLeast, atMost, rounded} from '../measure/figures.ts';
+import {goodputFraction, timeToGoodput, type GoodputOptions} from '../measure/goodput.ts';
+import {fleetCapacity, routerUrls, shareLoads} from './capacity.ts';
+import {coldOverrunsOf, enginesOf, statsOf} from './engines.ts';
+import {
+	withDeployment, type Scenario, type ScenarioResult, type ScenarioRun,
+} from './scenario.ts';
+
+const domain = 'labasa';
+
+/** Offered load as a multiple of the full capacity: enough to keep what is left busy, and all of it after the return. */
+const loadFactor = 1.1;
+
+const retries = 5;
+
+/** Time in which the domain may still get new work. */
+const allowedMs = 3000;
+
+/** Part of the capacity that counts as full service. */
+const fullService = 0.95;
+
+/** Times in milliseconds from the start of the load. */
+type Moments = {outMs: number; backMs: number; lastDispatchMs: number; coldOverruns: number};
+
+export const failureDomain: Scenario = {
+	summary: 'service while a failure domain is taken out and brought back',
+	seconds: 42,
+	run: async run => withDeployment({}, async deployment => measure(deployment, run)),
+};
+
+async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun): Promise<ScenarioResult> {
+	const durationMs = seconds * 1000;
+	const loads = shareLoads(deployment, {factorOf: () => loadFactor, burstSeconds: 2});
+	const book = await openAddressBook(deployment.workspaces, routerUrls(deployment));
+	const load = startLoad({
+		arrivals: schedule({seed, durationMs, loads}),
+		durationMs,
+		workspaces: deployment.workspaces,
+		entryOf: ({workspace}, attempts) => book.addressOf(workspace, attempts),
+		retries,
+	});
+	const moments = await leaveAndReturn(deployment, load, durationMs, progress);
+	const result = await load.finished;
+	book.close();
+	return figures(deployment, result, moments, durationMs);
+}
+
+async function leaveAndReturn(deployment: Deployment, load: RunningLoad, durationMs: number, progress: (text: string) => void): Promise<Moments> {
+	const engines = enginesOf(deployment, domain);
+	const setStanding = async (standing: Standing) => {
+		await deployment.release({changed: {failureDomains: [{name: domain, standing}]}}, `${domain} ${standing}`);
+		progress(`${domain} is ${standing}`);
+		return load.elapsedMs();
+	};
+
+	await sleep(durationMs / 4);
+	const outMs = await setStanding(Standing.Out);
+	await sleep((durationMs * 0.6) - load.elapsedMs());
+	const lastDispatchMs = await lastDispatch(engines, load.startedAt);
+	const backMs = await setStanding(Standing.In);
+	await sleep(durationMs - load.elapsedMs() - 200);
+	return {
+		outMs, backMs, lastDispatchMs, coldOverruns: await coldOverrunsOf(enginesOf(deployment)),
+	};
+}
+
+async function lastDispatch(engines: ReturnType<typeof enginesOf>, startedAt: number): Promise<number> {
+	const stats = await statsOf(engines);
+	return Math.max(0, ...stats.flatMap(({admissions}) => admissions.map(({at}) => at - startedAt)));
+}
+
+function figures(deployment: Deployment, result: LoadResult, moments: Moments, durationMs: number): ScenarioResult {
+	const {outMs, backMs, lastDispatchMs, coldOverruns} = moments;
+	const {slots} = fleetCapacity(deployment.options);
+	const survivingSlots = slots * (1 - (enginesOf(deployment, domain).length / enginesOf(deployment).length));
+	const capacity = (of: number): GoodputOptions => ({...deployment.options.engine, totals: result.totals, slots: of});
+	const newWorkAfterSeconds = Math.max(0, lastDispatchMs - outMs) / 1000;
+	const failedRequests = result.records.filter(record => isFailure(record)).length;
+	const goodput = goodputFraction(capacity(survivingSlots), outMs + allowedMs, backMs);
+	return {
+		newWorkAfterSeconds: rounded(newWorkAfterSeconds),
+		failedRequests,
+		goodputFraction: rounded(goodput),
+		coldOverruns,
+		returnSeconds: rounded(timeToGoodput(capacity(slots), fullService, backMs, durationMs) / 1000),
+		goodputBefore: rounded(goodputFraction(capacity(slots), outMs / 2, outMs)),
+		endings: endings(result.records),
+		bounds: {
+			newWorkAfterSeconds: atMost(newWorkAfterSeconds, allowedMs / 1000),
+			failedRequests: atMost(failedRequests, 0),
+			goodputFraction: atLeast(goodput, fullService),
+			coldOverruns: atMost(coldOverruns, 0),
+		},
+	};
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/fairness.ts
@@ -0,0 +1,135 @@
+/*
+The fairness gap: all workspaces backlogged, spread unevenly over the failure domains, one offering ten times its share
+through one router. The same load goes to three deployments: fair service with exchanged counters, tickets in order of
+arrival, and owners that do not exchange counters.
+*/
+import type {Deployment} from '../deployment/deployment.ts';
+import {
+	deploymentDefaults, Discipline, type DeploymentOptions, type WorkspaceShare,
+} from '../deployment/plan.ts';
+import {startLoad, type LoadResult} from '../load/load.ts';
+import {endings, Ending} from '../load/record.ts';
+import {schedule, sizesDefaults} from '../load/schedule.ts';
+import {atMost, rounded} from '../measure/figures.ts';
+import {gapBound, largestGap, type Gap} from '../measure/gap.ts';
+import {backloggedBuckets, bucketMs} from '../measure/service-series.ts';
+import {
+	fleetCapacity, routerUrls, shareLoads, warmUpMs,
+} from './capacity.ts';
+import {withDeployment, type Scenario, type ScenarioRun} from './scenario.ts';
+
+/** Workspaces at home in each failure domain, in order. */
+const homes = [9, 5, 2];
+
+/** Index of the workspace that offers ten times its share, a small one of the fullest domain. */
+const flooding = 5;
+
+const floodFactor = 10;
+
+/** Load of the others: enough to stay backlogged. */
+const backlogFactor = 2;
+
+const burstSeconds = 3;
+
+type Variant = Partial<DeploymentOptions['fairness']>;
+
+type Measurement = Gap & {
+	wrong: number;
+	tokensPerSecond: number;
+	endings: Record<string, number>;
+};
+
+export const fairness: Scenario = {
+	summary: 'the gap in service between backlogged workspaces, against FIFO and owners that do not exchange',
+	seconds: 39,
+	async run(run) {
+		const fair = await measure('fair', {}, run);
+		const fifo = await measure('fifo', {discipline: Discipline.Fifo}, run);
+		const localOnly = await measure('owners that do not exchange', {exchange: false}, run);
+		const limit = boundOf(deploymentDefaults);
+		return {
+			unit: 'weighted tokens',
+			gap: rounded(fair.gap),
+			gapBound: rounded(limit),
+			fifoGap: rounded(fifo.gap),
+			localOnlyGap: rounded(localOnly.gap),
+			between: fair.between,
+			wrongAnswers: fair.wrong,
+			tokensPerSecond: [fair, fifo, localOnly].map(({tokensPerSecond}) => rounded(tokensPerSecond)),
+			endings: fair.endings,
+			bounds: {
+				gap: atMost(fair.gap, limit),
+				gapToLocalOnly: atMost(fair.gap, localOnly.gap / 5),
+				gapToFifo: atMost(fair.gap, fifo.gap / 20),
+			},
+		};
+	},
+};
+
+async function measure(name: string, variant: Variant, {seed, seconds, progress}: ScenarioRun): Promise<Measurement> {
+	const durationMs = seconds * 1000 / 3;
+	const options = {fairness: {...deploymentDefaults.fairness, ...variant}};
+	return withDeployment(options, async deployment => {
+		progress(`${name}: load for ${rounded(durationMs / 1000)} s`);
+		const arrivals = schedule({seed, durationMs, loads: loadsOf(deployment)});
+		const result = await startLoad({arrivals, durationMs, workspaces: deployment.workspaces}).finished;
+		return measurementOf(result, deployment.workspaces, durationMs);
+	});
+}
+
+function loadsOf(deployment: Deployment) {
+	const domainOf = (workspace: WorkspaceShare) => homeOf(deployment.workspaces.indexOf(workspace), deployment.options.failureDomains);
+	return shareLoads(deployment, {
+		factorOf: workspace => deployment.workspaces.indexOf(workspace) === flooding ? floodFactor : backlogFactor,
+		entriesOf(workspace) {
+			const urls = routerUrls(deployment, domainOf(workspace));
+			return deployment.workspaces.indexOf(workspace) === flooding ? urls.slice(0, 1) : urls;
+		},
+		burstSeconds,
+	});
+}
+
+function homeOf(index: number, failureDomains: string[]): string {
+	let last = 0;
+	const domain = homes.findIndex(count => {
+		last += count;
+		return index < last;
+	});
+	return failureDomains[domain] ?? '';
+}
+
+/** Gap and totals of one load, leaving out the warm-up. */
+export function measurementOf({records, series}: LoadResult, workspaces: WorkspaceShare[], durationMs: number): Measurement {
+	const services = workspaces.map(({id}) => ({
+		workspace: id,
+		service: series.of(id),
+		backlogged: backloggedBuckets(waitsOf(records, id, durationMs), series.buckets),
+	}));
+	const from = Math.ceil(warmUpMs / bucketMs);
+	return {
+		...largestGap(services, from),
+		wrong: records.filter(({ending}) => ending === Ending.Wrong).length,
+		tokensPerSecond: records.reduce((sum, record) => sum + tokensOf(record), 0) * 1000 / durationMs,
+		endings: endings(records),
+	};
+}
+
+function waitsOf(records: LoadResult['records'], workspace: string, durationMs: number) {
+	return records
+		.filter(record => record.workspace === workspace && record.ending !== Ending.Refused)
+		.map(({sentMs, firstByteMs}) => ({fromMs: sentMs, toMs: Number.isNaN(firstByteMs) ? durationMs : firstByteMs}));
+}
+
+function tokensOf({inputTokens, outputTokens, firstByteMs}: LoadResult['records'][number]): number {
+	return Number.isNaN(firstByteMs) ? 0 : inputTokens + outputTokens;
+}
+
+function boundOf(options: DeploymentOptions): number {
+	const {control, workspaces, delayMs} = options;
+	return gapBound({
+		maxRequestCost: sizesDefaults.input.most + sizesDefaults.output.most,
+		minWeight: Math.min(...workspaces.map(({weight}) => weight)),
+		serviceRate: fleetCapacity(options).tokensPerSecond,
+		counterAgeMs: control.digestMs + control.progressMs + delayMs.between,
+	});
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/overhead.ts
@@ -0,0 +1,87 @@
+/*
+Overhead of the fleet: time to the first byte and requests a second through the routers, against the same engines called
+directly, in turns within one run.
+*/
+import type {Deployment} from '../deployment/deployment.ts';
+import {runClosedLoop} from '../load/closed-loop.ts';
+import {startLoad} from '../load/load.ts';
+import {Ending, type RequestRecord} from '../load/record.ts';
+import {schedule, type Sizes, type WorkspaceLoad} from '../load/schedule.ts';
+import {atMost, rounded} from '../measure/figures.ts';
+import {createLatency, summaryOf, type Latency} from '../measure/latency.ts';
+import {fleetCapacity, routerUrls, warmUpMs} from './capacity.ts';
+import {enginesOf} from './engines.ts';
+import {withDeployment, type Scenario, type ScenarioRun} from './scenario.ts';
+
+/** Short answers, so that one turn's requests end within it. */
+const sizes: Sizes = {input: {least: 20, most: 200}, output: {least: 5, most: 20}};
+
+/** Offered load as a part of the capacity: low enough that nothing waits for a slot. */
+const loadFactor = 0.3;
+
+const turnMs = 2000;
+const allowedMs = 6;
+
+/** Length of each closed loop, in milliseconds. */
+const closedLoopMs = 4000;
+
+export const overhead: Scenario = {
+	summary: 'time to the first byte and requests a second, against the engines called directly',
+	seconds: 24,
+	run: async run => withDeployment({}, async deployment => measure(deployment, run)),
+};
+
+async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun) {
+	const durationMs = seconds * 1000;
+	const direct = enginesOf(deployment).map(({url}) => url);
+	const fleet = routerUrls(deployment);
+	const arrivals = schedule({
+		seed, durationMs, sizes, loads: turns(deployment, durationMs, direct, fleet),
+	});
+	const {records} = await startLoad({
+		arrivals, durationMs, workspaces: deployment.workspaces, drainMs: 2000,
+	}).finished;
+	const fleetLatency = firstBytes(records, fleet);
+	const directLatency = firstBytes(records, direct);
+	progress('closed loops');
+	const loop = {
+		callers: fleetCapacity(deployment.options).slots, durationMs: closedLoopMs, workspaces: deployment.workspaces, inputTokens: 20, outputTokens: 1,
+	};
+	const directLoop = await runClosedLoop({...loop, entries: direct});
+	const fleetLoop = await runClosedLoop({...loop, entries: fleet});
+	return {
+		firstByteMs: summaryOf(fleetLatency),
+		directFirstByteMs: summaryOf(directLatency),
+		requestsPerSecond: rounded(fleetLoop.requestsPerSecond),
+		directRequestsPerSecond: rounded(directLoop.requestsPerSecond),
+		failed: {fleet: fleetLoop.failed, direct: directLoop.failed},
+		notWhole: records.filter(({ending}) => ending !== Ending.Whole).length,
+		bounds: {firstByteP95Ms: atMost(fleetLatency.percentile(95), directLatency.percentile(95) + allowedMs)},
+	};
+}
+
+/** Every workspace alternates between the fleet and the engines; the warm-up goes through the fleet alone. */
+function turns({workspaces, options}: Deployment, durationMs: number, direct: string[], fleet: string[]): WorkspaceLoad[] {
+	const ratePerSecond = fleetCapacity(options, sizes).requestsPerSecond * loadFactor / workspaces.length;
+	const turnOf = (fromMs: number, untilMs: number, entries: string[]) => workspaces.map(({id}) => ({
+		workspace: id, ratePerSecond, burst: 0, entries, fromMs, untilMs,
+	}));
+	const loads = turnOf(0, warmUpMs, fleet);
+	for (let fromMs = warmUpMs, turn = 0; fromMs + turnMs <= durationMs; fromMs += turnMs, turn++) {
+		loads.push(...turnOf(fromMs, fromMs + turnMs, turn % 2 === 0 ? fleet : direct));
+	}
+
+	return loads;
+}
+
+function firstBytes(records: RequestRecord[], entries: string[]): Latency {
+	const latency = createLatency();
+	const wanted = new Set(entries);
+	for (const {entry, sentMs, firstByteMs, ending} of records) {
+		if (wanted.has(entry) && sentMs >= warmUpMs && ending === Ending.Whole) {
+			latency.record(firstByteMs - sentMs);
+		}
+	}
+
+	return latency;
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -0,0 +1,21 @@
+/*
+The table of scenarios, by the name that the command line takes.
+*/
+import {coldStart} from './cold-start.ts';
+import {control} from './control.ts';
+import {failureDomain} from './failure-domain.ts';
+import {fairness} from './fairness.ts';
+import {overhead} from './overhead.ts';
+import type {Scenario} from './scenario.ts';
+import {starvation} from './starvation.ts';
+import {utilisation} from './utilisation.ts';
+
+export const scenarios: Record<string, Scenario | undefined> = {
+	fairness,
+	starvation,
+	utilisation,
+	'failure-domain': failureDomain,
+	'cold-start': coldStart,
+	control,
+	overhead,
+};
--- /dev/null
+++ b/packages/bench/src/scenarios/starvation.ts
@@ -0,0 +1,81 @@
+/*
+Starvation: small workspaces offer less than their shares while one floods through one router. The same load runs first
+without the flood and then with it.
+*/
+import type {Deployment} from '../deployment/deployment.ts';
+import type {WorkspaceShare} from '../deployment/plan.ts';
+import {startLoad, type LoadResult} from '../load/load.ts';
+import {Ending, type RequestRecord} from '../load/record.ts';
+import {schedule} from '../load/schedule.ts';
+import {atLeast, rounded} from '../measure/figures.ts';
+import {routerUrls, shareLoads, warmUpMs} from './capacity.ts';
+import {withDeployment, type Scenario} from './scenario.ts';
+
+/** The largest workspace floods. */
+const flooding = 0;
+
+const floodFactor = 10;
+
+/** Load of the others, below their shares. */
+const quietFactor = 0.7;
+
+/** Part of what a small workspace offered that must have been served. */
+const leastServed = 0.9;
+
+export const starvation: Scenario = {
+	summary: 'how long the smallest workspace waits under a flood',
+	seconds: 36,
+	async run({seed, seconds, progress}) {
+		const durationMs = seconds * 1000 / 2;
+		const load = async (flood: boolean) => withDeployment({}, async deployment => {
+			progress(`${flood ? 'with' : 'without'} the flood: load for ${durationMs / 1000} s`);
+			const arrivals = schedule({seed, durationMs, loads: loadsOf(deployment, flood)});
+			const result = await startLoad({
+				arrivals, durationMs, workspaces: deployment.workspaces, drainMs: 2000,
+			}).finished;
+			return {result, workspaces: deployment.workspaces};
+		});
+		const idle = await load(false);
+		const flooded = await load(true);
+		const small = flooded.workspaces.filter((_, index) => index !== flooding);
+		const smallest = small.at(-1)?.id ?? '';
+		const served = small.map(workspace => servedFraction(flooded.result, workspace, durationMs));
+		const leastFraction = Math.min(...served);
+		return {
+			workspace: smallest,
+			worstWaitSeconds: rounded(worstWait(flooded.result, smallest, durationMs)),
+			idleWaitSeconds: rounded(worstWait(idle.result, smallest, durationMs)),
+			leastServedFraction: rounded(leastFraction),
+			bounds: {leastServedFraction: atLeast(leastFraction, leastServed)},
+		};
+	},
+};
+
+function loadsOf(deployment: Deployment, flood: boolean) {
+	const isFlooding = (workspace: WorkspaceShare) => deployment.workspaces.indexOf(workspace) === flooding;
+	return shareLoads(deployment, {
+		factorOf: workspace => isFlooding(workspace) && flood ? floodFactor : quietFactor,
+		entriesOf(workspace) {
+			const urls = routerUrls(deployment);
+			return isFlooding(workspace) ? urls.slice(0, 1) : urls;
+		},
+	});
+}
+
+/** Longest time to the first byte after the warm-up, in seconds; a request that got none waited to the end. */
+function worstWait({records}: LoadResult, workspace: string, durationMs: number): number {
+	const waits = measured(records, workspace)
+		.map(({sentMs, firstByteMs}) => (Number.isNaN(firstByteMs) ? durationMs : firstByteMs) - sentMs);
+	return Math.max(0, ...waits) / 1000;
+}
+
+/** Part of the offered tokens of a workspace that was served; requests of the last second are left out. */
+function servedFraction({records}: LoadResult, {id}: WorkspaceShare, durationMs: number): number {
+	const offered = measured(records, id).filter(({sentMs}) => sentMs < durationMs - 1000);
+	const whole = offered.filter(({ending}) => ending === Ending.Whole);
+	return offered.length === 0 ? 1 : whole.length / offered.length;
+}
+
+function measured(records: RequestRecord[], workspace: string): RequestRecord[] {
+	return records.filter(record => record.workspace === workspace && record.sentMs >= warmUpMs);
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/utilisation.ts
@@ -0,0 +1,77 @@
+/*
+Utilisation: the part of the warm slots that are busy while any request waits, with more work than capacity. The baseline
+binds each ticket to a target on arrival.
+*/
+import type {Deployment} from '../deployment/deployment.ts';
+import {deploymentDefaults, Discipline} from '../deployment/plan.ts';
+import {startLoad} from '../load/load.ts';
+import {isRefusal, type RequestRecord} from '../load/record.ts';
+import {schedule} from '../load/schedule.ts';
+import {atLeast, mean, rounded} from '../measure/figures.ts';
+import {
+	fleetCapacity, routerUrls, shareLoads, warmUpMs,
+} from './capacity.ts';
+import {enginesOf, runningOn} from './engines.ts';
+import {startSampler, type Sample} from './sampler.ts';
+import {withDeployment, type Scenario, type ScenarioRun} from './scenario.ts';
+
+/** Offered load as a multiple of the capacity: work always waits, though not much of it. */
+const loadFactor = 1.1;
+
+const sampleEveryMs = 100;
+const leastBusy = 0.97;
+
+export const utilisation: Scenario = {
+	summary: 'how much of the warm slots is busy while any request waits',
+	seconds: 36,
+	async run(run) {
+		const busyFraction = await measure(Discipline.Fair, run);
+		const baselineBusyFraction = await measure(Discipline.Bound, run);
+		return {
+			busyFraction: rounded(busyFraction),
+			baselineBusyFraction: rounded(baselineBusyFraction),
+			bounds: {busyFraction: atLeast(busyFraction, leastBusy)},
+		};
+	},
+};
+
+async function measure(discipline: Discipline, {seed, seconds, progress}: ScenarioRun): Promise<number> {
+	const durationMs = seconds * 1000 / 2;
+	const fairness = {...deploymentDefaults.fairness, discipline};
+	return withDeployment({fairness}, async deployment => {
+		progress(`${discipline}: load for ${durationMs / 1000} s`);
+		const arrivals = schedule({seed, durationMs, loads: loadsOf(deployment)});
+		const engines = enginesOf(deployment);
+		const load = startLoad({arrivals, durationMs, workspaces: deployment.workspaces});
+		const sampler = startSampler(sampleEveryMs, async () => runningOn(engines));
+		const {records} = await load.finished;
+		await sampler.stop();
+		return busyFraction(sampler.samples, records, fleetCapacity(deployment.options).slots);
+	});
+}
+
+/** All workspaces enter through routers of one failure domain and a half, so that work must move to find free slots. */
+function loadsOf(deployment: Deployment) {
+	const [first, second] = deployment.options.failureDomains;
+	return shareLoads(deployment, {
+		factorOf: () => loadFactor,
+		entriesOf: ({id}) => routerUrls(deployment, Number(id.slice(-1)) % 3 === 0 ? second : first),
+		burstSeconds: 2,
+	});
+}
+
+/** Mean part of the slots that ran a request, over the samples at which some request waited. */
+function busyFraction(samples: Array<Sample<number>>, records: RequestRecord[], slots: number): number {
+	const busy = samples
+		.filter(({atMs}) => atMs >= warmUpMs && anyWaits(records, atMs))
+		.map(({value}) => Math.min(1, value / slots));
+	return mean(busy);
+}
+
+function anyWaits(records: RequestRecord[], atMs: number): boolean {
+	// A request that was sent just now may not have reached a router yet, and one that is about to start is on its way.
+	const marginMs = 100;
+	return records.some(record => !isRefusal(record)
+		&& record.sentMs < atMs - marginMs
+		&& (Number.isNaN(record.firstByteMs) || record.firstByteMs > atMs + marginMs));
+}
