Bench: end what an interrupt left, report programs that ended unasked

A signal during the start left directories behind, and a program that crashed in the middle of a scenario went unseen. The start now waits for an owner of every target and shows the last output of each program when it fails. Cost hints go as max_tokens, which can only be too high: a lower one would cut the answer.

--- a/packages/bench/src/cli/demo.ts
+++ b/packages/bench/src/cli/demo.ts
@@ -4,14 +4,14 @@
 */
 import {randomUUID} from 'node:crypto';
 import {mkdir, rm, writeFile} from 'node:fs/promises';
-import {startDeployment, type Deployment} from '../deployment/deployment.ts';
+import {startDeployment, stopDeployments, type Deployment} from '../deployment/deployment.ts';
 import {
 	enginePool, servicePool, workspaceShares, type WorkspaceShare,
 } from '../deployment/plan.ts';
 import {
 	askAddress, callOnce, completeChat, streamChat,
 } from './caller.ts';
-import {onInterrupt} from './interrupt.ts';
+import {interruptedCode, onInterrupt} from './interrupt.ts';
 
 const stateDirectory = '.demo';
 const stateFile = `${stateDirectory}/state.json`;
@@ -28,21 +28,21 @@
 		failureDomains: ['suva', 'lautoka'], routers: 3, engines: 3, services: 1, workspaces: workspaceShares([2, 1]),
 	});
 	const started = await Promise.race([starting, interrupt.received]);
-	const deployment = started ?? await starting;
-	try {
-		if (!started) {
-			return 130;
-		}
+	if (!started) {
+		await stopDeployments();
+		return interruptedCode;
+	}
 
-		console.log(`started ${deployment.routers.length} routers and ${deployment.targets.length} targets`);
-		await Promise.race([converse(deployment), interrupt.received]);
+	try {
+		console.log(`started ${started.routers.length} routers and ${started.targets.length} targets`);
+		await Promise.race([converse(started), interrupt.received]);
 		if (keep) {
-			await keepRunning(deployment, interrupt.received);
+			await keepRunning(started, interrupt.received);
 		}
 
 		return 0;
 	} finally {
-		await deployment.stop();
+		await started.stop();
 		interrupt.release();
 	}
 }
--- a/packages/bench/src/cli/interrupt.ts
+++ b/packages/bench/src/cli/interrupt.ts
@@ -3,6 +3,9 @@
 */
 import process from 'node:process';
 
+/** Exit code of a command that a signal ended. */
+export const interruptedCode = 130;
+
 export type Interrupt = {
 	/** Settles at the first SIGINT or SIGTERM. */
 	received: Promise<void>;
--- a/packages/bench/src/cli/run.ts
+++ b/packages/bench/src/cli/run.ts
@@ -2,7 +2,9 @@
 Runs one scenario and prints its figures as one JSON object on the last line.
 */
 import {scenarios} from '../scenarios/scenarios.ts';
-import {onInterrupt} from './interrupt.ts';
+import {takeUnexpectedExits} from '../deployment/child.ts';
+import {stopDeployments} from '../deployment/deployment.ts';
+import {interruptedCode, onInterrupt} from './interrupt.ts';
 
 export type RunOptions = {
 	scenario: string | undefined;
@@ -40,11 +42,17 @@
 		interrupt.received,
 	]);
 	if (!result) {
-		return 130;
+		await stopDeployments();
+		return interruptedCode;
+	}
+
+	const crashes = takeUnexpectedExits();
+	for (const {name: program, code, output} of crashes) {
+		console.error(`${program} ended unasked with ${code}:\n  ${output.join('\n  ')}`);
 	}
 
 	console.log(JSON.stringify({
-		scenario: name, seed, seconds: length, ...result,
+		scenario: name, seed, seconds: length, ...result, crashes: crashes.map(({name: program}) => program),
 	}));
 	return 0;
 }
--- a/packages/bench/src/deployment/child.ts
+++ b/packages/bench/src/deployment/child.ts
@@ -12,6 +12,7 @@
 
 export type Child = {
 	name: string;
+	program: string;
 	pid: number;
 	/** What stood after `listening` in the ready line. */
 	listening: string;
@@ -40,6 +41,16 @@
 
 const running = new Set<Child>();
 
+/** Processes that ended although nobody asked them to. */
+export type UnexpectedExit = {name: string; code: number | null; output: string[]};
+
+const unexpectedExits: UnexpectedExit[] = [];
+
+/** Takes the processes that ended unasked since the last call. */
+export function takeUnexpectedExits(): UnexpectedExit[] {
+	return unexpectedExits.splice(0);
+}
+
 /**
 Starts the program and resolves once it listens. Rejects with the last output when it ends or stays silent.
 */
@@ -60,14 +71,21 @@
 		throw new Error(`${name} (${program}) ${reason}:\n${lines.join('\n')}`);
 	}
 
+	let asked = false;
 	const child: Child = {
-		name, pid: spawned.pid, listening: first.listening, exited, output: () => [...lines],
+		name, program, pid: spawned.pid, listening: first.listening, exited, output: () => [...lines],
 		signal(signal) {
+			asked = true;
 			spawned.kill(signal);
 		},
 	};
 	running.add(child);
-	void exited.then(() => running.delete(child));
+	void exited.then(code => {
+		running.delete(child);
+		if (!asked) {
+			unexpectedExits.push({name, code, output: lines});
+		}
+	});
 	return child;
 }
 
--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -10,7 +10,9 @@
 import {endChild, startChild, type Child} from './child.ts';
 import {freePort} from './free-port.ts';
 import {waitUntil} from './http.ts';
-import {fleetStatus, postRelease, type ReleaseNote} from './operators.ts';
+import {
+	fleetStatus, ownedTargets, postRelease, type ReleaseNote,
+} from './operators.ts';
 import {
 	deploymentDefaults, firstRelease, planDeployment,
 	type DeploymentOptions, type PlannedProcess, type PlannedTarget, type WorkspaceShare,
@@ -19,8 +21,14 @@
 import {addLink, setDomains} from './standin.ts';
 
 const standin = 'shallotloom-standin';
+const routerProgram = 'shallotloom-router';
 const localHost = '127.0.0.1';
 
+/** Lines of each program's output that a failed start shows. */
+const shownLines = 5;
+
+const deployments = new Set<() => Promise<void>>();
+
 export type RunningRouter = PlannedProcess & {
 	/** What callers use: the relay's URL. */
 	url: string;
@@ -64,18 +72,29 @@
 	const children: Child[] = [];
 	const directory = await mkdtemp(path.join(tmpdir(), 'shallotloom-bench-'));
 	const stop = async () => {
-		await Promise.all(children.map(async child => endChild(child)));
+		deployments.delete(stop);
+		const isRouter = ({program}: Child) => program === routerProgram;
+		// Routers hand on and finish what they hold while the rest still answers.
+		await Promise.all(children.filter(child => isRouter(child)).map(async child => endChild(child)));
+		await Promise.all(children.filter(child => !isRouter(child)).map(async child => endChild(child)));
 		await rm(directory, {recursive: true, force: true});
 	};
 
+	deployments.add(stop);
 	try {
 		return await assemble(complete, {children, directory, stop});
 	} catch (error) {
+		const outputs = children.map(({name, output}) => [`${name}:`, ...output().slice(-shownLines)].join('\n  '));
 		await stop();
-		throw error;
+		throw new Error(`the deployment didn't start: ${String(error)}\n${outputs.join('\n')}`, {cause: error});
 	}
 }
 
+/** Ends the processes of every deployment of this process, those that still start included. */
+export async function stopDeployments(): Promise<void> {
+	await Promise.all([...deployments].map(async stop => stop()));
+}
+
 type Assembly = {
 	children: Child[];
 	directory: string;
@@ -120,18 +139,27 @@
 			settings,
 			url: `http://${addresses.callersRelay}`,
 			operatorsUrl: `http://${addresses.operators}`,
-			child: await start(router.id, 'shallotloom-router', ['--settings', settings]),
+			child: await start(router.id, routerProgram, ['--settings', settings]),
 		};
 	}));
 	const deployment: Deployment = {
 		options, platformUrl, networkUrl, routers, targets, workspaces: options.workspaces, stop,
 		...routerControls(routers, start),
 	};
-	await deployment.release(firstRelease(options, targets), 'first release');
+	await releaseFirst(deployment, firstRelease(options, targets));
 	await deployment.settled();
+	await waitUntil('an owner for every target', async () => {
+		const owned = await Promise.all(routers.map(async router => ownedTargets(router.operatorsUrl)));
+		return owned.every(count => count === targets.length);
+	});
 	return deployment;
 }
 
+/** A router that has only just started may not have reached the platform yet; it then says that nothing was changed. */
+async function releaseFirst(deployment: Deployment, note: ReleaseNote): Promise<void> {
+	await waitUntil('the first release', async () => await deployment.release(note, 'first release') > 0);
+}
+
 function routerControls(routers: RunningRouter[], start: (name: string, program: string, args: string[]) => Promise<Child>) {
 	const stopped = new Set<string>();
 	const find = (id: string) => {
@@ -175,7 +203,7 @@
 		},
 		async restart(id: string) {
 			const router = find(id);
-			router.child = await start(id, 'shallotloom-router', ['--settings', router.settings]);
+			router.child = await start(id, routerProgram, ['--settings', router.settings]);
 			stopped.delete(id);
 		},
 	};
--- a/packages/bench/src/deployment/operators.ts
+++ b/packages/bench/src/deployment/operators.ts
@@ -1,6 +1,7 @@
 /*
 The calls of the operators' listener that the bench needs: post a release note, and see how far it has come.
 */
+import {request} from 'undici';
 import {callJson} from './http.ts';
 import {operatorKey} from './plan.ts';
 
@@ -30,9 +31,14 @@
 	return callJson<FleetStatus>(`${operatorsUrl}/operator/v1/status`, {headers});
 }
 
+/** Number of targets that have an owner, as this router knows it. */
+export async function ownedTargets(operatorsUrl: string): Promise<number> {
+	const targets = await callJson<Array<{owner: string}>>(`${operatorsUrl}/operator/v1/targets`, {headers});
+	return targets.filter(({owner}) => owner !== '').length;
+}
+
 /** The router's own metrics in the text format of Prometheus. */
 export async function metricsText(operatorsUrl: string): Promise<string> {
-	const {request} = await import('undici');
 	const response = await request(`${operatorsUrl}/metrics`, {headers});
 	return response.body.text();
 }
--- a/packages/bench/src/load/attempt.ts
+++ b/packages/bench/src/load/attempt.ts
@@ -61,12 +61,13 @@
 		headers: {
 			authorization: `Bearer ${key}`,
 			'content-type': 'application/json',
-			'x-cost-hint': String(arrival.costHint),
 		},
 		body: JSON.stringify({
 			model: pool,
 			stream: true,
 			messages: messages(prompt(arrival.inputTokens)),
+			// A bound below the real size would cut the answer.
+			max_tokens: Math.max(arrival.costHint, arrival.outputTokens),
 			standin_output_tokens: arrival.outputTokens,
 		}),
 		signal,
--- a/packages/bench/src/load/closed-loop.ts
+++ b/packages/bench/src/load/closed-loop.ts
@@ -2,6 +2,7 @@
 A closed loop: a fixed number of callers that each send the next request when the last has been answered. It measures how
 many requests a second go through.
 */
+import {setMaxListeners} from 'node:events';
 import {Agent} from 'undici';
 import {clientAddress, enginePool, type WorkspaceShare} from '../deployment/plan.ts';
 import {attempt} from './attempt.ts';
@@ -27,6 +28,8 @@
 export async function runClosedLoop(options: ClosedLoopOptions): Promise<ClosedLoopResult> {
 	const dispatcher = new Agent({connect: {localAddress: clientAddress}, headersTimeout: 0, bodyTimeout: 0});
 	const end = new AbortController();
+	// Every open request listens to the end of the load.
+	setMaxListeners(0, end.signal);
 	const timer = setTimeout(() => {
 		end.abort();
 	}, options.durationMs);
--- a/packages/bench/src/load/load.ts
+++ b/packages/bench/src/load/load.ts
@@ -2,6 +2,7 @@
 The load driver: sends each request of a schedule when it is due, whatever became of the earlier ones, and records what
 came back and when. One process drives the whole load over keep-alive connections.
 */
+import {setMaxListeners} from 'node:events';
 import {Agent} from 'undici';
 import {settledWithin, sleep} from '../deployment/http.ts';
 import {clientAddress, enginePool, type WorkspaceShare} from '../deployment/plan.ts';
@@ -59,6 +60,8 @@
 		connect: {localAddress: clientAddress, timeout: 5000}, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000,
 	});
 	const end = new AbortController();
+	// Every open request listens to the end of the load.
+	setMaxListeners(0, end.signal);
 
 	const finish = async () => {
 		const open = await sendAll(arrivals, elapsedMs, async (arrival, share) => {
--- a/packages/bench/src/parse-json.ts
+++ b/packages/bench/src/parse-json.ts
@@ -5,6 +5,6 @@
 /** Parses JSON text as the shape that its sender promises. Throws on malformed text. */
 export function parseJson<Shape>(text: string): Shape {
 	// The fields that matter are checked where they are used.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return JSON.parse(text) as Shape;
 }
