--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -186,7 +186,8 @@
 			const wanted = alive();
 			await waitUntil('the configuration being in force everywhere', async () => {
 				const statuses = await Promise.all(wanted.map(async router => fleetStatus(router.operatorsUrl)));
-				return statuses.every(status => status.inForce.members === wanted.length);
+				const settled = statuses.every(status => status.inForce.members === wanted.length);
+				return settled || fail(`the routers say ${JSON.stringify(statuses)}`);
 			});
 		},
 		async kill(id: string) {
@@ -255,3 +256,8 @@
 	const {listening} = child;
 	return listening.endsWith('/') ? listening.slice(0, -1) : listening;
 }
+
+/** Tells `waitUntil` why its check isn't true yet. */
+function fail(reason: string): never {
+	throw new Error(reason);
+}
