--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -8,7 +8,7 @@
 export enum AttemptEnd {
 	/** The whole answer arrived. */
 	Whole = 1,
-	/** No byte of the request left for the target. */
+	/** The target couldn't be connected: no byte of the request left for it. */
 	NotSent = 2,
 	/** The target refused it before it ran (overload, cold, draining). */
 	Refused = 3,
@@ -18,6 +18,8 @@
 	Cancelled = 5,
 	/** The target's answer belonged to another request and was dropped. */
 	Mismatched = 6,
+	/** The holder had no use for the permit any more. */
+	Unused = 7,
 }
 
 /** Why an owner hands a ticket back to the router that holds the request. */
@@ -134,18 +136,25 @@
 	target: string;
 	/** Epoch of the new owner. */
 	epoch: number;
+	/** Tenure of the new owner's lease that the record names. */
+	tenure: string;
+	/** Version of the record. */
+	version: number;
 	phase: Phase;
 	budget: number;
 	entries: Array<{ticket: string; workspace: string; pool: string; inputTokens: number; outputTokens: number}>;
 };
 
-/** Service counter of one workspace at one owner. */
+/** Service counter of one workspace in one pool at one owner. */
 export type ServiceEntry = {
 	workspace: string;
+	pool: string;
 	/** Weighted tokens charged by the sender since it started. */
 	service: number;
 	/** Tickets that wait at the sender. */
 	waiting: number;
+	/** The sender's view of the workspace's virtual time, which an owner that has just started adopts. */
+	virtualTime: number;
 };
 
 /** Load of one pool at one owner. */
@@ -158,13 +167,17 @@
 	frontier: number;
 };
 
-/** What a member has heard of another member. */
+/** What a member has heard of another member. The entry of the sender itself has age 0. */
 export type HeardEntry = {
 	member: string;
 	incarnation: string;
-	/** Time since the member was heard from, directly or by another. */
+	/** Upper bound of the time since the member sent the last digest that was heard of it, directly or by another. */
 	ageMs: number;
 	leaseSequence: number;
+	/** Number of that digest, counted by the member since its start. */
+	digestSequence: number;
+	/** Tenure of the member's lease, '' while it has none. */
+	tenure: string;
 };
 
 /** Periodic state of one router. */
@@ -177,7 +190,10 @@
 	/** Revision of the configuration in force at the sender. */
 	revision: number;
 	leaseSequence: number;
-	/** Time since the sender, or a member that it hears, reached the Object API; -1 when never. */
+	/**
+	Time since the sender sent the renewal of its lease that last took effect, directly or by a relay; -1 when it has no
+	lease, or when it knows that members go on renewing theirs while its own has stopped.
+	*/
 	storeAgeMs: number;
 	services: ServiceEntry[];
 	pools: PoolEntry[];
@@ -207,6 +223,8 @@
 export type LeaseRelayResult = {
 	kind: 'leaseRelayResult';
 	key: string;
+	/** Nonce of the renewal that was relayed. */
+	nonce: string;
 	/** New version, or 0 when the write didn't take effect. */
 	version: number;
 };
--- /dev/null
+++ b/packages/core/src/rows.ts
@@ -0,0 +1,248 @@
+/*
+Rows of the core's tables: plain data that systems read and change. All times are in milliseconds of the local
+monotonic clock.
+*/
+import type {CallerRequest} from './ports.ts';
+import type {
+	MemberState, Phase, PoolEntry, TargetHandover,
+} from './messages.ts';
+import type {OwnerRecord} from './records.ts';
+
+/** Another router, or this one, as far as it is known here. */
+export type Member = {
+	id: string;
+	incarnation: string;
+	failureDomain: string;
+	callerUrl: string;
+	peerUrl: string;
+	state: MemberState;
+	/** Revision of the configuration in force there. */
+	revision: number;
+	/** Highest lease sequence known. */
+	leaseSequence: number;
+	/** When that sequence was first known here: its lease was sent before then. */
+	leaseSeenAt: number;
+	/** It sent its last digest later than this, by the echo of this router's own digests; -Infinity before an echo. */
+	heardAt: number;
+	/** When its own digest last arrived. */
+	digestAt: number;
+	/** Latest time at which the Object API was reached by it or by a member that it hears. */
+	storeReachedAt: number;
+	/** Its counters of service by pool and workspace, as last received. */
+	services: Map<string, number>;
+	/** Its waiting tickets by pool and workspace, as last received. */
+	waiting: Map<string, number>;
+	/** Its load by pool, as last received; `free` and `waiting` are adjusted by what was sent there since. */
+	pools: Map<string, PoolEntry>;
+};
+
+/** A renewal of another router's lease that it told of in a digest. */
+export type Renewal = {
+	sequence: number;
+	/** The renewal was sent later than this. */
+	after: number;
+	/** When the digest that told of it arrived here. */
+	toldAt: number;
+};
+
+/** What leases and digests prove about another router. */
+export type Contact = {
+	member: string;
+	/** Tenure of its lease; '' while it has none that is known. */
+	tenure: string;
+	/** Version of its lease object, as last read; 0 while it was not read. */
+	version: number;
+	/** When it was first known here. */
+	joinedAt: number;
+	/** When this tenure was first known here. */
+	tenureAt: number;
+	/** Incarnation and number of its latest digest heard, directly or through another member. */
+	incarnation: string;
+	digestSequence: number;
+	/** Whether its last digest said that its lease is in order, or that the Object API is down for it too. */
+	supports: boolean;
+	/** Latest renewals that it told of itself, oldest first. */
+	renewals: Renewal[];
+};
+
+/** What this router is doing about the ownership of a target. */
+export enum MoveKind {
+	Claim = 'claim',
+	Handover = 'handover',
+}
+
+/** Claim or handover in progress. */
+export type Move = {
+	target: string;
+	kind: MoveKind;
+	/** A claim is tried again, and the result of a handover looked up, from this time on. */
+	retryAt: number;
+	/** What a handover writes. */
+	record?: OwnerRecord;
+	/** Budget of the target when the handover began. */
+	handover?: TargetHandover;
+};
+
+/** Router that should own a target, as seen here. */
+export type Preference = {
+	target: string;
+	member: string;
+	/** Since when this has been so without a change. */
+	since: number;
+};
+
+/** Who owns a target. */
+export type Ownership = {
+	target: string;
+	/** Router id, or '' while not known. */
+	owner: string;
+	/** Tenure of the owner's lease under which it owns the target. */
+	incarnation: string;
+	epoch: number;
+	/** Version of the object `owner/TARGET`; 0 while it doesn't exist. */
+	version: number;
+	/** When this was learnt. */
+	learntAt: number;
+	/** What the owner before told of the target, when it handed it to this router. */
+	handover?: TargetHandover;
+};
+
+/** Budget of a target that this router owns. */
+export type Budget = {
+	target: string;
+	epoch: number;
+	phase: Phase;
+	/** Most permits at once. */
+	budget: number;
+	/** Good completions since the budget last changed. */
+	completions: number;
+	failuresInRow: number;
+	setAsideUntil: number;
+	/** Start id of the target, '' before the first load report. */
+	startId: string;
+	/** Requests that ran at the target by its last report. */
+	reportedRunning: number;
+	/** Time of which the last report tells; -Infinity before the first. */
+	reportedAt: number;
+	reportedCold: boolean;
+	/** When the target last fell back to its cold budget. */
+	coldAt: number;
+	/** While greater than now, permits of the owner before may still be unknown. */
+	reconcileUntil: number;
+	/** Members whose announcement is still missing. */
+	awaiting: Set<string>;
+	/** Usual time to first byte and between tokens, exponentially weighted; 0 before the first sample. */
+	firstByteMs: number;
+	betweenTokensMs: number;
+	slowInRow: number;
+};
+
+export enum RequestState {
+	/** Reads the run record of its idempotency key. */
+	Checking = 'checking',
+	/** Waits for a permit. */
+	Queued = 'queued',
+	/** Has a permit and writes its run record. */
+	Claiming = 'claiming',
+	/** Its answer streams. */
+	Running = 'running',
+	/** Waits for a duplicate that runs elsewhere. */
+	Following = 'following',
+	/** Writes the end of its run record. */
+	Recording = 'recording',
+}
+
+/** Request of a caller that is connected to this router. */
+export type Request = CallerRequest & {
+	state: RequestState;
+	arrivedAt: number;
+	attempts: number;
+	resumes: number;
+	/** Router that holds the ticket, '' while it is nowhere. */
+	holder: string;
+	/** Weighted tokens that the request counts for in its workspace's queue. */
+	queueCost: number;
+	excluded: string[];
+	target: string;
+	epoch: number;
+	startedAt: number;
+	outputTokens: number;
+	delivered: boolean;
+	/** Nonce of the run record that this request wrote, '' before. */
+	runNonce: string;
+	runVersion: number;
+};
+
+/** Ticket that waits at this router for a permit of its targets. */
+export type Ticket = {
+	ticket: string;
+	/** Router that holds the request. */
+	origin: string;
+	workspace: string;
+	pool: string;
+	inputTokens: number;
+	prefixHash: number;
+	deadline: number;
+	arrivedAt: number;
+	excluded: string[];
+};
+
+/** Permit that this router gave for one of its targets. */
+export type Permit = {
+	ticket: string;
+	origin: string;
+	target: string;
+	workspace: string;
+	pool: string;
+	grantedAt: number;
+	inputTokens: number;
+	outputTokens: number;
+	/** When the holder last reported it. */
+	seenAt: number;
+	/** Weighted tokens charged for it so far. */
+	charged: number;
+};
+
+/** Service of one workspace in one pool as an owner sees it, in weighted tokens. */
+export type Service = {
+	pool: string;
+	workspace: string;
+	/** Charged by this router since it started. */
+	own: number;
+	/** Charged by others since this router started. */
+	remote: number;
+	/** Lift on return from idleness. */
+	offset: number;
+	/** Tickets that wait here. */
+	waiting: number;
+	/** Tickets that wait at other owners, by their last digests. */
+	remoteWaiting: number;
+	/** Permits given here that are still out. */
+	running: number;
+	/** Mean output tokens of its answers, exponentially weighted; 0 before the first. */
+	meanOutput: number;
+	/** When `own` last changed. */
+	changedAt: number;
+};
+
+/** Demand of the callers of one workspace at this router for one pool, in weighted tokens. */
+export type Demand = {
+	pool: string;
+	workspace: string;
+	/** Cost of its requests that wait for a permit. */
+	queuedCost: number;
+	/** Cost that left the queue since the rate was last measured. */
+	drained: number;
+	/** Cost that leaves the queue a second, exponentially weighted. */
+	drainRate: number;
+	/** Retries that it may still spend. */
+	retries: number;
+};
+
+/** What an owner can do for a pool. */
+export type Route = {
+	owner: string;
+	failureDomain: string;
+	/** Fitting targets. */
+	targets: string[];
+};
