--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -103,7 +103,6 @@
 
 	const fits = shape === 'list' ? Array.isArray(body) && body.every(row => isRecord(row)) : isRecord(body);
 	// Fields are those of the same release of the router; only the outer shape is checked.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 	return fits ? {kind: 'ok', value: body as Value} : failed({kind: 'unexpectedReply', url, status});
 }
 
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -119,7 +119,6 @@
 /** Message, hint and exit code of one error. */
 export function explain(error: CommandError): {message: string; hint: string; exitCode: ExitCode} {
 	// The table is indexed by the error's own kind, which TypeScript can't relate to the parameter.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 	const entry = commandErrors[error.kind] as ErrorEntry<CommandError['kind']>;
 	return {message: entry.message(error), hint: entry.hint(error), exitCode: entry.exitCode};
 }
--- a/packages/cli/test/program.test.ts
+++ b/packages/cli/test/program.test.ts
@@ -197,7 +197,8 @@
 
 test.each(['--help', 'release --help', 'none --help', '-h'])('%s lists the commands', async line => {
 	const printed = jest.spyOn(console, 'log').mockImplementation();
-	expect((await run(line)).exitCode).toBe(0);
+	const {exitCode} = await run(line);
+	expect(exitCode).toBe(0);
 	expect(String(printed.mock.calls[0])).toContain('release check');
 	printed.mockRestore();
 });
--- a/packages/router/src/log.ts
+++ b/packages/router/src/log.ts
@@ -48,7 +48,6 @@
 export function createLog(options: Partial<LogOptions> = {}): Log {
 	const {format: form, level, destination} = {...logDefaults, ...options};
 	// `write` below is the only caller and gives every field.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 	const lineFormat = format.printf(info => forms[form](info as unknown as LogRecord));
 	const logger = createLogger({
 		level,
