Fit the operators' client to what the router serves

Cause: the router knows phase and permits only of the targets that it owns, and the audit entry of a superseding release only where it keeps the release. Ruled out: asking every router in turn, since the members' list has no address of their operators listeners. Tests: jest, all packages, 213 passed, 0 failed; xo and tsc clean over core, settings, cli and router. Conclusion: phase and permits of the whole fleet in one listing are left.

--- a/packages/cli/src/cli/commands/target.ts
+++ b/packages/cli/src/cli/commands/target.ts
@@ -14,9 +14,12 @@
 	[PhaseName.SetAside]: 'red',
 } as const;
 
+/** Shown where only the owner of the target knows the value. */
+const unknown = '?';
+
 export const targetList: Command = {
 	usage: 'target list',
-	describe: 'List targets with owner, phase and permits',
+	describe: 'List targets; phase and permits of those that the asked router owns',
 	example: 'target list',
 	run: async ({client, terminal}) => reportOf(await client.targets(), targets => targetsText(targets, terminal.colour)),
 };
@@ -55,8 +58,8 @@
 		target.kind,
 		target.failureDomain,
 		target.standing === Standing.In ? target.standing : {text: target.standing, colour: 'red'},
-		{text: target.phase, colour: phaseColours[target.phase]},
-		`${target.running}/${target.budget}`,
+		target.phase === undefined ? unknown : {text: target.phase, colour: phaseColours[target.phase]},
+		`${target.running ?? unknown}/${target.budget ?? unknown}`,
 		target.owner === '' ? {text: 'none', colour: 'red'} : target.owner,
 		target.epoch,
 		target.pools.join(','),
--- a/packages/cli/src/cli/commands/top.ts
+++ b/packages/cli/src/cli/commands/top.ts
@@ -77,9 +77,10 @@
 	return workspaces.toSorted((left, right) => right.waiting - left.waiting || right.service - left.service);
 }
 
-const phaseOrder = [PhaseName.SetAside, PhaseName.Cold, PhaseName.Ramping, PhaseName.Warm];
+/** Phases that need attention first; those of other routers' targets last. */
+const phaseOrder = [PhaseName.SetAside, PhaseName.Cold, PhaseName.Ramping, PhaseName.Warm, undefined];
 
 function byPhase(targets: TargetReply[]): TargetReply[] {
 	return targets.toSorted((left, right) =>
-		phaseOrder.indexOf(left.phase) - phaseOrder.indexOf(right.phase) || right.running - left.running);
+		phaseOrder.indexOf(left.phase) - phaseOrder.indexOf(right.phase) || (right.running ?? 0) - (left.running ?? 0));
 }
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -123,7 +123,7 @@
 	if (error.kind === 'superseded') {
 		const {revision, audit} = error;
 		return {
-			kind: 'superseded', revision, audit, changes: describePart(audit.before, audit.after),
+			kind: 'superseded', revision, audit, changes: audit === undefined ? '' : describePart(audit.before, audit.after),
 		};
 	}
 
@@ -138,7 +138,7 @@
 	}
 
 	const {kind, message, problems, audit} = body.error;
-	const complete = (kind !== 'invalid' || Array.isArray(problems)) && (kind !== 'superseded' || isRecord(audit));
+	const complete = (kind !== 'invalid' || Array.isArray(problems)) && (audit === undefined || isRecord(audit));
 	return typeof kind === 'string' && (typeof message === 'string' || kind === 'invalid') && complete;
 }
 
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -29,7 +29,7 @@
 		| {kind: 'unexpectedReply'; url: string; status: number}
 		| {kind: 'refused'; message: string; hint: string}
 		| {kind: 'invalidNote'; problems: NoteProblem[]}
-		| {kind: 'superseded'; revision: number; audit: AuditEntry; changes: string}
+		| {kind: 'superseded'; revision: number; audit?: AuditEntry | undefined; changes: string}
 		| {kind: 'unknownName'; what: string; name: string; nearest: string | undefined};
 
 /** Result of a step that may fail. */
@@ -100,8 +100,9 @@
 	},
 	superseded: {
 		exitCode: ExitCode.Failed,
-		message: ({audit, revision, changes}) =>
-			`another release came in between: revision ${revision} by ${audit.operator} at ${audit.at} (${audit.action}: ${audit.reason})\n${changes}`,
+		message: ({audit, revision, changes}) => audit === undefined
+			? `the revision in force is ${revision}`
+			: `another release came in between: revision ${revision} by ${audit.operator} at ${audit.at} (${audit.action}: ${audit.reason})\n${changes}`,
 		hint: () => 'Try the note against it with `shallotloom release check FILE`, then apply it again.',
 	},
 	unknownName: {
--- a/packages/core/src/operator-api.ts
+++ b/packages/core/src/operator-api.ts
@@ -7,11 +7,7 @@
 import type {AuditEntry} from './release.ts';
 
 export enum RouterState {
-	/** Has no configuration yet. */
-	Starting = 'starting',
 	Active = 'active',
-	/** Hears too little of the fleet to start new work. */
-	CutOff = 'cut-off',
 	/** In a planned stop. */
 	Leaving = 'leaving',
 }
@@ -27,6 +23,7 @@
 export type StatusReply = {
 	/** Id of the router that answers. */
 	router: string;
+	failureDomain: string;
 	/** Revision in force at this router. */
 	revision: number;
 	state: RouterState;
@@ -56,10 +53,12 @@
 	/** Id of the owning router; '' when none is known. */
 	owner: string;
 	epoch: number;
-	phase: PhaseName;
-	/** Most requests at once, at present. */
-	budget: number;
-	running: number;
+	/** Only the owner knows the phase. */
+	phase?: PhaseName;
+	/** Most requests at once, at present; only the owner knows it. */
+	budget?: number;
+	/** Only the owner knows it. */
+	running?: number;
 };
 
 export type WorkspaceReply = {
@@ -72,7 +71,9 @@
 	service: number;
 	/** Part of the whole capacity that its weight gives, from 0 to 1. */
 	share: number;
-	/** Weighted tokens by which it is behind its share; negative when ahead. */
+	/** Service in units of the fair order, over all pools. */
+	virtualTime: number;
+	/** Weighted tokens by which its service is above its share; negative when it is behind. */
 	gapToShare: number;
 };
 
@@ -104,7 +105,7 @@
 /** What an error reply says; `hint` is what the operator can do about it. */
 export type ErrorReply = {
 	error:
-		| {kind: 'superseded'; message: string; hint: string; revision: number; audit: AuditEntry}
+		| {kind: 'superseded'; message: string; hint: string; revision: number; audit?: AuditEntry}
 		| {kind: 'invalid'; message: string; hint: string; problems: NoteProblem[]}
-		| {kind: 'unauthorized' | 'not-found' | 'malformed' | 'store-unavailable' | 'unknown-outcome'; message: string; hint: string};
+		| {kind: 'unauthorized' | 'not-found' | 'malformed' | 'unavailable'; message: string; hint: string};
 };
