Shorten long listings of the client, and give a hint for every refusal

Cause: a trial with two routers and a stand-in platform showed 34 lines for one repeated note, and "undefined" where a listener gives no hint. Change: messages list the first entries and count the rest; the fallback hint names the operators' listener; the settings page gives the real usage.

--- a/packages/cli/src/cli/commands/target.ts
+++ b/packages/cli/src/cli/commands/target.ts
@@ -59,7 +59,7 @@
 		target.failureDomain,
 		target.standing === Standing.In ? target.standing : {text: target.standing, colour: 'red'},
 		target.phase === undefined ? unknown : {text: target.phase, colour: phaseColours[target.phase]},
-		`${target.running ?? unknown}/${target.budget ?? unknown}`,
+		target.running === undefined || target.budget === undefined ? unknown : `${target.running}/${target.budget}`,
 		target.owner === '' ? {text: 'none', colour: 'red'} : target.owner,
 		target.epoch,
 		target.pools.join(','),
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -129,7 +129,7 @@
 
 	return error.kind === 'invalid'
 		? {kind: 'invalidNote', problems: error.problems}
-		: {kind: 'refused', message: error.message, hint: error.hint};
+		: {kind: 'refused', message: error.message, hint: typeof error.hint === 'string' ? error.hint : ''};
 }
 
 function isErrorReply(body: unknown): body is ErrorReply {
--- a/packages/cli/src/describe.ts
+++ b/packages/cli/src/describe.ts
@@ -24,7 +24,17 @@
 	}
 
 	const names = entries.map(entry => typeof entry === 'string' ? entry : nameOf(entry));
-	return `${section} ${singular[kind]}${names.length > 1 ? 's' : ''} ${names.join(', ')}`;
+	return `${section} ${singular[kind]}${names.length > 1 ? 's' : ''} ${shortList(names).join(', ')}`;
+}
+
+/** Entries that a message lists before it counts the rest. */
+const shortListLength = 8;
+
+/** The first entries, and how many more there are. */
+export function shortList(entries: readonly string[]): string[] {
+	const rest = entries.length - shortListLength;
+	// One entry is not replaced by a count of one.
+	return rest <= 1 ? [...entries] : [...entries.slice(0, shortListLength), `and ${rest} more`];
 }
 
 /** One line an entity that differs, for example `failure domain suva: standing in -> out`. */
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -4,6 +4,7 @@
 import {noteProblemMessage, type NoteProblem} from '@shallotloom/core/release-note.ts';
 import type {AuditEntry} from '@shallotloom/core/release.ts';
 import {describeProblems, type Problem} from '@shallotloom/settings/problems.ts';
+import {shortList} from './describe.ts';
 
 /** Exit codes of the program. */
 export enum ExitCode {
@@ -45,6 +46,7 @@
 };
 
 const seeHelp = 'Run the command with --help for its usage and an example.';
+const wrongListener = 'Check that --router names the operators\' listener, not that of callers or peers.';
 const tryAnother = 'Check that the router runs, or name another one with --router.';
 
 export const commandErrors: {[Kind in CommandError['kind']]: ErrorEntry<Kind>} = {
@@ -86,16 +88,16 @@
 	unexpectedReply: {
 		exitCode: ExitCode.Failed,
 		message: error => `${error.url} answered with status ${error.status} in a form that isn't the operators' API`,
-		hint: () => 'Check that --router names the operators\' listener, not that of callers or peers.',
+		hint: () => wrongListener,
 	},
 	refused: {
 		exitCode: ExitCode.Failed,
 		message: error => error.message,
-		hint: error => error.hint,
+		hint: error => error.hint === '' ? wrongListener : error.hint,
 	},
 	invalidNote: {
 		exitCode: ExitCode.Failed,
-		message: error => `the note doesn't fit the configuration in force:\n${error.problems.map(problem => noteProblemMessage(problem)).join('\n')}`,
+		message: error => `the note doesn't fit the configuration in force:\n${shortList(error.problems.map(problem => noteProblemMessage(problem))).join('\n')}`,
 		hint: () => 'Correct the note and try it with `shallotloom release check FILE`.',
 	},
 	superseded: {
--- a/packages/settings/src/settings-page.ts
+++ b/packages/settings/src/settings-page.ts
@@ -10,7 +10,7 @@
 
 This page is written from the schemas by \`npm run docs\`; change the schemas, not the page. Files are YAML. An unknown
 option is refused, and the message names the nearest known one. Units are in the names; addresses are by IP number.
-\`shallotloom-router --check-settings FILE\` checks a file without starting anything.
+\`shallotloom-router --settings FILE --check-settings\` checks a file without starting anything.
 `;
 
 /** Text of the page. */
