Share fault control between targets and list objects in one place

The watch told every failed listing as a refused connection, since the listing handed it only a result of the core; listing is now one module that reports the platform's own error to both callers. Calls used `AbortSignal.any` on the watch's long-lived signal, which Node.js 20 keeps for every call; a listener that is removed replaces it. The relay resets a caller whose destination refused, rather than closing it in order; errors after the connection was made still pass through the queues, so that none crosses a cut.

Engine and service handled faults alike in two places; target-faults.ts holds that once. Stats take `?lists=false`, which leaves out what grows with a run.

--- a/packages/platform/src/http-call.ts
+++ b/packages/platform/src/http-call.ts
@@ -43,10 +43,21 @@
 
 	return {
 		async call(call) {
+			const aborted = new AbortController();
+			const abort = () => {
+				aborted.abort();
+			};
+
+			// A listener that is removed, since `AbortSignal.any` would grow with every call on a long-lived signal.
+			call.signal?.addEventListener('abort', abort);
+			const timeout = setTimeout(abort, call.timeoutMs);
 			try {
-				return await answer(await send(agent, url, call));
+				return await answer(await send(agent, url, {...call, signal: aborted.signal}));
 			} catch (error) {
 				return {kind: 'failed', error: errorOf(error)};
+			} finally {
+				clearTimeout(timeout);
+				call.signal?.removeEventListener('abort', abort);
 			}
 		},
 		async close() {
@@ -55,15 +66,14 @@
 	};
 }
 
-async function send(agent: Agent, origin: string, {method, path, headers, body, timeoutMs, signal}: HttpCall) {
-	const timeout = AbortSignal.timeout(timeoutMs);
+async function send(agent: Agent, origin: string, {method, path, headers, body, signal}: HttpCall) {
 	return agent.request({
 		origin,
 		path,
 		method,
 		headers,
 		body,
-		signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+		signal,
 		headersTimeout: 0,
 		bodyTimeout: 0,
 	});
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -9,7 +9,8 @@
 import {
 	createHttpCaller, type HttpCall, type HttpCaller, type HttpReply,
 } from './http-call.ts';
-import {isObjectPage, isVersioned} from './object-wire.ts';
+import {listObjects} from './object-list.ts';
+import {isVersioned} from './object-wire.ts';
 import {watchObjects, type ObjectWatch} from './object-watch.ts';
 
 /** Result of an operation; `objects` only for `list`, whose result carries the revision as its version. */
@@ -74,36 +75,19 @@
 	}
 
 	async function list(prefix: string, after = ''): Promise<StoreReply> {
-		const objects: StoredObject[] = [];
-		let revision: number | undefined;
-		for (;;) {
-			const query = new URLSearchParams({prefix, after, limit: String(settings.pageSize)});
-			const reply = await caller.call({method: 'GET', path: `/objects?${query.toString()}`, timeoutMs: settings.callTimeoutMs});
-			if (reply.kind !== 'answered' || reply.status !== 200) {
-				return {result: resultOf(reply)};
-			}
-
-			const page = reply.body;
-			if (!isObjectPage(page)) {
-				return {result: {kind: 'unknown'}};
-			}
-
-			objects.push(...page.objects);
-			// Later pages may hold newer objects; only the first revision is covered by all pages.
-			revision ??= page.revision;
-			if (page.objects.length < settings.pageSize) {
-				return {result: {kind: 'ok', version: revision, value: ''}, objects};
-			}
-
-			after = page.objects.at(-1)!.key;
-		}
+		const listing = await listObjects({
+			...settings, caller, prefix, after,
+		});
+		return listing.kind === 'listed'
+			? {result: {kind: 'ok', version: listing.revision, value: ''}, objects: listing.objects}
+			: {result: resultOfError(listing.error)};
 	}
 
 	return {
 		run,
 		watch(watch) {
 			const handle = watchObjects({
-				...watch, caller, list: run, settings,
+				...watch, caller, settings,
 			});
 			watches.add(handle);
 			return {
--- a/packages/platform/src/object-watch.ts
+++ b/packages/platform/src/object-watch.ts
@@ -4,10 +4,10 @@
 went meanwhile are delivered as deleted, so that the receiver never keeps one that is gone.
 */
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {StoredObject, StoreOperation} from '@shallotloom/core/ports.ts';
+import type {StoredObject} from '@shallotloom/core/ports.ts';
 import type {PlatformError} from './errors.ts';
 import type {HttpCaller} from './http-call.ts';
-import type {StoreReply} from './object-store.ts';
+import {listObjects} from './object-list.ts';
 import {isWatchPage, type WatchEvent} from './object-wire.ts';
 
 export type ObjectWatch = {
@@ -19,13 +19,13 @@
 
 type WatchSettings = {
 	callTimeoutMs: number;
+	pageSize: number;
 	watchTimeoutMs: number;
 	random: () => number;
 };
 
 type WatchOptions = ObjectWatch & {
 	caller: HttpCaller;
-	list: (operation: StoreOperation) => Promise<StoreReply>;
 	settings: WatchSettings;
 };
 
@@ -33,7 +33,7 @@
 const longestBackoffMs = 3000;
 
 /** Starts the watch; it runs until `stop`. */
-export function watchObjects({prefixes, onObject, onError, caller, list, settings}: WatchOptions): {stop(): void} {
+export function watchObjects({prefixes, onObject, onError, caller, settings}: WatchOptions): {stop(): void} {
 	const stopped = new AbortController();
 	const known = new Map<string, number>();
 	const listedAt = new Map<string, number>();
@@ -58,15 +58,17 @@
 		const listed = new Set<string>();
 		let oldest: number | undefined;
 		for (const prefix of prefixes) {
-			const {result, objects = []} = await list({kind: 'list', prefix});
-			if (result.kind !== 'ok') {
-				fail(result.kind === 'unavailable' ? {kind: 'unavailable', status: 0} : {kind: 'unanswered', cause: 'list failed'});
+			const listing = await listObjects({
+				...settings, caller, prefix, after: '',
+			});
+			if (listing.kind === 'failed') {
+				fail(listing.error);
 				return undefined;
 			}
 
-			oldest ??= result.version;
-			listedAt.set(prefix, result.version);
-			for (const object of objects) {
+			oldest ??= listing.revision;
+			listedAt.set(prefix, listing.revision);
+			for (const object of listing.objects) {
 				listed.add(object.key);
 				deliver(object);
 			}
--- a/packages/platform/test/object-store.test.ts
+++ b/packages/platform/test/object-store.test.ts
@@ -145,6 +145,22 @@
 	expect(seen.at(-1)).toMatchObject({key: 'a/1', value: ''});
 });
 
+test('still delivers every change when watches lag and break', async () => {
+	await open({seed: 7});
+	platform.setFaults({watchLagMs: 30, watchDropFraction: 0.5});
+	const {seen, errors, handle} = watch(['a/']);
+	const keys = Array.from({length: 20}, (_, index) => `a/${index}`);
+	for (const key of keys) {
+		await put(key, 'value', 0);
+		await sleep(20);
+	}
+
+	await until(() => seen.length === keys.length);
+	handle.stop();
+	expect(seen.map(({key}) => key).toSorted()).toEqual(keys.toSorted());
+	expect(errors).toContain('unanswered');
+});
+
 test('answers 410 to a watch older than the history', async () => {
 	await open({historyLimit: 1});
 	for (let version = 0; version < 4; version++) {
@@ -158,6 +174,7 @@
 test('polls the instance list', async () => {
 	await open();
 	platform.setInstances([{id: 'router-1', state: 'leaving'}]);
+	platform.setFaults({instanceListLagMs: 500});
 	const seen: unknown[] = [];
 	const poll = pollInstanceList({
 		url,
@@ -169,7 +186,8 @@
 			seen.push('error');
 		},
 	});
-	await until(() => seen.length > 1);
+	await until(() => seen.some(instances => Array.isArray(instances) && instances.length > 0));
 	await poll.stop();
-	expect(seen[0]).toEqual([{id: 'router-1', state: 'leaving'}]);
+	expect(seen[0]).toEqual([]);
+	expect(seen.at(-1)).toEqual([{id: 'router-1', state: 'leaving'}]);
 });
--- a/packages/standin/src/engine-standin.ts
+++ b/packages/standin/src/engine-standin.ts
@@ -12,14 +12,13 @@
 import {createRandom, seedOf} from './random.ts';
 import {createRequestLog} from './request-log.ts';
 import {
-	addFaultRoutes, clearFaults, createStandinServer, type Standin, type StandinContext,
+	createStandinServer, type Standin, type StandinContext,
 } from './standin-server.ts';
-import {addOutage, takeOne} from './target-faults.ts';
+import {
+	addOutage, controlTargetFaults, takeOne, type FaultControl,
+} from './target-faults.ts';
 
-export type EngineStandin = Standin & {
-	setFaults(faults: Partial<EngineFaults>): void;
-	clearFaults(): void;
-};
+export type EngineStandin = Standin & FaultControl<EngineFaults>;
 
 /** Body of a completion request; fields that start with `standin_` fix what a real engine would find out. */
 type CompletionBody = {
@@ -56,13 +55,13 @@
 		loads.record(performance.now());
 	}
 
-	function answerFaults(id: string): AnswerFaults {
+	function answerFaults(id: string, streams: boolean): AnswerFaults {
 		return {
 			...noAnswerFaults,
 			crossedWith: takeOne(faults, 'crossAnswers') ? answers.otherId(id) : '',
 			duplicate: takeOne(faults, 'duplicateAnswers'),
 			truncate: takeOne(faults, 'truncate'),
-			cutAt: cutOffset(),
+			cutAt: streams ? cutOffset() : Number.POSITIVE_INFINITY,
 			lateMs: faults.answerLateMs ?? 0,
 		};
 	}
@@ -98,24 +97,10 @@
 			promptTokens: body.standin_prompt_tokens ?? Math.ceil(promptText.length / charactersPerToken),
 			prefix,
 			streams: body.stream === true,
-			faults: answerFaults(id),
+			faults: answerFaults(id, body.stream === true),
 		};
 	}
 
-	function faultsSet(set: Partial<EngineFaults>) {
-		if ([set.restart, set.down, set.refuseMs].some(Boolean)) {
-			batch.restart();
-			server.breakConnections();
-		}
-
-		if (set.refuseMs) {
-			server.refuseConnections(set.refuseMs);
-		}
-
-		delete faults.restart;
-		delete faults.refuseMs;
-	}
-
 	addOutage(app, faults);
 	app.post('/v1/chat/completions', async ctx => {
 		const body = await ctx.req.json<CompletionBody>();
@@ -149,11 +134,21 @@
 		return ctx.json(result, result.obeyed ? 200 : 409);
 	});
 	app.get('/standin/stats', ctx => ctx.json({
-		...log.stats(), ...load(), coldOverruns: batch.coldOverruns, orders: orders.taken(),
+		...log.stats(ctx.req.query('lists') !== 'false'), ...load(), coldOverruns: batch.coldOverruns, orders: orders.taken(),
 	}));
-	addFaultRoutes(app, faults, faultsSet);
 
 	const server = createStandinServer({host: settings.host, port: settings.port, app});
+	const control = controlTargetFaults({
+		app,
+		faults,
+		restart() {
+			batch.restart();
+			server.breakConnections();
+		},
+		refuseConnections(ms) {
+			server.refuseConnections(ms);
+		},
+	});
 	return {
 		async start() {
 			timer = setInterval(tick, settings.tickMs);
@@ -163,12 +158,6 @@
 			clearInterval(timer);
 			await server.stop();
 		},
-		setFaults(set) {
-			Object.assign(faults, set);
-			faultsSet(set);
-		},
-		clearFaults() {
-			clearFaults(faults);
-		},
+		...control,
 	};
 }
--- a/packages/standin/src/relay.ts
+++ b/packages/standin/src/relay.ts
@@ -45,6 +45,15 @@
 		const from = caller.remoteAddress ?? '';
 		// Bound to the caller's own address, so that the target sees who connects.
 		const callee = connect({...target, localAddress: from});
+		const refuse = () => {
+			caller.resetAndDestroy();
+		};
+
+		// Only a connection that was never made is reset; later errors pass through the queues like other bytes.
+		callee.once('error', refuse);
+		callee.once('connect', () => {
+			callee.off('error', refuse);
+		});
 		relay({
 			from, to: target.host, source: caller, sink: callee,
 		});
--- a/packages/standin/src/request-log.ts
+++ b/packages/standin/src/request-log.ts
@@ -23,10 +23,12 @@
 	ended(id: string, end: RequestEnd): void;
 	/** Counts one run of the key and returns its runs so far. */
 	ran(key: string): number;
-	stats(): {
-		requests: RequestEntry[];
-		runs: Record<string, number>;
-		admissions: Admission[];
+	/** `lists` adds what grows with the run: requests, runs and admissions. */
+	stats(lists: boolean): {
+		requests?: RequestEntry[];
+		/** Runs by idempotency key. */
+		runs?: Record<string, number>;
+		admissions?: Admission[];
 		admitted: number;
 		ends: Record<string, number>;
 		peakRunning: number;
@@ -72,10 +74,12 @@
 			dropOldest(runs);
 			return count;
 		},
-		stats: () => ({
-			requests: [...requests.values()],
-			runs: Object.fromEntries(runs),
-			admissions: admissions.slice(-keptEntries),
+		stats: lists => ({
+			...(lists && {
+				requests: [...requests.values()],
+				runs: Object.fromEntries(runs),
+				admissions: admissions.slice(-keptEntries),
+			}),
 			admitted,
 			ends: {...ends},
 			peakRunning,
--- a/packages/standin/src/service-standin.ts
+++ b/packages/standin/src/service-standin.ts
@@ -8,9 +8,11 @@
 import {createLoadHistory} from './load-history.ts';
 import {createRequestLog, RequestEnd} from './request-log.ts';
 import {
-	addFaultRoutes, breakConnection, clearFaults, createStandinServer, type Standin, type StandinContext,
+	breakConnection, createStandinServer, type Standin, type StandinContext,
 } from './standin-server.ts';
-import {addOutage, takeOne} from './target-faults.ts';
+import {
+	addOutage, controlTargetFaults, takeOne, type FaultControl,
+} from './target-faults.ts';
 
 export type ServiceFaults = {
 	/** Connections break without an answer. */
@@ -33,10 +35,7 @@
 	hang: boolean;
 };
 
-export type ServiceStandin = Standin & {
-	setFaults(faults: Partial<ServiceFaults>): void;
-	clearFaults(): void;
-};
+export type ServiceStandin = Standin & FaultControl<ServiceFaults>;
 
 export type ServiceSettings = typeof serviceDefaults;
 
@@ -129,19 +128,6 @@
 		return takeOne(faults, 'crossAnswers') ? other : answer;
 	}
 
-	function faultsSet(set: Partial<ServiceFaults>) {
-		if ([set.restart, set.down, set.refuseMs].some(Boolean)) {
-			restart();
-		}
-
-		if (set.refuseMs) {
-			server.refuseConnections(set.refuseMs);
-		}
-
-		delete faults.restart;
-		delete faults.refuseMs;
-	}
-
 	addOutage(app, faults);
 	app.post('/call/*', async ctx => {
 		const echo = await ctx.req.text();
@@ -173,10 +159,17 @@
 		return ctx.json(answer, 200, {'x-request-id': answer.request});
 	});
 	app.get('/load', ctx => ctx.json(loads.report(faults.loadLagMs ?? settings.loadLagMs, performance.now())));
-	app.get('/standin/stats', ctx => ctx.json({...log.stats(), ...load(), coldOverruns: state.coldOverruns}));
-	addFaultRoutes(app, faults, faultsSet);
+	app.get('/standin/stats', ctx => ctx.json({...log.stats(ctx.req.query('lists') !== 'false'), ...load(), coldOverruns: state.coldOverruns}));
 
 	const server = createStandinServer({host: settings.host, port: settings.port, app});
+	const control = controlTargetFaults({
+		app,
+		faults,
+		restart,
+		refuseConnections(ms) {
+			server.refuseConnections(ms);
+		},
+	});
 	return {
 		async start() {
 			timer = setInterval(() => {
@@ -188,12 +181,6 @@
 			clearInterval(timer);
 			await server.stop();
 		},
-		setFaults(set) {
-			Object.assign(faults, set);
-			faultsSet(set);
-		},
-		clearFaults() {
-			clearFaults(faults);
-		},
+		...control,
 	};
 }
--- a/packages/standin/src/target-faults.ts
+++ b/packages/standin/src/target-faults.ts
@@ -2,11 +2,57 @@
 Faults that engines and services share.
 */
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
-import {breakConnection, isControl, type StandinApp} from './standin-server.ts';
+import {
+	addFaultRoutes, breakConnection, clearFaults, isControl, type StandinApp,
+} from './standin-server.ts';
 
 /** Faults under which a target answers nothing but control. */
 export type OutageFaults = {down?: boolean; hang?: boolean};
 
+/** Faults that lose what runs; `restart` and `refuseMs` happen once. */
+export type RestartFaults = {down?: boolean; restart?: boolean; refuseMs?: number};
+
+/** Sets and clears the faults of a stand-in from a test in the same process. */
+export type FaultControl<Faults> = {
+	setFaults(faults: Partial<Faults>): void;
+	clearFaults(): void;
+};
+
+export type TargetFaultOptions<Faults> = {
+	app: StandinApp;
+	faults: Partial<Faults>;
+	/** Loses what runs and starts cold. */
+	restart: () => void;
+	refuseConnections: (ms: number) => void;
+};
+
+/** Adds the fault routes of a target, and applies faults that happen when they are set. */
+export function controlTargetFaults<Faults extends RestartFaults>({app, faults, restart, refuseConnections}: TargetFaultOptions<Faults>): FaultControl<Faults> {
+	function onSet(set: Partial<Faults>) {
+		if ([set.restart, set.down, set.refuseMs].some(Boolean)) {
+			restart();
+		}
+
+		if (set.refuseMs) {
+			refuseConnections(set.refuseMs);
+		}
+
+		delete faults.restart;
+		delete faults.refuseMs;
+	}
+
+	addFaultRoutes(app, faults, onSet);
+	return {
+		setFaults(set) {
+			Object.assign(faults, set);
+			onSet(set);
+		},
+		clearFaults() {
+			clearFaults(faults);
+		},
+	};
+}
+
 /** Breaks (`down`) or keeps open without an answer (`hang`) every request but those of control. */
 export function addOutage(app: StandinApp, faults: OutageFaults) {
 	app.use('*', async (ctx, next) => {
--- a/packages/standin/test/engine-standin.test.ts
+++ b/packages/standin/test/engine-standin.test.ts
@@ -112,7 +112,15 @@
 	expect(await read(cancelled)).toMatchObject({broken: true});
 	const orphan = await complete('r2', 1000);
 	await orphan.body!.cancel();
-	await sleep(300);
+	for (let tries = 0; tries < 100; tries++) {
+		const {running} = await stats();
+		if (running === 0) {
+			break;
+		}
+
+		await sleep(20);
+	}
+
 	expect(await stats()).toMatchObject({running: 0, ends: {cancelled: 1, orphaned: 1}});
 });
 
@@ -165,6 +173,24 @@
 	expect(await readComplete('r3', 3)).toContain('[DONE]');
 });
 
+test('holds late answers back while it runs them, and never answers when it hangs', async () => {
+	await open({loadLagMs: 60_000});
+	engine.setFaults({answerLateMs: 200});
+	const late = complete('r1', 3);
+	await sleep(100);
+	expect(await stats()).toMatchObject({running: 0, ends: {complete: 1}});
+	const {text} = await read(await late);
+	expect(offsets(text)).toEqual([0, 1, 2]);
+
+	engine.clearFaults();
+	const running = await complete('r2', 5000);
+	expect(await getJson('/load')).toMatchObject({running: 0, cold: false});
+	engine.setFaults({hang: true});
+	await expect(fetch(`${url}/load`, {signal: AbortSignal.timeout(100)})).rejects.toThrow('timeout');
+	expect(await stats()).toMatchObject({running: 1, admitted: 2});
+	await running.body!.cancel();
+});
+
 test.each([true, false])('refuses an order with an older epoch only when it fences: %s', async fences => {
 	await open({fences});
 	const statusOf = async (epoch: number) => {
