Let waiting watches skip what they have looked at

A watch that waited under one prefix read all changes under other prefixes again at every write, so its cost grew with the time that it waited. It now goes on from the last change that it saw, and writes of one turn of the event loop are checked together.

The program installs its SIGTERM handler before it says that it listens; a signal sent at once would have ended it with another status.

--- a/packages/platform/test/object-store.test.ts
+++ b/packages/platform/test/object-store.test.ts
@@ -171,6 +171,15 @@
 	expect(status).toBe(410);
 });
 
+test('serves weights whole, and counts their bytes', async () => {
+	await open({weightBytes: 100_000, weightBytesPerSecond: 1_000_000});
+	const response = await fetch(`${url}/weights/model-a`);
+	const bytes = await response.arrayBuffer();
+	expect(bytes.byteLength).toBe(100_000);
+	const stats = await fetch(`${url}/standin/stats`);
+	expect(await stats.json()).toMatchObject({weightBytes: 100_000, calls: {reads: 1, writes: 0}});
+});
+
 test('polls the instance list', async () => {
 	await open();
 	platform.setInstances([{id: 'router-1', state: 'leaving'}]);
--- a/packages/standin/src/cli/main.ts
+++ b/packages/standin/src/cli/main.ts
@@ -9,12 +9,11 @@
 import {engineDefaults} from '../engine-settings.ts';
 import {createNetworkStandin, networkStandinDefaults} from '../network-standin.ts';
 import {createPlatformStandin, platformStandinDefaults} from '../platform-standin.ts';
-import {addressOf} from '../relay.ts';
 import {createServiceStandin, serviceDefaults} from '../service-standin.ts';
 import type {Standin} from '../standin-server.ts';
-
-/** Options as the command line gives them: by name, with dashes. */
-type CommandOptions = Record<string, string | number | boolean | undefined>;
+import {
+	hasOption, optionName, settingsOf, type CommandOptions,
+} from './command-options.ts';
 
 type Command = {
 	describe: string;
@@ -45,43 +44,13 @@
 	},
 };
 
-/** Names that come from `--listen` or from control, not from an own option. */
-const namesWithoutOption = new Set(['host', 'port', 'domains', 'delayMs']);
-
-function settingsOf(defaults: object, options: CommandOptions): object {
-	const settings: Record<string, unknown> = {...addressOf(String(options.listen))};
-	for (const [name, fallback] of Object.entries(defaults)) {
-		const given = options[optionName(name)];
-		if (!namesWithoutOption.has(name) && given !== undefined) {
-			settings[name] = valueLike(fallback, given);
-		}
-	}
-
-	return settings;
-}
-
-/** The command line reads `--id 7` as a number and `--fences false` as a text. */
-function valueLike(fallback: unknown, given: string | number | boolean) {
-	if (typeof fallback === 'boolean') {
-		return String(given) === 'true';
-	}
-
-	return typeof fallback === 'string' ? String(given) : given;
-}
-
-/** `warmCapacity` is `--warm-capacity` on the command line. */
-function optionName(name: string): string {
-	return [...name].map(letter => letter === letter.toLowerCase() ? letter : `-${letter.toLowerCase()}`).join('');
-}
-
 async function run({defaults, create}: Command, options: CommandOptions) {
 	const standin = create(settingsOf(defaults, options));
-	const {url} = await standin.start();
-	console.log(`listening ${url}`);
-
 	process.once('SIGTERM', () => {
 		void stop(standin);
 	});
+	const {url} = await standin.start();
+	console.log(`listening ${url}`);
 }
 
 async function stop(standin: Standin) {
@@ -95,7 +64,7 @@
 	program.command(name).describe(command.describe).option('--listen', 'Address to listen on', '127.0.0.1:0')
 		.example(`${name} --listen 127.0.0.1:7000`);
 	for (const [setting, fallback] of Object.entries(command.defaults)) {
-		if (!namesWithoutOption.has(setting)) {
+		if (hasOption(setting)) {
 			program.option(`--${optionName(setting)}`, `Default ${String(fallback)}`);
 		}
 	}
--- a/packages/standin/src/watchers.ts
+++ b/packages/standin/src/watchers.ts
@@ -29,10 +29,11 @@
 
 /** Creates the set of waiting watches of one table. */
 export function createWatchers({table, now, lagMs}: WatchersOptions): Watchers {
+	let checking = false;
 	const waiting = new Set<{check: () => void; refuse: () => void}>();
 
 	/** What a watch may see now. */
-	function visible({prefixes, since}: WatchRequest): WatchReply {
+	function visible(prefixes: string[], since: number): WatchReply {
 		const changes = table.changesSince(since);
 		if (!changes) {
 			return {kind: 'expired'};
@@ -47,6 +48,7 @@
 	}
 
 	function checkAll() {
+		checking = false;
 		for (const {check} of waiting) {
 			check();
 		}
@@ -55,11 +57,16 @@
 	return {
 		async wait(request) {
 			return new Promise(resolve => {
+				const {prefixes, timeoutMs} = request;
+				let {since} = request;
 				const watcher = {
 					check() {
-						const reply = visible(request);
+						const reply = visible(prefixes, since);
 						if (reply.kind !== 'changes' || reply.events.length > 0) {
 							end(reply);
+						} else {
+							// What is under other prefixes is not looked at again.
+							since = reply.revision;
 						}
 					},
 					refuse() {
@@ -67,8 +74,8 @@
 					},
 				};
 				const timer = setTimeout(() => {
-					end(visible(request));
-				}, request.timeoutMs);
+					end(visible(prefixes, since));
+				}, timeoutMs);
 
 				function end(reply: WatchReply) {
 					clearTimeout(timer);
@@ -85,7 +92,8 @@
 			const lag = lagMs();
 			if (lag > 0) {
 				setTimeout(checkAll, lag + 1);
-			} else {
+			} else if (!checking) {
+				checking = true;
 				setImmediate(checkAll);
 			}
 		},
