Serve a request whole, from address to answer

Cause: digests with fractional ages could not be encoded, so peers never heard each other; and undici refuses a URL string together with a path option, so every attempt failed before it left. Ruled out: the relay and the bind address (the same streams worked between two parts in one process). Change: ages are rounded up; a stream that breaks logs why; attempts pass the whole URL.

--- a/packages/core/src/systems/digests.ts
+++ b/packages/core/src/systems/digests.ts
@@ -56,7 +56,7 @@
 		peerUrl: world.self.peerUrl,
 		revision: world.configuration.revision,
 		leaseSequence: world.lease.sequence,
-		storeAgeMs: storeAge(world),
+		storeAgeMs: Math.ceil(storeAge(world)),
 		services: serviceEntries(world),
 		pools: poolEntries(world),
 		heard: heardEntries(world),
--- a/packages/router/src/peers/peer-client.ts
+++ b/packages/router/src/peers/peer-client.ts
@@ -18,6 +18,8 @@
 	traffic: Traffic;
 	now: () => number;
 	onLost: (member: string) => void;
+	/** Why a stream broke, for the log; the core judges by the loss alone. */
+	onError: (member: string, reason: string) => void;
 };
 
 export type PeerClient = {
@@ -94,8 +96,8 @@
 		});
 		try {
 			await createClient(Peer, transport).deliver(envelopes(stream));
-		} catch {
-			// The core judges by silence; why the stream broke doesn't matter to it.
+		} catch (error) {
+			options.onError(to, error instanceof Error ? error.message : String(error));
 		}
 
 		drop(to, stream);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,8 +4,8 @@
 import {createServer, type Server} from 'node:http';
 import {randomBytes} from 'node:crypto';
 import {getRequestListener} from '@hono/node-server';
-import type {
-	CallerRequest, OutboundOf, ReleaseAnswer, StoreOperation,
+import {
+	LogPart, type CallerRequest, type OutboundOf, type ReleaseAnswer, type StoreOperation,
 } from '@shallotloom/core/ports.ts';
 import type {RefusalKind, Refusal} from '@shallotloom/core/refusal.ts';
 import {applyNote} from '@shallotloom/core/release.ts';
@@ -112,6 +112,11 @@
 		onLost(member) {
 			loop.push({kind: 'peerLost', member});
 		},
+		onError(member, reason) {
+			onLog({
+				kind: 'log', part: LogPart.Membership, level: 'warn', text: `stream to ${member} broke: ${reason}`,
+			});
+		},
 	});
 	const attempts = createAttempts({
 		agents,
--- a/packages/router/src/targets/attempt.ts
+++ b/packages/router/src/targets/attempt.ts
@@ -147,10 +147,10 @@
 		await (isStream ? stream(exchange, place, answer) : collect(exchange, place, answer));
 	}
 
-	async function run(exchange: Exchange, place: Place, options: Parameters<typeof fetchTarget>[1] & {path: string}) {
+	async function run(exchange: Exchange, place: Place, path: string, options: Parameters<typeof fetchTarget>[1]) {
 		exchange.abort = new AbortController();
 		try {
-			const answer = await fetchTarget(`${place.url}${options.path}`, {
+			const answer = await fetchTarget(`${place.url}${path}`, {
 				...options,
 				dispatcher: exchange.once ? agents.fresh : agents.kept,
 				signal: exchange.abort.signal,
@@ -169,14 +169,13 @@
 			exchange.attemptStartedAt = now();
 			exchange.firstByteAt = 0;
 			exchange.offset = 0;
-			void run(exchange, place, {
-				path: exchange.path, method: exchange.method, body: exchange.body, headers: headersOf(exchange),
+			void run(exchange, place, exchange.path, {
+				method: exchange.method, body: exchange.body, headers: headersOf(exchange),
 			});
 		},
 		resume(exchange: Exchange, place: Place) {
-			void run(exchange, place, {
-				path: `/v1/streams/${encodeURIComponent(exchange.request)}?offset=${exchange.offset}`, method: 'GET', headers: headersOf(exchange),
-			});
+			const path = `/v1/streams/${encodeURIComponent(exchange.request)}?offset=${exchange.offset}`;
+			void run(exchange, place, path, {method: 'GET', headers: headersOf(exchange)});
 		},
 		/** Cancels the stream at the engine; the attempt then ends as cancelled. */
 		async cancel(exchange: Exchange, place: Place) {
