Test leases, handovers and releases fault by fault

Lost answers, relays, pauses, outages with majority and minority, one-way cuts, restarts, stops, racing operators, late and repeated watch events.

--- /dev/null
+++ b/packages/core/test/lease.test.ts
@@ -0,0 +1,147 @@
+import {mayDispatch} from '../src/systems/lease.ts';
+import {liveMembers} from '../src/systems/membership.ts';
+import {MemberState} from '../src/messages.ts';
+import type {World} from '../src/world.ts';
+import {createFleet, type Fleet} from './support/fleet.ts';
+import {StoreFault} from './support/store-map.ts';
+
+const routers = {
+	a: 'x', b: 'x', c: 'y', d: 'y', e: 'y',
+};
+const ids = Object.keys(routers);
+
+function start(): Fleet {
+	const fleet = createFleet({routers, targets: {t1: 'x', t2: 'x', t3: 'y'}});
+	fleet.run(8000);
+	return fleet;
+}
+
+function dispatching(fleet: Fleet): string {
+	return [...fleet.worlds].filter(([, world]) => world.now === fleet.now && mayDispatch(world)).map(([id]) => id).toSorted().join('');
+}
+
+/** Cuts messages from one group of routers to another. */
+function cut(fleet: Fleet, from: string, to: string) {
+	const before = fleet.delay;
+	fleet.delay = (sender, receiver, item) => from.includes(sender) && to.includes(receiver) ? undefined : before(sender, receiver, item);
+}
+
+function tenure(fleet: Fleet, id: string): string {
+	return fleet.worlds.get(id)!.lease.tenure;
+}
+
+test.each([StoreFault.AnswerLost, StoreFault.Cut, StoreFault.Down])('a renewal under fault %s leaves the tenure as it is', fault => {
+	const fleet = start();
+	const before = tenure(fleet, 'a');
+	fleet.storeFault = (id, action) => id === 'a' && action.kind === 'put' ? fault : StoreFault.None;
+	cut(fleet, 'a', 'bcde');
+	fleet.run(2500);
+	fleet.storeFault = () => StoreFault.None;
+	fleet.run(3000);
+	expect(tenure(fleet, 'a')).toBe(before);
+	expect(dispatching(fleet)).toBe('abcde');
+});
+
+test('a lease whose every answer is lost is confirmed by reading it', () => {
+	const fleet = start();
+	fleet.storeFault = (id, action) => id === 'a' && action.kind === 'put' ? StoreFault.AnswerLost : StoreFault.None;
+	cut(fleet, 'a', 'bcde');
+	fleet.run(15_000);
+	expect(dispatching(fleet)).toBe('abcde');
+});
+
+test('a router cut from the Object API alone goes on, since peers relay its renewals', () => {
+	const fleet = start();
+	const before = tenure(fleet, 'a');
+	fleet.storeFault = id => id === 'a' ? StoreFault.Cut : StoreFault.None;
+	fleet.run(30_000);
+	expect(dispatching(fleet)).toBe('abcde');
+	expect(tenure(fleet, 'a')).toBe(before);
+});
+
+test('a router paused past its lease finds it lapsed in its first step, and its tenure ended', () => {
+	const fleet = start();
+	const before = tenure(fleet, 'a');
+	fleet.paused.add('a');
+	fleet.run(10_000);
+	fleet.paused.clear();
+	fleet.run(50);
+	expect(dispatching(fleet)).toBe('bcde');
+	fleet.until(() => dispatching(fleet) === 'abcde', 8000);
+	expect(tenure(fleet, 'a')).not.toBe(before);
+});
+
+const outages = [
+	{
+		name: 'all hear each other', sides: ['abcde', ''], store: '', goOn: 'abcde',
+	},
+	{
+		name: 'a majority hears each other', sides: ['abc', 'de'], store: '', goOn: 'abc',
+	},
+	{
+		name: 'the minority reaches the Object API', sides: ['abc', 'de'], store: 'de', goOn: 'abcde',
+	},
+	{
+		name: 'the majority reaches the Object API', sides: ['abc', 'de'], store: 'abc', goOn: 'abc',
+	},
+];
+
+test.each(outages)('in a long outage $goOn go on when $name', ({sides: [one, other], store, goOn}) => {
+	const fleet = start();
+	cut(fleet, one!, other!);
+	cut(fleet, other!, one!);
+	fleet.storeFault = id => store.includes(id) ? StoreFault.None : StoreFault.Down;
+	fleet.run(600_000);
+	expect(dispatching(fleet)).toBe(goOn);
+});
+
+test('a router that is only heard, and hears nobody, stops in an outage', () => {
+	const fleet = start();
+	cut(fleet, 'bcde', 'a');
+	fleet.storeFault = () => StoreFault.Down;
+	fleet.run(10_000);
+	expect(dispatching(fleet)).toBe('bcde');
+});
+
+test('after an outage all go on with the tenures that they had', () => {
+	const fleet = start();
+	const before = ids.map(id => tenure(fleet, id));
+	fleet.storeFault = () => StoreFault.Down;
+	fleet.run(60_000);
+	fleet.storeFault = () => StoreFault.None;
+	fleet.run(5000);
+	expect(ids.map(id => tenure(fleet, id))).toEqual(before);
+	expect(dispatching(fleet)).toBe('abcde');
+});
+
+test('a restart with an empty memory waits until the earlier start has surely stopped', () => {
+	const fleet = start();
+	fleet.kill('a');
+	fleet.start('a');
+	fleet.run(4000);
+	expect(dispatching(fleet)).toBe('bcde');
+	fleet.until(() => dispatching(fleet) === 'abcde', 8000);
+});
+
+test('a router that was replaced under its own id never dispatches again', () => {
+	const fleet = start();
+	const old: World = fleet.worlds.get('a')!;
+	fleet.start('a');
+	fleet.until(() => dispatching(fleet) === 'abcde', 12_000);
+	old.now = fleet.now;
+	expect(mayDispatch(old)).toBe(false);
+});
+
+test('a stopping router hands everything over, deletes its lease and is no member any more', () => {
+	const fleet = start();
+	fleet.give('a', {kind: 'stopRequested'});
+	fleet.run(200);
+	expect(liveMembers(fleet.worlds.get('b')!).map(member => member.id)).toEqual(['b', 'c', 'd', 'e']);
+	fleet.until(() => !fleet.storeMap.objects.has('lease/a'), 5000);
+	expect(fleet.worlds.get('a')!.state).toBe(MemberState.Leaving);
+	fleet.kill('a');
+	fleet.until(() => fleet.worlds.get('b')!.contacts.get('a')?.tenure === '', 5000);
+	for (const target of ['t1', 't2', 't3']) {
+		expect(fleet.servers(target)).toHaveLength(1);
+	}
+});
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -1,4 +1,6 @@
-import {createFleet} from './support/fleet.ts';
+import type {StoreOperation} from '../src/ports.ts';
+import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
+import {StoreFault} from './support/store-map.ts';
 
 const routers = {
 	a: 'x', b: 'x', c: 'x', d: 'y', e: 'y',
@@ -28,3 +30,112 @@
 	expect(took).toBeGreaterThan(4000);
 	fleet.until(() => targetIds.every(target => fleet.servers(target).length === 1), 4000);
 });
+
+/** Runs a planned handover of t1 under faults and returns its owner before and after, and for how long nobody served it. */
+function handOver(fault: (fleet: Fleet, from: string) => void) {
+	const fleet = createFleet({routers, targets});
+	fleet.run(8000);
+	const [from] = fleet.servers('t1');
+	const epoch = fleet.worlds.get(from!)!.holdings.get('t1')!;
+	fault(fleet, from!);
+	fleet.give(from!, {kind: 'stopRequested'});
+	fleet.run(tickMs);
+	const idleMs = fleet.until(() => fleet.servers('t1').some(id => id !== from), 15_000);
+	const [to] = fleet.servers('t1');
+	return {
+		fleet, from: from!, to: to!, idleMs, epochs: fleet.worlds.get(to!)!.holdings.get('t1')! - epoch,
+	};
+}
+
+function isWriteOf(action: StoreOperation, key: string): boolean {
+	return action.kind === 'put' && action.key === key;
+}
+
+/** Applies a store fault to the first write of a key only. */
+function failOnce(fleet: Fleet, key: string, fault: StoreFault) {
+	let left = 1;
+	fleet.storeFault = (_id, action) => {
+		if (left === 0 || !isWriteOf(action, key)) {
+			return StoreFault.None;
+		}
+
+		left -= 1;
+		return fault;
+	};
+}
+
+const handovers: Array<{name: string; fault: (fleet: Fleet, from: string) => void; withinMs: number}> = [
+	{
+		name: 'without a fault', fault() {
+			// Nothing fails.
+		}, withinMs: 100,
+	},
+	{
+		name: 'with the answer of the write lost', fault(fleet) {
+			failOnce(fleet, 'owner/t1', StoreFault.AnswerLost);
+		}, withinMs: 1500,
+	},
+	{
+		name: 'with the write lost', fault(fleet) {
+			failOnce(fleet, 'owner/t1', StoreFault.Cut);
+		}, withinMs: 1500,
+	},
+	{
+		name: 'with the write refused', fault(fleet) {
+			failOnce(fleet, 'owner/t1', StoreFault.Down);
+		}, withinMs: 1500,
+	},
+	{
+		name: 'with the message lost', fault(fleet) {
+			fleet.delay = (_from, _to, item) => item.kind === 'send' && item.message.kind === 'targetHandover' ? undefined : 1;
+		}, withinMs: 300,
+	},
+	{
+		name: 'with the watch event lost', fault(fleet) {
+			fleet.delay = from => from === 'watch' ? undefined : 1;
+		}, withinMs: 3 * tickMs, // write, answer and message take a tick each
+	},
+];
+
+test.each(handovers)('a handover $name has one new owner, at the next epoch, soon', ({fault, withinMs}) => {
+	const {idleMs, epochs} = handOver(fault);
+	expect(idleMs).toBeLessThanOrEqual(withinMs);
+	expect(epochs).toBe(1);
+});
+
+test('a handover to a router that has just died is taken over from it', () => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(8000);
+	const [from] = fleet.servers('t1');
+	const receiver = ['a', 'b', 'c'].find(id => id !== from);
+	fleet.kill(receiver!);
+	fleet.give(from!, {kind: 'stopRequested'});
+	const took = fleet.until(() => targetIds.every(target => fleet.servers(target).length === 1 && fleet.servers(target)[0] !== from), 12_000);
+	expect(took).toBeLessThan(10_000);
+});
+
+test('records that come late, again or as deletions never bring an old owner back', () => {
+	const {fleet, from, to} = handOver(() => undefined);
+	const world = fleet.worlds.get(from)!;
+	const {version, incarnation} = fleet.worlds.get(to)!.ownerships.get('t1')!;
+	const value = JSON.stringify({
+		owner: from, incarnation: world.lease.tenure, epoch: 1, nonce: 'n',
+	});
+	for (const object of [{key: 'owner/t1', version: version - 1, value}, {key: 'owner/t1', version: version + 1, value: ''}]) {
+		fleet.give(from, {kind: 'storeEvent', object});
+	}
+
+	fleet.run(200);
+	expect(world.ownerships.get('t1')).toMatchObject({owner: to, incarnation});
+	expect(fleet.servers('t1')).toEqual([to]);
+});
+
+test('a new router gets its share of the targets, at most one a second from each owner', () => {
+	const fleet = createFleet({routers, targets: {...targets, t7: 'y', t8: 'y'}});
+	fleet.kill('d');
+	fleet.run(8000);
+	fleet.start('d');
+	fleet.until(() => fleet.worlds.get('d')!.holdings.size > 0, 12_000);
+	fleet.run(4000);
+	expect(fleet.worlds.get('d')!.holdings.size).toBe(2);
+});
--- a/packages/core/test/releases.test.ts
+++ b/packages/core/test/releases.test.ts
@@ -1,7 +1,9 @@
+import fc from 'fast-check';
 import {Standing} from '../src/configuration.ts';
 import type {ReleaseAnswer} from '../src/ports.ts';
 import type {ReleaseNote} from '../src/release-note.ts';
 import {createFleet, type Fleet} from './support/fleet.ts';
+import {StoreFault} from './support/store-map.ts';
 
 const routers = {a: 'x', b: 'y', c: 'z'};
 const targets = {t1: 'x', t2: 'y'};
@@ -36,3 +38,115 @@
 	fleet.run(500);
 	expect(fleet.worlds.get('b')!.configuration.failureDomains.get('x')!.standing).toBe(Standing.Out);
 });
+
+const lostWrites = [
+	{fault: StoreFault.AnswerLost, kind: 'accepted', revision: 2},
+	{fault: StoreFault.Cut, kind: 'accepted', revision: 2},
+	{fault: StoreFault.Down, kind: 'unavailable', revision: 1},
+];
+
+test.each(lostWrites)('a release whose write fails once by $fault is $kind and never doubled', ({fault, kind, revision}) => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(1000);
+	let left = 1;
+	fleet.storeFault = (_id, action) => {
+		if (left === 0 || action.kind !== 'put' || !action.key.startsWith('release/')) {
+			return StoreFault.None;
+		}
+
+		left -= 1;
+		return fault;
+	};
+
+	propose(fleet, 'a', out('x'));
+	fleet.run(5000);
+	expect(answers(fleet).map(answer => answer.kind)).toEqual([kind]);
+	expect(revisions(fleet)).toEqual([revision, revision, revision]);
+});
+
+const races = [
+	{
+		name: 'both are applied when neither named a revision', ifRevision: undefined, kinds: ['accepted', 'accepted'], revision: 3,
+	},
+	{
+		name: 'one is told what came in between when both named it', ifRevision: 1, kinds: ['accepted', 'superseded'], revision: 2,
+	},
+];
+
+test.each(races)('of two operators that race $name', ({ifRevision, kinds, revision}) => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(1000);
+	propose(fleet, 'a', out('x'), ifRevision);
+	propose(fleet, 'b', out('y'), ifRevision);
+	fleet.run(2000);
+	expect(answers(fleet).map(answer => answer.kind).toSorted()).toEqual(kinds);
+	expect(revisions(fleet)).toEqual([revision, revision, revision]);
+	const superseded = answers(fleet).find(answer => answer.kind === 'superseded');
+	expect(superseded).toEqual(ifRevision === undefined ? undefined : expect.objectContaining({revision: 2, audit: expect.objectContaining({operator: 'op'})}));
+});
+
+test('a note that doesn\'t fit is refused with its problems', () => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(1000);
+	propose(fleet, 'a', out('nowhere'));
+	propose(fleet, 'a', {changed: 1});
+	fleet.run(1000);
+	expect(answers(fleet).map(answer => answer.kind)).toEqual(['invalid', 'invalid']);
+});
+
+test('a router without the Object API and without watch events takes releases from a peer', () => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(5000);
+	fleet.storeFault = id => id === 'c' ? StoreFault.Cut : StoreFault.None;
+	propose(fleet, 'a', out('x'));
+	propose(fleet, 'a', out('y'));
+	fleet.run(3000);
+	expect(revisions(fleet)).toEqual([3, 3, 3]);
+});
+
+test('watch events in any order, twice, late or with gaps never lower a revision, and all routers agree at the end', () => {
+	fc.assert(fc.property(fc.array(fc.option(fc.integer({min: 1, max: 6000})), {minLength: 30, maxLength: 30}), delays => {
+		const fleet = createFleet({routers, targets});
+		fleet.run(2000);
+		const seen = new Map<string, number>();
+		let draws = 0;
+		fleet.delay = from => {
+			draws += 1;
+			return from === 'watch' ? delays[draws % delays.length] ?? undefined : 1;
+		};
+
+		fleet.check = () => {
+			for (const [id, world] of fleet.worlds) {
+				expect(world.configuration.revision).toBeGreaterThanOrEqual(seen.get(id) ?? 0);
+				seen.set(id, world.configuration.revision);
+			}
+		};
+
+		for (const name of ['x', 'y', 'x', 'y']) {
+			propose(fleet, 'a', out(name));
+			fleet.run(400);
+			const old = fleet.storeMap.objects.get('release/00000002');
+			fleet.give('b', {kind: 'storeEvent', object: old!});
+			fleet.give('c', {kind: 'storeEvent', object: {...old!, value: ''}});
+		}
+
+		fleet.run(4000);
+		expect(revisions(fleet)).toEqual([5, 5, 5]);
+	}), {seed: 7, numRuns: 30});
+});
+
+test('a router that starts after a hundred releases reads a snapshot and the notes after it', () => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(1000);
+	for (let revision = 2; revision <= 103; revision += 1) {
+		propose(fleet, 'a', out('x'));
+		fleet.run(200);
+	}
+
+	expect(fleet.storeMap.objects.has('snapshot/00000100')).toBe(true);
+	fleet.kill('c');
+	fleet.start('c');
+	fleet.run(1000);
+	expect(revisions(fleet)).toEqual([103, 103, 103]);
+	expect(fleet.worlds.get('c')!.releases.texts.has(100)).toBe(false);
+});
