--- /dev/null
+++ b/packages/core/test/single-owner.test.ts
@@ -0,0 +1,134 @@
+import fc from 'fast-check';
+import {createFleet, type Fleet} from './support/fleet.ts';
+import {StoreFault} from './support/store-map.ts';
+
+const routers = {
+	a: 'x', b: 'x', c: 'y', d: 'y', e: 'y',
+};
+const targets = {t1: 'x', t2: 'x', t3: 'y'};
+const targetIds = Object.keys(targets);
+const ids = Object.keys(routers);
+
+const router = fc.constantFrom(...ids);
+const some = fc.subarray(ids, {minLength: 1});
+const fault = fc.oneof(
+	fc.record({kind: fc.constant('cut' as const), from: some, to: some}),
+	fc.record({kind: fc.constant('store' as const), from: some, fault: fc.constantFrom(StoreFault.Down, StoreFault.Cut, StoreFault.AnswerLost)}),
+	fc.record({kind: fc.constant('pause' as const), router}),
+	fc.record({kind: fc.constant('restart' as const), router}),
+	fc.record({kind: fc.constant('loss' as const), share: fc.double({min: 0.05, max: 0.5, noNaN: true})}),
+	fc.record({kind: fc.constant('slow' as const), upToMs: fc.integer({min: 100, max: 6000})}),
+);
+const event = fc.record({
+	at: fc.integer({min: 0, max: 25_000}),
+	ms: fc.integer({min: 200, max: 25_000}),
+	fault,
+});
+
+/** A group is cut from the Object API for long, and is cut from the others or hears them late. */
+const split = fc.record({
+	at: fc.integer({min: 0, max: 3000}),
+	ms: fc.integer({min: 8000, max: 30_000}),
+	fault: fc.record({
+		kind: fc.constant('split' as const),
+		group: some,
+		inward: fc.constantFrom(1, 800, 1500, 5000, undefined),
+		outward: fc.constantFrom(1, 800, 1500, 5000, undefined),
+	}),
+});
+type Split = typeof split extends fc.Arbitrary<infer Value> ? Value : never;
+type Event = Split | (typeof event extends fc.Arbitrary<infer Value> ? Value : never);
+
+function isOn(fleet: Fleet, start: number, {at, ms}: Event): boolean {
+	return fleet.now >= start + at && fleet.now < start + at + ms;
+}
+
+/** Delay under the faults that are on now; undefined for a loss. */
+function delayUnder(on: Event[], from: string, to: string, draw: () => number): number | undefined {
+	let delay = 1;
+	for (const {fault} of on) {
+		if (fault.kind === 'cut' && fault.from.includes(from) && fault.to.includes(to)) {
+			return undefined;
+		}
+
+		if (fault.kind === 'split' && from !== 'watch' && fault.group.includes(from) !== fault.group.includes(to) && from !== 'store' && to !== 'store') {
+			const splitDelay = fault.group.includes(from) ? fault.outward : fault.inward;
+			if (splitDelay === undefined) {
+				return undefined;
+			}
+
+			delay = Math.max(delay, splitDelay);
+		}
+
+		if (fault.kind === 'loss' && draw() < fault.share) {
+			return undefined;
+		}
+
+		if (fault.kind === 'slow' && draw() < 0.5) {
+			delay = Math.max(delay, draw() * fault.upToMs);
+		}
+	}
+
+	return delay;
+}
+
+function createDraw(seed: number): () => number {
+	let state = seed;
+	return () => {
+		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
+		return state / 2_147_483_648;
+	};
+}
+
+function faultAt(fault: Event['fault'], id: string): StoreFault {
+	if (fault.kind === 'store' && fault.from.includes(id)) {
+		return fault.fault;
+	}
+
+	return fault.kind === 'split' && fault.group.includes(id) ? StoreFault.Cut : StoreFault.None;
+}
+
+/** Runs a fleet under the events and fails when two routers may serve one target. */
+function runUnder(events: Event[], seed: number) {
+	const fleet = createFleet({routers, targets});
+	fleet.run(6000);
+	const start = fleet.now;
+	const draw = createDraw(seed);
+	fleet.delay = (from, to) => delayUnder(events.filter(event => isOn(fleet, start, event)), from, to, draw);
+	fleet.storeFault = id => events.filter(event => isOn(fleet, start, event))
+		.map(({fault}) => faultAt(fault, id)).find(found => found !== StoreFault.None) ?? StoreFault.None;
+	fleet.check = () => {
+		for (const target of targetIds) {
+			const servers = fleet.servers(target);
+			if (servers.length > 1) {
+				throw new Error(`${target} is served by ${servers.join(' and ')} at ${fleet.now - start} ms`);
+			}
+		}
+	};
+
+	const restarted = new Set<Event>();
+	for (let passed = 0; passed < 45_000; passed += 50) {
+		fleet.paused = new Set(events.flatMap(event => event.fault.kind === 'pause' && isOn(fleet, start, event) ? [event.fault.router] : []));
+		for (const event of events) {
+			if (event.fault.kind === 'restart' && isOn(fleet, start, event) && !restarted.has(event)) {
+				restarted.add(event);
+				fleet.kill(event.fault.router);
+				fleet.start(event.fault.router);
+			}
+		}
+
+		fleet.run(50);
+	}
+}
+
+const suites = [
+	{name: 'any faults', events: fc.array<Event>(event, {minLength: 1, maxLength: 6})},
+	{name: 'a group without the Object API', events: fc.tuple(split, fc.array(event, {maxLength: 1})).map(([first, rest]): Event[] => [first, ...rest])},
+];
+const cases = suites.flatMap(suite => [1, 2].map(seed => ({...suite, seed})));
+
+test.each(cases)('no two routers may ever serve one target: $name (seed $seed)', ({events, seed}) => {
+	fc.assert(fc.property(events, fc.integer({min: 1, max: 1_000_000}), (list, drawSeed) => {
+		runUnder(list, drawSeed);
+	}), {seed, numRuns: 20});
+});
