--- /dev/null
+++ b/packages/core/test/support/fleet.ts
@@ -0,0 +1,151 @@
+/*
+Several cores, driven tick by tick with a list of messages under way. Faults are functions that a test replaces.
+*/
+import {emptyConfiguration, Standing, TargetKind} from '../../src/configuration.ts';
+import type {Limits} from '../../src/limits.ts';
+import type {Inbound, Outbound, StoreOperation} from '../../src/ports.ts';
+import {encodeSnapshot} from '../../src/release-codec.ts';
+import {step} from '../../src/step.ts';
+import {mayDispatch} from '../../src/systems/lease.ts';
+import {createWorld, type World} from '../../src/world.ts';
+import {createStoreMap, StoreFault} from './store-map.ts';
+
+export const tickMs = 50;
+
+type Underway = {at: number; to: string; incarnation: string; inbound: Inbound};
+
+export type Fleet = ReturnType<typeof createFleet>;
+
+export type FleetOptions = {
+	/** Failure domain of each router, by id. */
+	routers: Record<string, string>;
+	/** Failure domain of each target, by id. */
+	targets?: Record<string, string>;
+	limits?: Partial<Limits>;
+};
+
+export function createFleet({routers, targets = {}, limits}: FleetOptions) {
+	const worlds = new Map<string, World>();
+	const storeMap = createStoreMap();
+	let underway: Underway[] = [];
+	let starts = 0;
+	const fleet = {
+		now: 1000,
+		worlds,
+		storeMap,
+		/** All that routers put out, with the time. */
+		outbox: [] as Array<{at: number; from: string; item: Outbound}>,
+		paused: new Set<string>(),
+		storeFault: (_router: string, _action: StoreOperation): StoreFault => StoreFault.None,
+		/** Delay of a message or a store reply in milliseconds; undefined when it is lost. */
+		delay: (_from: string, _to: string, _item: Outbound): number | undefined => 1,
+		/** Called after each step of a router. */
+		check() {
+			// Replaced by tests that watch an invariant.
+		},
+		start(id: string) {
+			starts += 1;
+			worlds.set(id, createWorld({
+				self: {
+					id, incarnation: `${id}#${starts}`, failureDomain: routers[id]!, callerUrl: `http://${id}`, peerUrl: `http://${id}:1`,
+				}, seed: starts, now: fleet.now, limits,
+			}));
+		},
+		kill(id: string) {
+			worlds.delete(id);
+		},
+		/** Hands something to a router at the next tick. */
+		give(to: string, inbound: Inbound) {
+			underway.push({
+				at: fleet.now, to, incarnation: worlds.get(to)!.self.incarnation, inbound,
+			});
+		},
+		run(ms: number) {
+			const end = fleet.now + ms;
+			while (fleet.now < end) {
+				fleet.now += tickMs;
+				for (const [id, world] of worlds) {
+					if (!fleet.paused.has(id)) {
+						stepOne(id, world);
+					}
+				}
+			}
+		},
+		/** Runs until a condition holds; returns the time that it took, or fails after `limitMs`. */
+		until(condition: () => boolean, limitMs: number) {
+			const start = fleet.now;
+			while (!condition()) {
+				if (fleet.now - start >= limitMs) {
+					throw new Error(`the condition does not hold after ${limitMs} ms`);
+				}
+
+				fleet.run(tickMs);
+			}
+
+			return fleet.now - start;
+		},
+		/** Routers that would start work at a target now. */
+		servers: (target: string) => [...worlds].filter(([, world]) => world.holdings.has(target) && mayDispatch(world)).map(([id]) => id),
+	};
+
+	function stepOne(id: string, world: World) {
+		const isDue = (item: Underway) => item.to === id && item.at <= fleet.now;
+		const inbox = underway.filter(item => isDue(item));
+		underway = underway.filter(item => !isDue(item));
+		const current = inbox.filter(item => item.incarnation === '' || item.incarnation === world.self.incarnation);
+		for (const item of step(world, fleet.now, current.map(({inbound}) => inbound))) {
+			fleet.outbox.push({at: fleet.now, from: id, item});
+			route(id, world, item);
+		}
+
+		fleet.check();
+	}
+
+	function route(from: string, world: World, item: Outbound) {
+		const {incarnation} = world.self;
+		if (item.kind === 'send') {
+			const delay = fleet.delay(from, item.to, item);
+			const message = structuredClone(item.message);
+			if (delay !== undefined) {
+				underway.push({
+					at: fleet.now + delay, to: item.to, incarnation: '', inbound: {
+						kind: 'peerMessage', from, incarnation, message,
+					},
+				});
+			}
+		} else if (item.kind === 'store') {
+			const {result, objects, changed} = storeMap.run(item.action, fleet.storeFault(from, item.action));
+			const delay = fleet.delay('store', from, item);
+			underway.push({
+				at: fleet.now + (delay ?? 1), to: from, incarnation, inbound: {
+					kind: 'storeReply', operation: item.operation, objects, result: delay === undefined ? {kind: 'unknown'} : result,
+				},
+			});
+			for (const id of changed !== undefined && !changed.key.startsWith('lease/') ? worlds.keys() : []) {
+				const watchDelay = fleet.delay('watch', id, item);
+				if (watchDelay !== undefined && fleet.storeFault(id, {kind: 'get', key: changed!.key}) === StoreFault.None) {
+					underway.push({
+						at: fleet.now + watchDelay, to: id, incarnation: '', inbound: {kind: 'storeEvent', object: changed!},
+					});
+				}
+			}
+		}
+	}
+
+	const configuration = {...emptyConfiguration(), revision: 1};
+	for (const [id, failureDomain] of Object.entries(targets)) {
+		configuration.targets.set(id, {
+			id, url: 'http://10.0.0.1', kind: TargetKind.Engine, failureDomain, pools: ['m'], warmBudget: 4, coldBudget: 1, standing: Standing.In, fences: false,
+		});
+		configuration.failureDomains.set(failureDomain, {name: failureDomain, standing: Standing.In});
+	}
+
+	storeMap.run({
+		kind: 'put', key: 'snapshot/00000001', value: encodeSnapshot(configuration), ifVersion: 0,
+	}, StoreFault.None);
+	for (const id of Object.keys(routers)) {
+		fleet.start(id);
+	}
+
+	return fleet;
+}
