--- a/packages/bench/src/cli/demo.ts
+++ b/packages/bench/src/cli/demo.ts
@@ -41,6 +41,9 @@
 		}
 
 		return 0;
+	} catch (error) {
+		console.error(started.outputs());
+		throw error;
 	} finally {
 		await started.stop();
 		interrupt.release();
--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -24,8 +24,8 @@
 const routerProgram = 'shallotloom-router';
 const localHost = '127.0.0.1';
 
-/** Lines of each program's output that a failed start shows. */
-const shownLines = 5;
+/** Lines of each program's output that a failure shows. */
+const shownLines = 8;
 
 const deployments = new Set<() => Promise<void>>();
 
@@ -62,6 +62,8 @@
 	term: (router: string) => Promise<number | null>;
 	/** Starts a killed or stopped router again with the same settings. */
 	restart: (router: string) => Promise<void>;
+	/** Last lines that each process has written. */
+	outputs: () => string;
 	/** Ends every process of the deployment. */
 	stop: () => Promise<void>;
 };
@@ -84,9 +86,9 @@
 	try {
 		return await assemble(complete, {children, directory, stop});
 	} catch (error) {
-		const outputs = children.map(({name, output}) => [`${name}:`, ...output().slice(-shownLines)].join('\n  '));
+		const outputs = lastOutputs(children);
 		await stop();
-		throw new Error(`the deployment didn't start: ${String(error)}\n${outputs.join('\n')}`, {cause: error});
+		throw new Error(`the deployment didn't start: ${String(error)}\n${outputs}`, {cause: error});
 	}
 }
 
@@ -144,6 +146,7 @@
 	}));
 	const deployment: Deployment = {
 		options, platformUrl, networkUrl, routers, targets, workspaces: options.workspaces, stop,
+		outputs: () => lastOutputs(children),
 		...routerControls(routers, start),
 	};
 	await releaseFirst(deployment, firstRelease(options, targets));
@@ -257,6 +260,10 @@
 	return listening.endsWith('/') ? listening.slice(0, -1) : listening;
 }
 
+function lastOutputs(children: Child[]): string {
+	return children.map(({name, output}) => [`${name}:`, ...output().slice(-shownLines)].join('\n  ')).join('\n');
+}
+
 /** Tells `waitUntil` why its check isn't true yet. */
 function fail(reason: string): never {
 	throw new Error(reason);
