--- a/packages/bench/src/deployment/operators.ts
+++ b/packages/bench/src/deployment/operators.ts
@@ -2,6 +2,7 @@
 The calls of the operators' listener that the bench needs: post a release note, and see how far it has come.
 */
 import {request} from 'undici';
+import type {TargetKind} from '@shallotloom/core/configuration.ts';
 import {callJson} from './http.ts';
 import {operatorKey} from './plan.ts';
 
@@ -33,10 +34,24 @@
 
 /** Number of targets that have an owner, as this router knows it. */
 export async function ownedTargets(operatorsUrl: string): Promise<number> {
-	const targets = await callJson<Array<{owner: string}>>(`${operatorsUrl}/operator/v1/targets`, {headers});
+	const targets = await targetViews(operatorsUrl);
 	return targets.filter(({owner}) => owner !== '').length;
 }
 
+/** Requests that the targets of this router may run at once now; a router knows the budgets of its own targets. */
+export async function ownBudgets(operatorsUrl: string, kind: TargetKind): Promise<number> {
+	const targets = await targetViews(operatorsUrl);
+	return targets
+		.filter(target => target.kind === kind)
+		.reduce((sum, {budget}) => sum + (budget ?? 0), 0);
+}
+
+type TargetView = {kind: TargetKind; owner: string; budget?: number};
+
+async function targetViews(operatorsUrl: string): Promise<TargetView[]> {
+	return callJson<TargetView[]>(`${operatorsUrl}/operator/v1/targets`, {headers});
+}
+
 /** The router's own metrics in the text format of Prometheus. */
 export async function metricsText(operatorsUrl: string): Promise<string> {
 	const response = await request(`${operatorsUrl}/metrics`, {headers});
--- a/packages/bench/src/scenarios/engines.ts
+++ b/packages/bench/src/scenarios/engines.ts
@@ -3,6 +3,7 @@
 */
 import {TargetKind} from '@shallotloom/core/configuration.ts';
 import type {Deployment, RunningTarget} from '../deployment/deployment.ts';
+import {ownBudgets} from '../deployment/operators.ts';
 import {engineStats, type EngineStats} from '../deployment/standin.ts';
 
 export function enginesOf({targets}: Pick<Deployment, 'targets'>, failureDomain?: string): RunningTarget[] {
@@ -25,3 +26,9 @@
 	const stats = await statsOf(engines);
 	return stats.reduce((sum, {running}) => sum + running, 0);
 }
+
+/** Requests that all owners together let the engines run at once now. */
+export async function engineBudgets({routers}: Pick<Deployment, 'routers'>): Promise<number> {
+	const budgets = await Promise.all(routers.map(async ({operatorsUrl}) => ownBudgets(operatorsUrl, TargetKind.Engine)));
+	return budgets.reduce((sum, budget) => sum + budget, 0);
+}
