Prove at most once in the core, fault by fault, and mend what it showed

Ruled out: trying the creation again after a lost answer, since two late creations can't be told from one that was removed; keeping the permit over the claim's time, since the owner may have given the slot away.

Change: ends and removals of records are rows that are tried with growing pauses until they are known to be done, and a planned stop waits for them; a runner that isn't heard is answered "unknown" with a time to come back, and its record is closed once it wasn't heard for a lease time while a majority was; permits are void after startWithinMs and after a pause of the router; every state has a handler for its deadline and for a caller that goes; the outcome of a request remembers every attempt.

--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -98,6 +98,8 @@
 		| {kind: 'abortAnswer'; request: string}
 	/** Final answer of a request that was not or only partly served. */
 		| {kind: 'refuse'; request: string; refusal: Refusal}
+	/** Nothing more follows for a request that has its whole answer or whose caller is gone. */
+		| {kind: 'closed'; request: string}
 	/** Final answer from the run record. */
 		| {kind: 'replay'; request: string; answer: string}
 		| {kind: 'store'; operation: number; action: StoreOperation}
--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -1,6 +1,6 @@
 /*
 Refusals that callers see: one table of kinds with HTTP status, message and hint. `outcome` tells whether the request
-ran at a target: `not-run` is only said where no byte of it left for one, or where the target refused it unread.
+ran at a target: `not-run` is only said where no byte of this attempt of the caller left for one.
 */
 
 export enum Outcome {
@@ -120,7 +120,7 @@
 	[RefusalKind.RunOutcomeUnknown]: {
 		status: 502,
 		message: () => 'the request left for its target, and whether it ran is not known',
-		hint: 'Check at the service itself; the same key is never run again.',
+		hint: 'With a Retry-After header, come back with the same key; else check at the service itself. The key is never run again.',
 	},
 	[RefusalKind.AnswerNotKept]: {
 		status: 410,
--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -148,8 +148,6 @@
 	Running = 'running',
 	/** Waits for a duplicate that runs elsewhere. */
 	Following = 'following',
-	/** Writes the end of its run record. */
-	Recording = 'recording',
 }
 
 /** Request of a caller that is connected to this router. */
@@ -170,7 +168,39 @@
 	delivered: boolean;
 	/** Nonce of the run record that this request wrote, '' before. */
 	runNonce: string;
+	/** Version of that record; 0 while it isn't known to be there. */
 	runVersion: number;
+	/** The permit is void when the request hasn't left by then. */
+	startBy: number;
+	/** Whether a byte of the request may have left for a target. */
+	mayHaveRun: boolean;
+	/** Whether the caller has its final answer or is gone, while an attempt still has to end. */
+	isClosed: boolean;
+};
+
+export enum RunWriteKind {
+	/** Writes the end of a run. */
+	End = 'end',
+	/** Removes the record of a request that never left. */
+	Drop = 'drop',
+}
+
+/** Write to a run record that is still to be done. */
+export type RunWrite = {
+	/** Key of the record in the Object API. */
+	key: string;
+	/** Nonce of the record; names the write. */
+	nonce: string;
+	kind: RunWriteKind;
+	/** What an end writes; '' for a removal. */
+	value: string;
+	/** Version that the record has; 0 while it isn't known whether the record exists. */
+	version: number;
+	tries: number;
+	isUnderWay: boolean;
+	retryAt: number;
+	/** A record that hasn't appeared by then never will. */
+	giveUpAt: number;
 };
 
 /** Ticket that waits at this router for a permit of its targets. */
--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -26,6 +26,7 @@
 	deadlinesSystem, onCallerGone, onCallerRequest, onPermitGrant, onTicketReturn,
 } from './systems/requests.ts';
 import {routesSystem} from './systems/routes.ts';
+import {runWritesSystem} from './systems/run-records.ts';
 import {runsSystem} from './systems/runs.ts';
 import {onStopRequested, stopSystem} from './systems/stop.ts';
 import {onTicketCancel, onTicketOffer, ticketsSystem} from './systems/tickets.ts';
@@ -55,6 +56,7 @@
 	deadlinesSystem,
 	placementSystem,
 	runsSystem,
+	runWritesSystem,
 	dispatchSystem,
 	rebalanceSystem,
 	workRequestSystem,
@@ -149,6 +151,10 @@
 @param now Monotonic time in milliseconds; a time before that of the last step counts as that.
 */
 export function step(world: World, now: number, inbox: Iterable<Inbound>): Outbound[] {
+	if (now - world.now > world.limits.startWithinMs) {
+		world.resumedAt = now;
+	}
+
 	world.now = Math.max(world.now, now);
 	for (const inbound of inbox) {
 		const handler = inboundHandlers[inbound.kind] as (world: World, inbound: Inbound) => void;
--- a/packages/core/src/systems/answers.ts
+++ b/packages/core/src/systems/answers.ts
@@ -6,10 +6,11 @@
 import {Outcome, RefusalKind} from '../refusal.ts';
 import {RequestState, type Request} from '../rows.ts';
 import {TargetKind} from '../configuration.ts';
+import {second} from '../units.ts';
 import {due, send, type World} from '../world.ts';
 import {earnRetry} from './demands.ts';
-import {refuse, retry} from './requests.ts';
-import {endRun} from './runs.ts';
+import {forget, refuse, retry} from './requests.ts';
+import {endRun} from './run-records.ts';
 
 type AnswerEnded = InboundOf<'answerEnded'>;
 type EndHandler = (world: World, request: Request, ended: AnswerEnded) => void;
@@ -30,10 +31,6 @@
 	}
 }
 
-function forget(world: World, request: Request) {
-	world.requests.delete(request.id);
-}
-
 function onWhole(world: World, request: Request, ended: AnswerEnded) {
 	earnRetry(world, request);
 	if (request.once) {
@@ -43,37 +40,32 @@
 	forget(world, request);
 }
 
-function onNotSent(world: World, request: Request) {
-	retry(world, request, 'its target could not be connected', Outcome.NotRun);
-}
-
-function onRefused(world: World, request: Request) {
-	retry(world, request, 'its target was overloaded', Outcome.NotRun);
-}
-
-function onBroken(world: World, request: Request, ended: AnswerEnded) {
-	if (request.once) {
-		endRun(world, request, Outcome.Unknown);
-		refuse(world, request, {kind: RefusalKind.RunOutcomeUnknown, outcome: Outcome.Unknown, detail: ''});
-		return;
-	}
+/** Handler of an attempt that brought no answer; a stream that has begun can only be broken off. */
+function onFailed(detail: string): EndHandler {
+	return (world, request, ended) => {
+		if (request.once && request.mayHaveRun) {
+			endRun(world, request, Outcome.Unknown);
+			refuse(world, request, {kind: RefusalKind.RunOutcomeUnknown, outcome: Outcome.Unknown, detail: ''});
+			return;
+		}
 
-	if (!ended.delivered) {
-		retry(world, request, 'its target broke off before the first byte', Outcome.Unknown);
-		return;
-	}
+		if (!ended.delivered) {
+			retry(world, request, detail);
+			return;
+		}
 
-	refuse(world, request, {
-		kind: RefusalKind.AnswerBroken, outcome: Outcome.Unknown, detail: '', retryAfterMs: 1000,
-	});
+		refuse(world, request, {
+			kind: RefusalKind.AnswerBroken, outcome: Outcome.Unknown, detail: '', retryAfterMs: second,
+		});
+	};
 }
 
 const endHandlers: Record<AttemptEnd, EndHandler> = {
 	[AttemptEnd.Whole]: onWhole,
-	[AttemptEnd.NotSent]: onNotSent,
-	[AttemptEnd.Refused]: onRefused,
-	[AttemptEnd.Broken]: onBroken,
-	[AttemptEnd.Mismatched]: onBroken,
+	[AttemptEnd.NotSent]: onFailed('its target could not be connected'),
+	[AttemptEnd.Refused]: onFailed('its target was overloaded'),
+	[AttemptEnd.Broken]: onFailed('its target broke off before the first byte'),
+	[AttemptEnd.Mismatched]: onFailed('its target answered for another request'),
 	[AttemptEnd.Cancelled]: forget,
 	[AttemptEnd.Unused]: forget,
 };
@@ -82,6 +74,7 @@
 function canResume(world: World, request: Request, ended: AnswerEnded): boolean {
 	return ended.end === AttemptEnd.Broken
 		&& !request.once
+		&& !request.isClosed
 		&& ended.delivered
 		&& request.resumes < world.limits.maxResumes
 		&& world.configuration.targets.get(request.target)?.kind === TargetKind.Engine;
@@ -93,6 +86,10 @@
 		return;
 	}
 
+	if (ended.end !== AttemptEnd.NotSent) {
+		request.mayHaveRun = true;
+	}
+
 	if (canResume(world, request, ended)) {
 		request.resumes += 1;
 		const target = world.configuration.targets.get(request.target)!;
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -17,7 +17,8 @@
 import {
 	hasTarget, isPool, rebuildRoutes, routesOf,
 } from './routes.ts';
-import {checkRun, claimRun, dropRun} from './runs.ts';
+import {dropRun} from './run-records.ts';
+import {checkRun, claimRun, refuseRunning} from './runs.ts';
 
 /** Period at which deadlines are looked at, in milliseconds. */
 const deadlineMs = 100;
@@ -39,6 +40,9 @@
 		delivered: false,
 		runNonce: '',
 		runVersion: 0,
+		startBy: 0,
+		mayHaveRun: false,
+		isClosed: false,
 	};
 }
 
@@ -104,39 +108,60 @@
 	place(world, request);
 }
 
-/** Gives a request its final answer and forgets it. */
+/** Gives a request its final answer and forgets it. "not-run" becomes "unknown" where an earlier attempt may have left. */
 export function refuse(world: World, request: Request, refusal: Refusal) {
-	leave(world, request);
-	world.requests.delete(request.id);
-	world.outbox.push({kind: 'refuse', request: request.id, refusal});
+	if (!request.isClosed) {
+		tell(world, request, refusal);
+	}
+
+	release(world, request);
+	forget(world, request);
 }
 
-/** Takes a request out of the queue that it waits in, if it does. */
-function leave(world: World, request: Request) {
-	if (request.state !== RequestState.Queued) {
-		return;
-	}
+function tell(world: World, request: Request, refusal: Refusal) {
+	const outcome = request.mayHaveRun && refusal.outcome === Outcome.NotRun ? Outcome.Unknown : refusal.outcome;
+	world.outbox.push({kind: 'refuse', request: request.id, refusal: {...refusal, outcome}});
+}
+
+/** Forgets a request of which nothing more is to be said. */
+export function forget(world: World, request: Request) {
+	world.requests.delete(request.id);
+	world.outbox.push({kind: 'closed', request: request.id});
+}
 
-	leaveQueue(world, request, false);
-	if (request.holder !== '') {
-		send(world, request.holder, {kind: 'ticketCancel', ticket: request.id});
+/** Gives up what a request holds: its place in a queue, its permit, and its run record if nothing has left. */
+function release(world: World, request: Request) {
+	releases[request.state]?.(world, request);
+	if (request.runNonce !== '' && !request.mayHaveRun) {
+		dropRun(world, request);
 	}
 }
 
+const releases: Partial<Record<RequestState, (world: World, request: Request) => void>> = {
+	[RequestState.Queued](world, request) {
+		leaveQueue(world, request, false);
+		if (request.holder !== '') {
+			send(world, request.holder, {kind: 'ticketCancel', ticket: request.id});
+		}
+	},
+	[RequestState.Claiming]: giveBack,
+};
+
 export function onCallerGone(world: World, {request: id}: InboundOf<'callerGone'>) {
 	const request = world.requests.get(id);
-	if (!request) {
+	if (!request || request.isClosed) {
 		return;
 	}
 
-	if (request.state === RequestState.Queued || request.state === RequestState.Checking || request.state === RequestState.Following) {
-		leave(world, request);
-		world.requests.delete(id);
+	if (request.state !== RequestState.Running) {
+		release(world, request);
+		forget(world, request);
 		return;
 	}
 
 	// A `once` request that may have left runs to its end, so that its caller finds the answer on return.
-	if (request.state === RequestState.Running && !request.once) {
+	request.isClosed = true;
+	if (!request.once) {
 		world.outbox.push({kind: 'abortAnswer', request: id});
 	}
 }
@@ -144,13 +169,21 @@
 export function onPermitGrant(world: World, from: string, message: PeerMessageOf<'permitGrant'>) {
 	const request = world.requests.get(message.ticket);
 	if (request?.state !== RequestState.Queued || request.holder !== from) {
-		returnPermit(world, from, message, AttemptEnd.Unused);
+		returnPermit(world, from, message);
+		return;
+	}
+
+	if (from !== world.self.id && world.now - world.resumedAt < message.startWithinMs) {
+		// The grant may have waited here while this router was paused.
+		returnPermit(world, from, message);
+		place(world, request);
 		return;
 	}
 
 	leaveQueue(world, request, true);
 	request.target = message.target;
 	request.epoch = message.epoch;
+	request.startBy = world.now + message.startWithinMs;
 	request.attempts += 1;
 	if (request.once) {
 		claimRun(world, request);
@@ -160,12 +193,12 @@
 	startAnswer(world, request);
 }
 
-/** Lets the edge connect to the target that the request has a permit for. */
+/** Lets the edge connect to the target that the request has a permit for; one whose permit is void queues again. */
 export function startAnswer(world: World, request: Request) {
 	const target = world.configuration.targets.get(request.target);
-	if (!target) {
-		giveBack(world, request, AttemptEnd.Unused);
-		enqueue(world, request);
+	if (!target || world.now > request.startBy) {
+		giveBack(world, request);
+		queueAgain(world, request);
 		return;
 	}
 
@@ -176,18 +209,26 @@
 	});
 }
 
-function returnPermit(world: World, owner: string, {ticket, target, epoch}: {ticket: string; target: string; epoch: number}, end: AttemptEnd) {
+function returnPermit(world: World, owner: string, {ticket, target, epoch}: {ticket: string; target: string; epoch: number}) {
 	send(world, owner, {
-		kind: 'permitReturn', ticket, target, epoch, end, outputTokens: 0, firstByteMs: 0, betweenTokensMs: 0,
+		kind: 'permitReturn', ticket, target, epoch, end: AttemptEnd.Unused, outputTokens: 0, firstByteMs: 0, betweenTokensMs: 0,
 	});
 }
 
 /** Returns a permit that no request has left for its target with. */
-export function giveBack(world: World, request: Request, end: AttemptEnd) {
+export function giveBack(world: World, request: Request) {
 	const owner = world.ownerships.get(request.target)?.owner ?? request.holder;
-	returnPermit(world, owner, {ticket: request.id, target: request.target, epoch: request.epoch}, end);
+	returnPermit(world, owner, {ticket: request.id, target: request.target, epoch: request.epoch});
 	request.target = '';
 	request.holder = '';
+	request.attempts -= 1;
+}
+
+/** Puts a request that had a permit back into its queue. */
+function queueAgain(world: World, request: Request) {
+	request.state = RequestState.Queued;
+	enterQueue(world, request);
+	place(world, request);
 }
 
 type ReturnHandler = (world: World, request: Request, message: PeerMessageOf<'ticketReturn'>) => void;
@@ -206,9 +247,7 @@
 	[TicketReturnReason.Leaving]: placeAnew,
 	[TicketReturnReason.Rebalance]: placeAnew,
 	[TicketReturnReason.QueueFull]: placeAnew,
-	[TicketReturnReason.Late](world, request) {
-		refuse(world, request, lateRefusal(world, request));
-	},
+	[TicketReturnReason.Late]: refuseLate,
 };
 
 export function onTicketReturn(world: World, from: string, message: PeerMessageOf<'ticketReturn'>) {
@@ -218,6 +257,10 @@
 	}
 }
 
+function refuseLate(world: World, request: Request) {
+	refuse(world, request, lateRefusal(world, request));
+}
+
 function lateRefusal(world: World, request: Request): Refusal {
 	return {
 		kind: RefusalKind.DeadlinePassed,
@@ -228,7 +271,7 @@
 }
 
 /** Queues a request again after an attempt of which no byte reached the caller, if its budget and deadline allow. */
-export function retry(world: World, request: Request, detail: string, outcome: Outcome) {
+export function retry(world: World, request: Request, detail: string) {
 	request.excluded.push(request.target);
 	request.target = '';
 	request.holder = '';
@@ -238,31 +281,56 @@
 		request.excluded = request.excluded.slice(-1);
 	}
 
-	const mayRetry = request.attempts < world.limits.maxAttempts
+	const mayRetry = !request.isClosed
+		&& request.attempts < world.limits.maxAttempts
 		&& request.deadline > world.now
 		&& spendRetry(world, request);
 	if (mayRetry) {
-		request.state = RequestState.Queued;
-		enterQueue(world, request);
-		place(world, request);
+		queueAgain(world, request);
 		return;
 	}
 
-	dropRun(world, request);
 	refuse(world, request, {
-		kind: RefusalKind.TargetFailed, outcome, detail, retryAfterMs: retryAfter(world, demandOf(world, request)),
+		kind: RefusalKind.TargetFailed, outcome: Outcome.NotRun, detail, retryAfterMs: retryAfter(world, demandOf(world, request)),
 	});
 }
 
-/** Gives up requests whose deadline passed while they waited, and hears of the loss of every target. */
+/** What becomes of a request whose deadline passes, by its state. */
+const overdue: Record<RequestState, (world: World, request: Request) => void> = {
+	[RequestState.Checking]: refuseLate,
+	[RequestState.Queued]: refuseLate,
+	[RequestState.Claiming]: refuseLate,
+	[RequestState.Following]: refuseRunning,
+	[RequestState.Running](world, request) {
+		if (!request.delivered && !request.isClosed) {
+			giveUpRunning(world, request);
+		}
+	},
+};
+
+/** Tells the caller at once; what the attempt holds is released when it has ended. */
+function giveUpRunning(world: World, request: Request) {
+	if (!request.once) {
+		world.outbox.push({kind: 'abortAnswer', request: request.id});
+	}
+
+	tell(world, request, request.once
+		? {
+			kind: RefusalKind.RunInProgress, outcome: Outcome.Unknown, detail: '', retryAfterMs: second,
+		}
+		: {...lateRefusal(world, request), outcome: Outcome.Unknown});
+	request.isClosed = true;
+}
+
+/** Gives up requests whose deadline passed without a byte of an answer. */
 export function deadlinesSystem(world: World) {
 	if (!due(world, 'deadlines', deadlineMs)) {
 		return;
 	}
 
 	for (const request of world.requests.rows()) {
-		if (request.state === RequestState.Queued && request.deadline <= world.now) {
-			refuse(world, request, lateRefusal(world, request));
+		if (request.deadline <= world.now) {
+			overdue[request.state](world, request);
 		}
 	}
 }
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -1,44 +1,21 @@
 /*
-Run records of requests that may run at most once. The record is created, conditionally and with this router's nonce,
-before the first byte of the request leaves; its end holds the outcome and a small answer. The same key at any router
-finds the record and gets the same answer or a truthful "unknown". See docs/design/at-most-once.md.
-
-Object `run/WORKSPACE/KEY`: JSON of `Run`, below.
+Requests that may run at most once. The run record is created, conditionally and with this router's nonce, before the
+first byte of the request leaves; its end holds the outcome and a small answer. The same key at any router finds the
+record and gets the same answer or a truthful "unknown". See docs/design/at-most-once.md.
 */
-import {AttemptEnd} from '../messages.ts';
-import {LogPart} from '../ports.ts';
 import {Outcome, RefusalKind} from '../refusal.ts';
 import {RequestState, type Request} from '../rows.ts';
 import {second} from '../units.ts';
 import {
-	due, log, nonce, store, type StoreReply, type World,
+	due, nonce, store, type StoreReply, type World,
 } from '../world.ts';
+import {hearsMajority, isHeard} from './quorum.ts';
 import {
 	enqueue, giveBack, refuse, startAnswer,
 } from './requests.ts';
-
-type Run = {
-	nonce: string;
-	/** Router and incarnation that runs the request. */
-	router: string;
-	incarnation: string;
-	/** Undefined while it runs. */
-	outcome?: Outcome;
-	/** Whole answer, when it was small enough to keep. */
-	answer?: string;
-};
-
-function keyOf(request: Request): string {
-	return `run/${encodeURIComponent(request.workspace)}/${encodeURIComponent(request.idempotencyKey)}`;
-}
-
-function parseRun(value: string): Run | undefined {
-	try {
-		return JSON.parse(value) as Run;
-	} catch {
-		return undefined;
-	}
-}
+import {
+	dropOrphan, isKnownRun, parseRun, runKey, settleDrop, unwrittenEnd, type Run,
+} from './run-records.ts';
 
 function isHere(world: World, request: Request, state: RequestState): boolean {
 	return world.requests.get(request.id)?.state === state;
@@ -52,47 +29,62 @@
 
 /** Reads the run record of a request before it queues, so that an answer that was already given is given again. */
 export function checkRun(world: World, request: Request) {
-	request.state = RequestState.Checking;
-	store(world, {kind: 'get', key: keyOf(request)}, reply => {
-		if (isHere(world, request, RequestState.Checking)) {
-			onChecked(world, request, reply);
-		}
-	});
-}
-
-function onChecked(world: World, request: Request, {result}: StoreReply) {
-	if (result.kind === 'absent') {
-		enqueue(world, request);
+	const ended = unwrittenEnd(world, runKey(request));
+	if (ended) {
+		answerFromRun(world, request, ended);
 		return;
 	}
 
-	if (result.kind === 'ok') {
-		follow(world, request, result.value);
-		return;
-	}
+	request.state = RequestState.Checking;
+	store(world, {kind: 'get', key: runKey(request)}, ({result}) => {
+		if (!isHere(world, request, RequestState.Checking)) {
+			return;
+		}
 
-	refuseForStore(world, request);
+		if (result.kind === 'absent') {
+			enqueue(world, request);
+		} else if (result.kind === 'ok') {
+			follow(world, request, result);
+		} else {
+			refuseForStore(world, request);
+		}
+	});
 }
 
 /** Answers from a run record, or waits while the run goes on. */
-function follow(world: World, request: Request, value: string) {
+function follow(world: World, request: Request, {value, version}: {value: string; version: number}) {
 	const run = parseRun(value);
-	if (run?.outcome === Outcome.Ran) {
+	if (run === undefined || run.outcome !== undefined) {
 		answerFromRun(world, request, run);
 		return;
 	}
 
-	const runner = run ? world.members.get(run.router) : undefined;
-	const isRunning = run && run.outcome === undefined && runner?.incarnation === run.incarnation;
-	if (!isRunning) {
-		refuse(world, request, {kind: RefusalKind.RunOutcomeUnknown, outcome: Outcome.Unknown, detail: ''});
+	if (isLive(world, run)) {
+		request.state = RequestState.Following;
+		if (run.router === world.self.id && !isKnownRun(world, run.nonce)) {
+			// Its creation took effect after the request was given up.
+			dropOrphan(world, request, run, version);
+		}
+
 		return;
 	}
 
-	request.state = RequestState.Following;
+	const isGone = isSurelyGone(world, run);
+	if (isGone) {
+		closeRun(world, request, run, version);
+	}
+
+	refuse(world, request, {
+		kind: RefusalKind.RunOutcomeUnknown, outcome: Outcome.Unknown, detail: '', ...(!isGone && {retryAfterMs: 2 * second}),
+	});
 }
 
-function answerFromRun(world: World, request: Request, run: Run) {
+function answerFromRun(world: World, request: Request, run: Run | undefined) {
+	if (run?.outcome !== Outcome.Ran) {
+		refuse(world, request, {kind: RefusalKind.RunOutcomeUnknown, outcome: Outcome.Unknown, detail: ''});
+		return;
+	}
+
 	if (run.answer === undefined) {
 		refuse(world, request, {kind: RefusalKind.AnswerNotKept, outcome: Outcome.Ran, detail: ''});
 		return;
@@ -102,28 +94,66 @@
 	world.outbox.push({kind: 'replay', request: request.id, answer: run.answer});
 }
 
+/** Whether the incarnation of the router that wrote a record lives, as far as it is heard here. */
+function isLive(world: World, {router, incarnation}: Run): boolean {
+	const member = world.members.get(router);
+	const lives = member?.incarnation === incarnation && isHeard(world, member);
+	if (lives) {
+		world.lostRunners.delete(incarnation);
+	}
+
+	return lives;
+}
+
+/**
+Whether a runner that isn't heard is gone: for the length of a lease no digest of it came, although this router heard a
+majority. The time counts from the first look at one of its records.
+*/
+function isSurelyGone(world: World, {incarnation}: Run): boolean {
+	const lostAt = world.lostRunners.get(incarnation) ?? world.now;
+	world.lostRunners.set(incarnation, lostAt);
+	return world.now - lostAt >= world.limits.leaseDurationMs && hearsMajority(world);
+}
+
+/** Ends the record of a runner that is gone, so that every router says the same. */
+function closeRun(world: World, request: Request, run: Run, version: number) {
+	store(world, {
+		kind: 'put', key: runKey(request), value: JSON.stringify({...run, outcome: Outcome.Unknown}), ifVersion: version,
+	}, () => {
+		// A router that comes back later finds the record as it is and closes it again.
+	});
+}
+
 /** Creates the run record of a request that has a permit; the answer starts only once the record is surely there. */
 export function claimRun(world: World, request: Request) {
-	if (request.runNonce !== '') {
+	if (request.runVersion > 0) {
 		// An earlier attempt didn't leave; its record stands.
 		startAnswer(world, request);
 		return;
 	}
 
 	request.state = RequestState.Claiming;
-	const run: Run = {nonce: nonce(world), router: world.self.id, incarnation: world.self.incarnation};
+	request.runNonce = nonce(world);
+	const run: Run = {nonce: request.runNonce, router: world.self.id, incarnation: world.self.incarnation};
 	store(world, {
-		kind: 'put', key: keyOf(request), value: JSON.stringify(run), ifVersion: 0,
+		kind: 'put', key: runKey(request), value: JSON.stringify(run), ifVersion: 0,
 	}, reply => {
-		onClaimed(world, request, run, reply);
+		if (isClaiming(world, request, run)) {
+			claimHandlers[reply.result.kind](world, request, run, reply);
+		} else {
+			settleDrop(world, run.nonce, reply);
+		}
 	});
 }
 
+function isClaiming(world: World, request: Request, run: Run): boolean {
+	return isHere(world, request, RequestState.Claiming) && request.runNonce === run.nonce;
+}
+
 type ClaimHandler = (world: World, request: Request, run: Run, reply: StoreReply) => void;
 
 const claimHandlers: Record<StoreReply['result']['kind'], ClaimHandler> = {
-	ok(world, request, run, {result}) {
-		request.runNonce = run.nonce;
+	ok(world, request, _run, {result}) {
 		request.runVersion = result.kind === 'ok' ? result.version : 0;
 		startAnswer(world, request);
 	},
@@ -133,74 +163,41 @@
 	unavailable: giveUpClaim,
 };
 
-function onClaimed(world: World, request: Request, run: Run, reply: StoreReply) {
-	claimHandlers[reply.result.kind](world, request, run, reply);
-}
-
+/** The creation took no effect. */
 function giveUpClaim(world: World, request: Request) {
-	giveBack(world, request, AttemptEnd.Unused);
+	request.runNonce = '';
 	refuseForStore(world, request);
 }
 
 /** Reads the record again after a lost answer or a conflict: it may be this router's own. */
-function recheckClaim(world: World, request: Request, run: Run) {
-	store(world, {kind: 'get', key: keyOf(request)}, reply => {
-		const {result} = reply;
-		if (result.kind === 'ok' && parseRun(result.value)?.nonce === run.nonce) {
-			claimHandlers.ok(world, request, run, reply);
+function recheckClaim(world: World, request: Request, run: Run, {result: created}: StoreReply) {
+	store(world, {kind: 'get', key: runKey(request)}, reply => {
+		if (!isClaiming(world, request, run)) {
 			return;
 		}
 
-		if (result.kind === 'ok') {
-			giveBack(world, request, AttemptEnd.Unused);
-			follow(world, request, result.value);
+		const {result} = reply;
+		if (result.kind === 'ok' && parseRun(result.value)?.nonce === run.nonce) {
+			claimHandlers.ok(world, request, run, reply);
 			return;
 		}
 
-		// The put may still take effect, but nothing has left: whoever finds the record without an end says "unknown".
-		giveUpClaim(world, request);
-	});
-}
-
-/** Writes the end of a run. A lost write leaves the record without an end, which reads as "unknown". */
-export function endRun(world: World, request: Request, outcome: Outcome, answer?: string) {
-	const isKept = answer !== undefined && answer.length <= world.limits.keptAnswerBytes;
-	const run: Run = {
-		nonce: request.runNonce,
-		router: world.self.id,
-		incarnation: world.self.incarnation,
-		outcome,
-		...(isKept && {answer}),
-	};
-	putEnd(world, request, JSON.stringify(run), 3);
-}
-
-function putEnd(world: World, request: Request, value: string, tries: number) {
-	store(world, {
-		kind: 'put', key: keyOf(request), value, ifVersion: request.runVersion,
-	}, ({result}) => {
-		if (result.kind === 'ok' || result.kind === 'conflict') {
-			return;
+		if (created.kind === 'conflict') {
+			request.runNonce = '';
 		}
 
-		if (tries > 0) {
-			putEnd(world, request, value, tries - 1);
+		if (result.kind === 'ok') {
+			request.runNonce = '';
+			giveBack(world, request);
+			follow(world, request, result);
 			return;
 		}
 
-		log(world, LogPart.Run, `the end of run ${request.id} could not be written`, 'error');
+		// A creation that may still take effect is removed when it does.
+		refuseForStore(world, request);
 	});
 }
 
-/** Removes the record of a request that never left for a target, so that its key can be used again. */
-export function dropRun(world: World, request: Request) {
-	if (request.runNonce !== '') {
-		store(world, {kind: 'delete', key: keyOf(request), ifVersion: request.runVersion}, () => {
-			// A record that stays reads as "unknown", never as a second run.
-		});
-	}
-}
-
 /** Looks at the records of requests that wait for a duplicate. */
 export function runsSystem(world: World) {
 	if (!due(world, 'runs', world.limits.runPollMs)) {
@@ -215,22 +212,28 @@
 }
 
 function pollRun(world: World, request: Request) {
-	if (request.deadline <= world.now) {
-		refuse(world, request, {
-			kind: RefusalKind.RunInProgress, outcome: Outcome.Unknown, detail: '', retryAfterMs: second,
-		});
+	const ended = unwrittenEnd(world, runKey(request));
+	if (ended) {
+		answerFromRun(world, request, ended);
 		return;
 	}
 
-	store(world, {kind: 'get', key: keyOf(request)}, ({result}) => {
+	store(world, {kind: 'get', key: runKey(request)}, ({result}) => {
 		if (!isHere(world, request, RequestState.Following)) {
 			return;
 		}
 
 		if (result.kind === 'ok') {
-			follow(world, request, result.value);
+			follow(world, request, result);
 		} else if (result.kind === 'absent') {
 			enqueue(world, request);
 		}
 	});
 }
+
+/** Refuses a request whose duplicate still runs. */
+export function refuseRunning(world: World, request: Request) {
+	refuse(world, request, {
+		kind: RefusalKind.RunInProgress, outcome: Outcome.Unknown, detail: '', retryAfterMs: second,
+	});
+}
--- a/packages/core/src/systems/stop.ts
+++ b/packages/core/src/systems/stop.ts
@@ -28,6 +28,7 @@
 	const keptMs = 2 * world.limits.addressTtlMs;
 	const isDone = world.now - world.stopAt >= keptMs
 		&& world.requests.size === 0
+		&& world.runWrites.size === 0
 		&& world.budgets.size === 0
 		&& world.operations.size === 0;
 	if (isDone && due(world, 'stopped', Number.POSITIVE_INFINITY)) {
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -11,7 +11,7 @@
 } from './ports.ts';
 import type {LeaseRecord} from './records.ts';
 import type {
-	Budget, Contact, Demand, Member, Move, Ownership, Permit, Preference, Request, Route, Service, Ticket,
+	Budget, Contact, Demand, Member, Move, Ownership, Permit, Preference, Request, Route, RunWrite, Service, Ticket,
 } from './rows.ts';
 import {createTable, type Table} from './table.ts';
 
@@ -83,6 +83,8 @@
 	readonly limits: Limits;
 	/** Monotonic time of the current step. */
 	now: number;
+	/** When steps last went on after a pause longer than a permit lasts; -Infinity before. */
+	resumedAt: number;
 	state: MemberState;
 	/** When the stop was requested; undefined while none was. */
 	stopAt: number | undefined;
@@ -112,6 +114,10 @@
 	preferred: {view: string; owners: Map<string, string>};
 	budgets: Table<Budget>;
 	requests: Table<Request>;
+	/** Writes to run records that are still to be done, by the record's nonce. */
+	runWrites: Table<RunWrite>;
+	/** When a record of each router incarnation that isn't heard was first looked at. */
+	lostRunners: Map<string, number>;
 	/** By pool and workspace, see `serviceKey`. */
 	tickets: Table<Ticket>;
 	/** By target. */
@@ -148,6 +154,7 @@
 		self,
 		limits: {...limitDefaults, ...limits},
 		now,
+		resumedAt: Number.NEGATIVE_INFINITY,
 		state: MemberState.Active,
 		stopAt: undefined,
 		configuration: emptyConfiguration(),
@@ -171,6 +178,8 @@
 		preferred: {view: '', owners: new Map()},
 		budgets: createTable<Budget>({key: budget => budget.target}),
 		requests: createTable<Request>({key: request => request.id}),
+		runWrites: createTable<RunWrite>({key: write => write.nonce}),
+		lostRunners: new Map(),
 		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => serviceKey(ticket)}),
 		permits: createTable<Permit>({key: permit => permit.ticket, index: permit => permit.target}),
 		services: createTable<Service>({key: service => serviceKey(service), index: service => service.pool}),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -184,6 +184,9 @@
 				endWithRefusal(exchange, refusal);
 			});
 		},
+		closed({request}) {
+			exchanges.delete(request);
+		},
 		replay({request, answer}) {
 			closeExchange(request, exchange => {
 				deliver(exchange, JSON.parse(answer) as Parameters<typeof deliver>[1]);
