Prove whole answers and truthful refusals over real HTTP, and mend what it showed

At fault by themselves: a resumption answered by anything but a stream was delivered as the answer, threw, and left the caller's connection open for ever; an end mark without a finish reason was forwarded; a stream that broke between its finish and its end mark could not be resumed; giving up at the deadline or on a caller's departure lost the exchange before its attempt was cancelled. A pool with a single target could never be tried again, since its only target stayed excluded. A once stream whose caller had left waited for a drain that never came (found by reading; no test).

Ruled out: buffering a stream until its finish is seen, since callers need its first token early.

Change: a resumption must be an event stream with no gap; the end mark is held back until the finish reason was seen, which is remembered over resumptions; a slow caller's wait ends with its connection; refusals carry x-request-id; an engine's 429 or 503 to a once request goes to its caller, since it must not be sent again.

--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -278,7 +278,8 @@
 	request.outputTokens = 0;
 	const targets = routesOf(world, request.pool).flatMap(route => route.targets);
 	if (targets.every(target => request.excluded.includes(target))) {
-		request.excluded = request.excluded.slice(-1);
+		// With a single target there is no other to try.
+		request.excluded = targets.length > 1 ? request.excluded.slice(-1) : [];
 	}
 
 	const mayRetry = !request.isClosed
--- a/packages/router/src/callers/app.ts
+++ b/packages/router/src/callers/app.ts
@@ -171,6 +171,7 @@
 		abort: new AbortController(),
 		isAborted: false,
 		offset: 0,
+		hasFinish: false,
 		isFinished: false,
 		delivered: false,
 		reported: 0,
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -24,6 +24,8 @@
 	isAborted: boolean;
 	/** Token offset that the caller has been sent everything below of. */
 	offset: number;
+	/** Whether the caller has the finish reason. */
+	hasFinish: boolean;
 	isFinished: boolean;
 	delivered: boolean;
 	/** Output tokens of which the core has heard. */
@@ -68,6 +70,6 @@
 		return;
 	}
 
-	response.writeHead(refusals[refusal.kind].status, refusalHeaders(refusal));
+	response.writeHead(refusals[refusal.kind].status, {...refusalHeaders(refusal), 'x-request-id': exchange.request});
 	response.end(JSON.stringify(refusalBody(refusal)));
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -174,7 +174,6 @@
 			const target = world.requests.get(request)?.target ?? '';
 			const url = world.configuration.targets.get(target)?.url;
 			if (exchange && url !== undefined) {
-				exchange.isFinished = true;
 				void attempts.cancel(exchange, {target, url});
 			}
 		},
--- a/packages/router/src/targets/attempt.ts
+++ b/packages/router/src/targets/attempt.ts
@@ -57,6 +57,21 @@
 	return echoed === undefined || echoed === exchange.request;
 }
 
+function isEventStream({headers}: Answer): boolean {
+	return String(headers['content-type']).startsWith('text/event-stream');
+}
+
+/** Waits until a slow caller has taken what was written, or is gone. */
+async function drained({response, abort}: Exchange) {
+	const settled = new AbortController();
+	const signal = AbortSignal.any([settled.signal, abort.signal]);
+	try {
+		await Promise.race([once(response, 'drain', {signal}), once(response, 'close', {signal})]);
+	} finally {
+		settled.abort();
+	}
+}
+
 /** Runs attempts and resumptions of exchanges. */
 export function createAttempts({agents, now, onStarted, onEnded}: AttemptOptions) {
 	function markFirstByte(exchange: Exchange) {
@@ -67,7 +82,7 @@
 	}
 
 	async function forward(exchange: Exchange, text: string) {
-		if (text === '' || exchange.isAborted) {
+		if (text === '' || exchange.isAborted || exchange.response.destroyed) {
 			return;
 		}
 
@@ -78,16 +93,17 @@
 		}
 
 		exchange.delivered = true;
-		if (!exchange.response.write(text)) {
-			await once(exchange.response, 'drain', {signal: exchange.abort.signal});
+		if (!exchange.response.write(text) && !exchange.response.destroyed) {
+			await drained(exchange);
 		}
 	}
 
 	async function pipe(exchange: Exchange, answer: Answer): Promise<AttemptEnd> {
-		const check = createStreamCheck(exchange.offset);
+		const check = createStreamCheck(exchange.offset, exchange.hasFinish);
 		const decoder = new StringDecoder('utf8');
 		for await (const chunk of answer.body) {
 			const text = check.feed(decoder.write(chunk as Buffer));
+			exchange.hasFinish = check.state.hasFinish;
 			if (check.state.next > exchange.offset) {
 				markFirstByte(exchange);
 				exchange.lastTokenAt = now();
@@ -137,13 +153,21 @@
 			return;
 		}
 
-		if (exchange.kind === TargetKind.Engine && refusedStatuses.has(answer.statusCode)) {
+		// A request that may run only once isn't tried elsewhere, so its caller gets the refusal itself.
+		if (exchange.kind === TargetKind.Engine && !exchange.once && refusedStatuses.has(answer.statusCode)) {
 			await answer.body.dump();
 			onEnded(end(exchange, place, AttemptEnd.Refused));
 			return;
 		}
 
-		const isStream = exchange.wantsStream && answer.statusCode === 200;
+		const isStream = exchange.wantsStream && answer.statusCode === 200 && isEventStream(answer);
+		if (exchange.delivered && !isStream) {
+			// The rest of a stream isn't there any more.
+			await answer.body.dump();
+			onEnded(end(exchange, place, AttemptEnd.Broken));
+			return;
+		}
+
 		await (isStream ? stream(exchange, place, answer) : collect(exchange, place, answer));
 	}
 
@@ -169,6 +193,7 @@
 			exchange.attemptStartedAt = now();
 			exchange.firstByteAt = 0;
 			exchange.offset = 0;
+			exchange.hasFinish = false;
 			void run(exchange, place, exchange.path, {
 				method: exchange.method, body: exchange.body, headers: headersOf(exchange),
 			});
--- a/packages/router/src/targets/engine-stream.ts
+++ b/packages/router/src/targets/engine-stream.ts
@@ -43,10 +43,11 @@
 Creates the check of one stream.
 
 @param from Offset of the first token that the caller doesn't have yet.
+@param isFinished Whether the caller already has the finish reason, from a stream that broke after it.
 */
-export function createStreamCheck(from: number): StreamCheck {
+export function createStreamCheck(from: number, isFinished = false): StreamCheck {
 	const state: StreamState = {
-		next: from, hasFinish: false, isDone: false, hasGap: false,
+		next: from, hasFinish: isFinished, isDone: false, hasGap: false,
 	};
 	let forward = '';
 
@@ -76,6 +77,10 @@
 			const isToken = message.id !== undefined && message.id !== '';
 			if (message.data === '[DONE]') {
 				state.isDone = true;
+				if (!state.hasFinish) {
+					// Callers take the end mark for the end of a whole answer.
+					return;
+				}
 			}
 
 			if (!isToken || takeToken(message)) {
--- /dev/null
+++ b/packages/router/test/support/caller.ts
@@ -0,0 +1,119 @@
+/*
+A caller of the router that sees what a real one would: status, headers, bytes, and whether the connection broke.
+*/
+import {request as send} from 'node:http';
+import {Pool, workspaceKey} from './deployment.ts';
+
+export type Call = {
+	/** Path and body when they aren't those of a pool. */
+	path?: string;
+	body?: string;
+	pool?: Pool;
+	streams?: boolean;
+	tokens?: number;
+	once?: string;
+	key?: string;
+	deadlineMs?: number;
+	/** Called with the text so far at each piece; `leave` breaks the connection. */
+	onText?: (text: string, leave: () => void) => void;
+	/** Breaks the connection. */
+	signal?: AbortSignal;
+	/** Reads nothing of the answer. */
+	isSlow?: boolean;
+};
+
+export type Reply = {
+	/** 0 when no head came. */
+	status: number;
+	headers: Record<string, string | string[] | undefined>;
+	text: string;
+	/** The connection ended before the answer did. */
+	isBroken: boolean;
+	/** Outcome, kind and so on of a JSON error. */
+	error: {kind?: string; outcome?: string; message?: string; hint?: string; retryAfter?: number};
+	/** Offsets of the tokens in the order in which they came. */
+	offsets: number[];
+};
+
+const enginePools = new Set([Pool.Engine, Pool.ScriptedEngine, Pool.Absent]);
+
+function pathOf({pool = Pool.Engine, path}: Call): string {
+	return path ?? (enginePools.has(pool) ? '/v1/chat/completions' : `/v1/services/${pool}/call/book?seat=1`);
+}
+
+function bodyOf({pool = Pool.Engine, streams = false, tokens = 10, body}: Call): string {
+	return body ?? JSON.stringify({
+		model: pool, stream: streams, messages: [{role: 'user', content: 'hello'}], standin_output_tokens: tokens,
+	});
+}
+
+/** Sends one request and resolves when its connection has ended, however it did. */
+export async function call(url: string, options: Call = {}): Promise<Reply> {
+	const {
+		key = workspaceKey, once, deadlineMs, onText, signal, isSlow = false,
+	} = options;
+	return new Promise(resolve => {
+		const reply: Reply = {
+			status: 0, headers: {}, text: '', isBroken: true, error: {}, offsets: [],
+		};
+		const outgoing = send(`${url}${pathOf(options)}`, {
+			method: 'POST',
+			agent: false,
+			signal,
+			headers: {
+				authorization: `Bearer ${key}`,
+				'content-type': 'application/json',
+				...(once !== undefined && {'x-once': 'true', 'idempotency-key': once}),
+				...(deadlineMs !== undefined && {'x-deadline-ms': String(deadlineMs)}),
+			},
+		}, response => {
+			reply.status = response.statusCode ?? 0;
+			reply.headers = response.headers;
+			response.setEncoding('utf8');
+			if (!isSlow) {
+				response.on('data', (piece: string) => {
+					reply.text += piece;
+					onText?.(reply.text, () => {
+						outgoing.destroy();
+					});
+				});
+			}
+
+			response.once('end', () => {
+				reply.isBroken = false;
+			});
+			response.on('error', () => undefined);
+			response.once('close', () => {
+				resolve(read(reply));
+			});
+		});
+		outgoing.once('error', () => {
+			resolve(read(reply));
+		});
+		outgoing.end(bodyOf(options));
+	});
+}
+
+function read(reply: Reply): Reply {
+	const lines = reply.text.split('\n');
+	reply.offsets = lines.filter(line => line.startsWith('id: ')).map(line => Number(line.slice('id: '.length)));
+	const errorAt = lines.indexOf('event: error');
+	const text = errorAt === -1 ? reply.text : lines[errorAt + 1]!.slice('data: '.length);
+	try {
+		reply.error = (JSON.parse(text) as {error?: Reply['error']}).error ?? {};
+	} catch {
+		// A stream, or nothing.
+	}
+
+	return reply;
+}
+
+/** Whether a caller may take the stream for whole. */
+export function looksWhole({text, isBroken}: Reply): boolean {
+	return !isBroken && text.includes('data: [DONE]') && text.includes('"finish_reason":"stop"');
+}
+
+/** Offsets from 0 up to `count`. */
+export function offsetsTo(count: number): number[] {
+	return Array.from({length: count}, (_, offset) => offset);
+}
--- /dev/null
+++ b/packages/router/test/support/scripted-target.ts
@@ -0,0 +1,88 @@
+/*
+A target whose answers a test writes byte by byte. It reports a warm load, and keeps count of requests and connections.
+*/
+import {createServer, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+
+export type ScriptedCall = {
+	request: IncomingMessage;
+	id: string;
+	body: string;
+	socket: Socket;
+	/** Writes an HTTP answer with this body; `id` is the request's own unless another is given. */
+	answer: (body: string, options?: {id?: string; contentType?: string; status?: number; missing?: number}) => void;
+};
+
+export type ScriptedTarget = {
+	url: string;
+	/** Calls so far, without load reports. */
+	calls: ScriptedCall[];
+	/** Answers the next calls in turn; the last script answers all that follow. */
+	script: (...answers: Array<(call: ScriptedCall) => void>) => void;
+	clear: () => void;
+	stop: () => Promise<void>;
+};
+
+/** Starts the target on a free port. */
+export async function startScriptedTarget(): Promise<ScriptedTarget> {
+	let scripts: Array<(call: ScriptedCall) => void> = [];
+	let calls: ScriptedCall[] = [];
+	const server = createServer((request, response) => {
+		if (request.url === '/load') {
+			response.end(JSON.stringify({
+				startId: 'scripted', running: 0, cold: false, ageMs: 0,
+			}));
+			return;
+		}
+
+		let body = '';
+		request.setEncoding('utf8');
+		request.on('data', (piece: string) => {
+			body += piece;
+		});
+		request.once('end', () => {
+			const call = callOf(request, body);
+			calls.push(call);
+			const script = scripts.length > 1 ? scripts.shift() : scripts[0];
+			script?.(call);
+		});
+	});
+	server.keepAliveTimeout = 60_000;
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = server.address();
+	return {
+		url: `http://127.0.0.1:${typeof address === 'object' ? address!.port : 0}`,
+		get calls() {
+			return calls;
+		},
+		script(...answers) {
+			scripts = answers;
+		},
+		clear() {
+			scripts = [];
+			calls = [];
+		},
+		async stop() {
+			server.closeAllConnections();
+			await new Promise(resolve => {
+				server.close(resolve);
+			});
+		},
+	};
+}
+
+function callOf(request: IncomingMessage, body: string): ScriptedCall {
+	const id = String(request.headers['x-request-id']);
+	const {socket} = request;
+	return {
+		request,
+		id,
+		body,
+		socket,
+		answer(text, {id: shown = id, contentType = 'application/json', status = 200, missing = 0} = {}) {
+			socket.write(`HTTP/1.1 ${status} Scripted\r\ncontent-type: ${contentType}\r\nx-request-id: ${shown}\r\ncontent-length: ${text.length + missing}\r\n\r\n${text}`);
+		},
+	};
+}
