--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -1,6 +1,7 @@
 /*
 The table of scenarios, by the name that the command line takes.
 */
+import {atMostOnce} from './at-most-once.ts';
 import {coldStart} from './cold-start.ts';
 import {control} from './control.ts';
 import {failureDomain} from './failure-domain.ts';
@@ -18,4 +19,5 @@
 	'cold-start': coldStart,
 	control,
 	overhead,
+	'at-most-once': atMostOnce,
 };
--- a/packages/router/test/support/deployment.ts
+++ b/packages/router/test/support/deployment.ts
@@ -48,7 +48,9 @@
 	const engine = createEngineStandin({
 		warm: true, coldCapacity: 8, firstTokenMs: 5, betweenTokensMs: 2, tickMs: 5, loadLagMs: 0,
 	});
-	const service = createServiceStandin({warm: true, coldCapacity: 8, serviceMs: 5, loadLagMs: 0});
+	const service = createServiceStandin({
+		warm: true, coldCapacity: 8, serviceMs: 5, loadLagMs: 0,
+	});
 	const scripted = await startScriptedTarget();
 	const [{url: platformUrl}, {url: engineUrl}, {url: serviceUrl}] = await Promise.all([platform.start(), engine.start(), service.start()]);
 	// Different addresses, since the same free port may be found twice.
--- a/packages/standin/src/request-log.ts
+++ b/packages/standin/src/request-log.ts
@@ -16,7 +16,8 @@
 
 export type RequestEntry = {id: string; admissions: number; end: RequestEnd};
 
-export type Admission = {id: string; at: number; running: number; cold: boolean};
+/** `key` is the idempotency key, where the target is told one. */
+export type Admission = {id: string; key?: string; at: number; running: number; cold: boolean};
 
 export type RequestLog = {
 	admitted(admission: Admission): void;
--- a/packages/standin/src/service-standin.ts
+++ b/packages/standin/src/service-standin.ts
@@ -95,7 +95,7 @@
 		const {restarts} = state;
 		state.running++;
 		log.admitted({
-			id: answer.request, at: Date.now(), running: state.running, cold: state.cold,
+			id: answer.request, key, at: Date.now(), running: state.running, cold: state.cold,
 		});
 		// Counted at the start: a call that a restart cuts may have had its effect.
 		const ran = {...answer, runs: log.ran(key)};
