Follow digest and renewal periods, list records oftener, stop under random faults

heardMs and outageSlackMs now follow digestMs and leaseRenewMs, since a settings file that changes only those would make every member silent. Ownership records are listed each 5 s in a small fleet: a dropped watch event would otherwise mislead routers for a minute. The lease is deleted once no caller keeps the address.

--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -13,6 +13,9 @@
 	Bound = 'bound',
 }
 
+/** Digests in a row that may be missing before a member counts as silent. */
+const digestsHeard = 6;
+
 export type Limits = {
 	/** Time for which a lease is valid after its renewal was sent. */
 	leaseDurationMs: number;
@@ -100,3 +103,18 @@
 	keptAnswerBytes: 64 * kibibyte,
 	runPollMs: 250,
 };
+
+/**
+Limits with defaults for those that are not given. Times that depend on the period of digests or renewals follow it: a
+member must get several digests through before it counts as silent, and the allowance of an outage spans two renewals.
+*/
+export function completeLimits(limits: Partial<Limits> = {}): Limits {
+	const {digestMs, leaseRenewMs} = {...limitDefaults, ...limits};
+	return {
+		...limitDefaults,
+		heardMs: Math.max(limitDefaults.heardMs, digestsHeard * digestMs),
+		outageSlackMs: 2 * leaseRenewMs,
+		leaseListMs: leaseRenewMs,
+		...limits,
+	};
+}
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -39,7 +39,7 @@
 	value: string;
 };
 
-/** Operation on the Object API. `ifVersion` 0 means that the object must not exist. */
+/** Operation on the Object API. `ifVersion` 0 means that the object must not exist. A list is answered whole, by key. */
 export type StoreOperation
 	= | {kind: 'get'; key: string}
 		| {kind: 'put'; key: string; value: string; ifVersion: number}
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/lease.ts
@@ -3,7 +3,7 @@
 Its tenure lasts until another router or a later start of this one ends it; a router whose tenure was ended owns nothing
 and starts a new one.
 */
-import {MemberState, type PeerMessageOf} from '../messages.ts';
+import type {PeerMessageOf} from '../messages.ts';
 import {LogPart} from '../ports.ts';
 import {decodeLease, leaseKey, type LeaseRecord} from '../records.ts';
 import type {Member} from '../rows.ts';
@@ -54,11 +54,6 @@
 	return world.now < world.lease.validUntil;
 }
 
-/** Marks the lease as leaving without waiting for the next renewal. */
-export function renewNow(world: World) {
-	world.lease.nextRenewalAt = world.now;
-}
-
 /** Renews the lease of a peer that can't reach the Object API. */
 export function onLeaseRelay(world: World, from: string, {key, value, ifVersion}: PeerMessageOf<'leaseRelay'>) {
 	const renewal = decodeLease(value);
@@ -128,10 +123,11 @@
 	return !lease.outranked && world.storeReachedAt <= lease.validUntil && hearsMajority(world);
 }
 
-/** A stopping router gives its lease up once it owns nothing and serves no caller any more. */
+/** A stopping router gives its lease up once it owns nothing, serves no caller and no caller keeps its address. */
 function isStopped(world: World): boolean {
-	return world.state === MemberState.Leaving && world.holdings.size === 0 && world.moves.size === 0
-		&& world.requests.size === 0;
+	const {stopAt, limits, now} = world;
+	return stopAt !== undefined && now - stopAt >= 2 * limits.addressTtlMs
+		&& world.holdings.size === 0 && world.moves.size === 0 && world.requests.size === 0;
 }
 
 function releaseLease(world: World) {
--- a/packages/core/src/systems/listing.ts
+++ b/packages/core/src/systems/listing.ts
@@ -1,5 +1,5 @@
 /*
-Reads all objects under a prefix of the Object API, page by page.
+Reads all objects under a prefix of the Object API.
 */
 import type {StoredObject} from '../ports.ts';
 import {store, type World} from '../world.ts';
@@ -7,29 +7,17 @@
 type ListOptions = {
 	/** Lists only keys that sort after this one. */
 	after?: string;
-	/** Runs when a page could not be read. */
+	/** Runs when the list could not be read. */
 	otherwise?: () => void;
 };
 
-/** Lists a whole prefix; `then` runs only when every page was read. The last page is an empty one. */
-export function listAll(world: World, prefix: string, then: (objects: StoredObject[]) => void, options: ListOptions = {}) {
-	const objects: StoredObject[] = [];
-	const readPage = (after: string | undefined) => {
-		store(world, {kind: 'list', prefix, ...(after !== undefined && {after})}, reply => {
-			if (reply.result.kind !== 'ok' && reply.result.kind !== 'absent') {
-				options.otherwise?.();
-				return;
-			}
-
-			objects.push(...reply.objects);
-			const last = reply.objects.at(-1);
-			if (last === undefined) {
-				then(objects);
-			} else {
-				readPage(last.key);
-			}
-		});
-	};
-
-	readPage(options.after);
+/** Lists a prefix; `then` gets its objects by key, and runs only when all were read. */
+export function listAll(world: World, prefix: string, then: (objects: StoredObject[]) => void, {after, otherwise}: ListOptions = {}) {
+	store(world, {kind: 'list', prefix, ...(after !== undefined && {after})}, ({result, objects}) => {
+		if (result.kind === 'ok') {
+			then(objects);
+		} else {
+			otherwise?.();
+		}
+	});
 }
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -11,7 +11,7 @@
 import type {Contact, Member} from '../rows.ts';
 import {due, type World} from '../world.ts';
 import {
-	contactOf, memberOf, noteLease, noteRenewal, noteTenure, noteUnlisted,
+	contactOf, memberOf, noteEnded, noteLease, noteRenewal, noteTenure, noteUnlisted,
 } from './contacts.ts';
 import {endLease} from './lapse.ts';
 import {listAll} from './listing.ts';
@@ -108,7 +108,7 @@
 /** Time since this router's lease was renewed; -1 when it has none or knows that others go on renewing theirs. */
 export function storeAge(world: World): number {
 	const {lease, now} = world;
-	return lease.tenure === '' || lease.outranked || lease.released ? -1 : now - lease.renewedAt;
+	return lease.tenure === '' || lease.outranked || lease.released ? -1 : Math.ceil(now - lease.renewedAt);
 }
 
 /** Takes a lease object from the Object API; its value is '' when it was deleted. */
@@ -121,6 +121,12 @@
 
 	if (record !== undefined) {
 		noteLease(world, id, object.version, record);
+		return;
+	}
+
+	const contact = world.contacts.get(id);
+	if (contact !== undefined && contact.version > 0 && object.version > contact.version) {
+		noteEnded(world, id, contact.tenure);
 	}
 }
 
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -6,7 +6,7 @@
 import type {StoredObject} from '../ports.ts';
 import {decodeOwner, ownerPrefix} from '../records.ts';
 import {MoveKind, type Preference} from '../rows.ts';
-import {minute, second} from '../units.ts';
+import {second} from '../units.ts';
 import {due, type World} from '../world.ts';
 import {claim} from './claims.ts';
 import {handOver, lookUp} from './handovers.ts';
@@ -19,13 +19,17 @@
 /** Period of the system; a step runs on each message, and placement needn't. */
 const periodMs = 100;
 
+/** Period at which the records are listed again, since watches may lose events: at least this, and more for many targets. */
+const leastListMs = 5 * second;
+const listMsPerTarget = 25;
+
 /** Brings the targets that this router serves in line with records, members and configuration. */
 export function ownershipSystem(world: World) {
 	if (!due(world, 'ownership', periodMs)) {
 		return;
 	}
 
-	if (due(world, 'ownership.list', world.ownersListed ? minute : second)) {
+	if (due(world, 'ownership.list', listPeriod(world))) {
 		listOwners(world);
 	}
 
@@ -52,6 +56,10 @@
 	}, message);
 }
 
+function listPeriod(world: World): number {
+	return world.ownersListed ? Math.max(leastListMs, world.configuration.targets.size * listMsPerTarget) : second;
+}
+
 function listOwners(world: World) {
 	listAll(world, ownerPrefix, objects => {
 		for (const object of objects) {
--- a/packages/core/src/systems/releases.ts
+++ b/packages/core/src/systems/releases.ts
@@ -7,7 +7,7 @@
 import {
 	decodeRelease, decodeSnapshot, encodeSnapshot, releaseKey, snapshotKey,
 } from '../release-codec.ts';
-import {applyNote} from '../release.ts';
+import {applyNote, type Release} from '../release.ts';
 import {second} from '../units.ts';
 import {
 	due, log, pick, send, store, type World,
@@ -83,6 +83,21 @@
 	}
 }
 
+/** The latest releases in force that are kept here, newest first. */
+export function releaseHistory(world: World, limit: number): Release[] {
+	const releases: Release[] = [];
+	for (let {revision} = world.configuration; releases.length < limit; revision -= 1) {
+		const decoded = decodeRelease(world.releases.texts.get(revision) ?? '');
+		if (decoded.kind !== 'ok') {
+			break;
+		}
+
+		releases.push(decoded.value);
+	}
+
+	return releases;
+}
+
 /** Lists the releases that follow the one in force, and applies them; `then` is told whether all were read. */
 export function catchUp(world: World, then: (isRead: boolean) => void) {
 	const after = releaseKey(world.configuration.revision);
--- a/packages/core/test/support/fleet.ts
+++ b/packages/core/test/support/fleet.ts
@@ -57,6 +57,9 @@
 				}, seed: starts, now: fleet.now, limits,
 			}));
 		},
+		stop(id: string) {
+			fleet.give(id, {kind: 'stopRequested'});
+		},
 		kill(id: string) {
 			worlds.delete(id);
 		},
