Hand targets over only to members that are heard

A stopping router gave targets to a member that had just been killed, and they stayed idle until that one's lease lapsed. It now chooses the best member that is heard. A first lease whose write got no answer in time is written over at once instead of being waited for, and a lease that is read late no longer replaces a newer one.

--- a/packages/core/src/systems/contacts.ts
+++ b/packages/core/src/systems/contacts.ts
@@ -49,7 +49,7 @@
 /** Takes a lease as it was read from the Object API; reads that are older than one before are dropped. */
 export function noteLease(world: World, id: string, version: number, record: LeaseRecord) {
 	const contact = contactOf(world, id);
-	if (contact.tenure === record.tenure && version < contact.version) {
+	if (version < contact.version) {
 		return;
 	}
 
@@ -63,8 +63,8 @@
 		world.members.set(member);
 	}
 
-	contact.version = version;
 	noteTenure(world, contact, record.tenure);
+	contact.version = version;
 	noteRenewal(world, member, record.sequence, world.now);
 	// A leaving router never becomes active again in the same tenure.
 	if (record.state === MemberState.Leaving) {
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/lease.ts
@@ -231,7 +231,9 @@
 		lease.predecessor = {nonce: held, seenAt: now};
 	}
 
-	if (current === undefined || mayEndLease(world, self.id, lease.predecessor.seenAt)) {
+	// A lease of this very start is one whose write got no answer in time; nothing was ever done under it.
+	const isOwn = current?.incarnation === self.incarnation;
+	if (current === undefined || isOwn || mayEndLease(world, self.id, lease.predecessor.seenAt)) {
 		lease.version = version;
 		lease.sequence = current?.sequence ?? 0;
 		lease.predecessor = undefined;
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -4,8 +4,9 @@
 */
 import {MemberState, type PeerMessageOf} from '../messages.ts';
 import type {StoredObject} from '../ports.ts';
+import {rendezvous} from '../hash.ts';
 import {decodeOwner, ownerPrefix} from '../records.ts';
-import {MoveKind, type Preference} from '../rows.ts';
+import {MoveKind, type Member, type Preference} from '../rows.ts';
 import {second} from '../units.ts';
 import {due, type World} from '../world.ts';
 import {claim} from './claims.ts';
@@ -13,8 +14,10 @@
 import {drop} from './holdings.ts';
 import {hasValidLease} from './lease.ts';
 import {listAll} from './listing.ts';
+import {liveMembers} from './membership.ts';
 import {applyOwner, settle} from './owner-records.ts';
 import {updatePreferences} from './preferences.ts';
+import {isHeard} from './quorum.ts';
 
 /** Period of the system; a step runs on each message, and placement needn't. */
 const periodMs = 100;
@@ -100,20 +103,21 @@
 		}
 	}
 
-	const surplus = settled.find(({target, member}) => member !== world.self.id && canHandOver(world, target));
+	const surplus = settled.find(({target, member}) => canReceive(world, member) && canHandOver(world, target));
 	if (surplus !== undefined && due(world, 'ownership.balance', world.limits.balanceMs)) {
-		giveTo(world, surplus);
+		giveTo(world, surplus.target, surplus.member);
 	}
 }
 
-/** Hands over all targets of a router that stops; those that nobody else can own are given up. */
+/** Hands over all targets of a router that stops; with no other live member they are given up. */
 function leave(world: World) {
+	const live = liveMembers(world);
+	const receivers = live.filter(member => canReceive(world, member.id));
 	for (const target of world.holdings.keys()) {
-		const preference = world.preferences.get(target);
-		if (preference === undefined) {
+		if (live.length === 0) {
 			drop(world, target);
 		} else if (canHandOver(world, target)) {
-			giveTo(world, preference);
+			giveTo(world, target, receiverOf(world, target, receivers));
 		}
 	}
 
@@ -132,9 +136,27 @@
 	return world.holdings.has(target) && !world.moves.has(target);
 }
 
-function giveTo(world: World, {target, member}: Preference) {
+/** Whether a target may be given to a member: one that has just gone silent may be dead. */
+function canReceive(world: World, id: string): boolean {
+	const member = world.members.get(id);
+	return member !== undefined && id !== world.self.id && isHeard(world, member);
+}
+
+/** Preferred owner of a target, or the next best where that one is silent. */
+function receiverOf(world: World, target: string, receivers: readonly Member[]): string | undefined {
+	const preferred = world.preferences.get(target)?.member;
+	if (preferred !== undefined && canReceive(world, preferred)) {
+		return preferred;
+	}
+
+	const failureDomain = world.configuration.targets.get(target)?.failureDomain;
+	const near = receivers.filter(member => member.failureDomain === failureDomain);
+	return rendezvous(target, near.length > 0 ? near : receivers, member => member.id)?.id;
+}
+
+function giveTo(world: World, target: string, member: string | undefined) {
 	const ownership = world.ownerships.get(target);
-	if (ownership !== undefined) {
+	if (ownership !== undefined && member !== undefined) {
 		handOver(world, ownership, member);
 	}
 }
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -114,6 +114,19 @@
 	expect(took).toBeLessThan(10_000);
 });
 
+test('a router that stops hands nothing to a member that has gone silent', () => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(8000);
+	const [from] = fleet.servers('t1');
+	const dead = ['a', 'b', 'c'].find(id => id !== from);
+	fleet.kill(dead!);
+	fleet.run(2000);
+	const held = [...fleet.worlds.get(from!)!.holdings.keys()];
+	fleet.stop(from!);
+	fleet.run(tickMs);
+	fleet.until(() => held.every(target => fleet.servers(target).some(id => id !== from)), 500);
+});
+
 test('records that come late, again or as deletions never bring an old owner back', () => {
 	const {fleet, from, to} = handOver(() => undefined);
 	const world = fleet.worlds.get(from)!;
