Tell a router that was never heard from one that was just heard

Cause: a trial with two routers that couldn't hear each other showed "0 ms" for the other one, since JSON turns its age, which is infinite, into null. Conclusion: the listing no longer hides a cut between routers.

--- a/packages/cli/src/cli/commands/release-status.ts
+++ b/packages/cli/src/cli/commands/release-status.ts
@@ -2,7 +2,7 @@
 `release status`: on how many routers the revision is in force, and which are behind.
 */
 import type {MemberReply, StatusReply} from '@shallotloom/core/operator-api.ts';
-import {durationText} from '../../table-text.ts';
+import {ageText} from '../../table-text.ts';
 import {report, type Command} from '../command.ts';
 
 export const releaseStatus: Command = {
@@ -23,10 +23,10 @@
 
 function statusText({router, state, leaseAgeMs, inForce}: StatusReply, members: MemberReply[]): string {
 	const behind = members.filter(member => member.revision < inForce.revision)
-		.map(member => `  ${member.id} has revision ${member.revision}, heard ${durationText(member.heardAgeMs)} ago`);
+		.map(member => `  ${member.id} has revision ${member.revision}, heard ${ageText(member.heardAgeMs)}`);
 	return [
 		`revision ${inForce.revision} is in force on ${inForce.members} of ${inForce.of} routers`,
 		...behind,
-		`asked ${router}: ${state}, lease renewed ${durationText(leaseAgeMs)} ago`,
+		`asked ${router}: ${state}, lease renewed ${ageText(leaseAgeMs)}`,
 	].join('\n');
 }
--- a/packages/cli/src/cli/commands/router.ts
+++ b/packages/cli/src/cli/commands/router.ts
@@ -2,7 +2,7 @@
 `router list`: the members of the fleet as the asked router hears them.
 */
 import {RouterState} from '@shallotloom/core/operator-api.ts';
-import {durationText, tableText} from '../../table-text.ts';
+import {ageText, tableText} from '../../table-text.ts';
 import {reportOf, type Command} from '../command.ts';
 
 export const routerList: Command = {
@@ -16,7 +16,7 @@
 			member.failureDomain,
 			{text: member.state, colour: member.state === RouterState.Active ? 'green' : 'yellow'},
 			member.revision,
-			durationText(member.heardAgeMs),
+			ageText(member.heardAgeMs),
 			member.targets,
 			member.callerUrl,
 		]),
--- a/packages/cli/src/table-text.ts
+++ b/packages/cli/src/table-text.ts
@@ -36,3 +36,8 @@
 
 	return durationMs < minute ? `${(durationMs / second).toFixed(1)} s` : `${(durationMs / minute).toFixed(1)} min`;
 }
+
+/** How long ago something was, for example `1.5 s ago`; `never` for null. */
+export function ageText(ageMs: number | null): string {
+	return ageMs === null ? 'never' : `${durationText(ageMs)} ago`;
+}
--- a/packages/cli/test/program.test.ts
+++ b/packages/cli/test/program.test.ts
@@ -20,6 +20,12 @@
 const member = {
 	id: 'suva-1', failureDomain: 'suva', state: 'active', revision: 7, heardAgeMs: 0, callerUrl: 'http://127.0.2.1:8080', targets: 2,
 };
+const staleMember = {
+	...member, id: 'suva-2', revision: 6, heardAgeMs: 1500,
+};
+const unheardMember = {
+	...member, id: 'suva-3', revision: 0, heardAgeMs: null,
+};
 const target = {
 	id: 'suva-engine-1', kind: 'engine', failureDomain: 'suva', pools: ['small'], standing: 'in', owner: 'suva-1', epoch: 3, phase: 'warm', budget: 16, running: 5,
 };
@@ -36,11 +42,7 @@
 beforeEach(async () => {
 	router = await startFakeRouter();
 	router.replies.set('GET status', {body: status});
-	router.replies.set('GET members', {
-		body: [member, {
-			...member, id: 'suva-2', revision: 6, heardAgeMs: 1500,
-		}],
-	});
+	router.replies.set('GET members', {body: [member, staleMember, unheardMember]});
 	router.replies.set('GET targets', {
 		body: [target, {
 			...target, id: 'suva-engine-2', phase: 'cold', owner: '',
@@ -78,7 +80,7 @@
 test.each([
 	['release check ' + note, /fits revision 6/v],
 	['release apply ' + note, /revision 8 is accepted: added workspaces applicants, .*, and 8 more; added target/v],
-	['release status', /revision 7 is in force on 1 of 2 routers\n {2}suva-2 has revision 6, heard 1\.5 s ago/v],
+	['release status', /revision 7 is in force on 1 of 2 routers\n {2}suva-2 has revision 6, heard 1\.5 s ago\n {2}suva-3 has revision 0, heard never/v],
 	['release history --limit 3', /7\s+2026-01-01T08:00:00\.000Z\s+night\s+changed failure domain suva\s+power works/v],
 	['domain out suva --reason works', /failure domain suva is out from revision 8 on/v],
 	['domain in suva', /failure domain suva is in from revision 8 on/v],
@@ -88,7 +90,7 @@
 	['target drain suva-engine-1', /gets no new work from revision 8 on/v],
 	['workspace list', /nadi-college +2 +9 +1 +1235 +12\.5 % +-40/v],
 	['workspace show nadi-college', /gapToShare +-40/v],
-	['router list', /suva-2 +suva +active +6 +1\.5 s/v],
+	['router list', /suva-2 +suva +active +6 +1\.5 s ago .*\nsuva-3 +suva +active +0 +never/v],
 	['audit', /revision 7 by night, domain out: power works\n {2}failure domain suva: standing in -> out/v],
 	['top', /in force on 1 of 2\n\n.*\nnadi-college[^\n]*\nba[^\n]*\n\n.*\nsuva-engine-2[^\n]*\nsuva-engine-1[^\n]*\nlabasa/v],
 ])('%s', async (line, expected) => {
--- a/packages/core/src/operator-api.ts
+++ b/packages/core/src/operator-api.ts
@@ -37,8 +37,8 @@
 	failureDomain: string;
 	state: RouterState;
 	revision: number;
-	/** Time since it was heard; 0 for the router that answers. */
-	heardAgeMs: number;
+	/** Time since it was heard; 0 for the router that answers, null for one that was never heard. */
+	heardAgeMs: number | null;
 	callerUrl: string;
 	/** Number of targets that it owns. */
 	targets: number;
