Measure the fairness gap side by side, over a steady state

Cause: runs of 12 s ended before all targets were warm, so the baselines had no time to drift apart. Change: the three deployments run at once for 45 s; the gap leaves out the first 15 s; the shares of each are printed. Ruled out: longer runs one after another (over a minute in all).

--- a/packages/bench/src/scenarios/fairness.ts
+++ b/packages/bench/src/scenarios/fairness.ts
@@ -14,7 +14,7 @@
 import {gapBound, largestGap, type Gap} from '../measure/gap.ts';
 import {backloggedBuckets, bucketMs} from '../measure/service-series.ts';
 import {
-	fleetCapacity, routerUrls, shareLoads, warmUpMs,
+	fleetCapacity, routerUrls, shareLoads,
 } from './capacity.ts';
 import {withDeployment, type Scenario, type ScenarioRun} from './scenario.ts';
 
@@ -31,21 +31,29 @@
 
 const burstSeconds = 3;
 
+/** Time after which all targets are warm, which the gap leaves out. */
+const settledMs = 15_000;
+
 type Variant = Partial<DeploymentOptions['fairness']>;
 
 type Measurement = Gap & {
 	wrong: number;
+	/** Service by workspace after the warm-up, in weighted tokens. */
+	shares: number[];
 	tokensPerSecond: number;
 	endings: Record<string, number>;
 };
 
 export const fairness: Scenario = {
 	summary: 'the gap in service between backlogged workspaces, against FIFO and owners that do not exchange',
-	seconds: 36,
+	seconds: 45,
 	async run(run) {
-		const fair = await measure('fair', {}, run);
-		const fifo = await measure('fifo', {discipline: Discipline.Fifo}, run);
-		const localOnly = await measure('owners that do not exchange', {exchange: false}, run);
+		// Side by side, so that the load lasts long enough for the steady state of all three.
+		const [fair, fifo, localOnly] = await Promise.all([
+			measure('fair', {}, run),
+			measure('fifo', {discipline: Discipline.Fifo}, run),
+			measure('owners that do not exchange', {exchange: false}, run),
+		]);
 		const limit = boundOf(deploymentDefaults);
 		return {
 			unit: 'weighted tokens',
@@ -54,6 +62,7 @@
 			fifoGap: rounded(fifo.gap),
 			localOnlyGap: rounded(localOnly.gap),
 			between: fair.between,
+			shares: {fair: fair.shares, fifo: fifo.shares, localOnly: localOnly.shares},
 			wrongAnswers: fair.wrong,
 			tokensPerSecond: [fair, fifo, localOnly].map(({tokensPerSecond}) => rounded(tokensPerSecond)),
 			endings: fair.endings,
@@ -67,7 +76,7 @@
 };
 
 async function measure(name: string, variant: Variant, {seed, seconds, progress}: ScenarioRun): Promise<Measurement> {
-	const durationMs = seconds * 1000 / 3;
+	const durationMs = seconds * 1000;
 	const options = {fairness: {...deploymentDefaults.fairness, ...variant}};
 	return withDeployment(options, async deployment => {
 		progress(`${name}: load for ${rounded(durationMs / 1000)} s`);
@@ -105,9 +114,10 @@
 		service: series.of(id),
 		backlogged: backloggedBuckets(waitsOf(records, id, durationMs), series.buckets),
 	}));
-	const from = Math.ceil(warmUpMs / bucketMs);
+	const from = Math.ceil(settledMs / bucketMs);
 	return {
 		...largestGap(services, from),
+		shares: services.map(({service}) => rounded(service.slice(from).reduce((sum, value) => sum + value, 0))),
 		wrong: records.filter(({ending}) => ending === Ending.Wrong).length,
 		tokensPerSecond: records.reduce((sum, record) => sum + tokensOf(record), 0) * 1000 / durationMs,
 		endings: endings(records),
