Wire log, metrics and the release history into the router

Cause: release history and /metrics were empty and the log bypassed winston; router.ts composed and did everything in one function. Ruled out: keeping histories in the router (it keeps nothing). Conclusion: the operators' client sees what it asks for.

--- a/packages/router/src/cli/main.ts
+++ b/packages/router/src/cli/main.ts
@@ -4,8 +4,10 @@
 */
 import process from 'node:process';
 import sade from 'sade';
+import {LogPart} from '@shallotloom/core/ports.ts';
 import {checkRouterSettings, loadRouterSettings} from '@shallotloom/settings/router-settings.ts';
 import {describeProblems} from '@shallotloom/settings/problems.ts';
+import {createLog} from '../log.ts';
 import {startRouter, type Router} from '../router.ts';
 
 declare const SHALLOTLOOM_VERSION: string | undefined;
@@ -34,11 +36,10 @@
 	}
 
 	const {settings} = result;
+	const log = createLog(settings.log);
 	const router = await startRouter({
 		settings,
-		onLog({part, level, text}) {
-			console.error(`${level} [${part}] ${text}`);
-		},
+		log,
 		onStopped() {
 			clearTimeout(graceTimer);
 			void leave(router);
@@ -49,7 +50,7 @@
 	function stop() {
 		router.stop();
 		graceTimer ??= setTimeout(() => {
-			console.error(`error [stop] answers still ran after ${settings.stop.graceMs} ms`);
+			log.write({part: LogPart.Stop, level: 'error', text: `answers still ran after ${settings.stop.graceMs} ms`});
 			process.exit(1); // eslint-disable-line unicorn/no-process-exit
 		}, settings.stop.graceMs);
 	}
--- a/packages/router/src/core-loop.ts
+++ b/packages/router/src/core-loop.ts
@@ -11,8 +11,6 @@
 export type Edges = {[Kind in Outbound['kind']]: (item: OutboundOf<Kind>) => void};
 
 export type CoreLoop = {
-	/** Time that steps have taken so far, in milliseconds, and their number. */
-	readonly spent: {ms: number; steps: number};
 	/** Adds to the inbox; a step follows within the same turn of the event loop. */
 	push(inbound: Inbound): void;
 	/** Adds to the inbox without a step of its own, for what can wait until the next. */
@@ -25,13 +23,14 @@
 	timer: Timer;
 	tickMs: number;
 	edges: Edges;
+	/** Called after each step with its duration in milliseconds. */
+	onStep: (ms: number) => void;
 };
 
 /** Starts the loop. */
-export function createCoreLoop({world, timer, tickMs, edges}: CoreLoopOptions): CoreLoop {
+export function createCoreLoop({world, timer, tickMs, edges, onStep}: CoreLoopOptions): CoreLoop {
 	let inbox: Inbound[] = [];
 	let isScheduled = false;
-	const spent = {ms: 0, steps: 0};
 
 	function run() {
 		isScheduled = false;
@@ -39,8 +38,7 @@
 		inbox = [];
 		const before = timer.now();
 		const outbox = step(world, before, taken);
-		spent.ms += timer.now() - before;
-		spent.steps += 1;
+		onStep(timer.now() - before);
 		for (const item of outbox) {
 			const edge = edges[item.kind] as (item: Outbound) => void;
 			edge(item);
@@ -61,7 +59,6 @@
 		note(inbound) {
 			inbox.push(inbound);
 		},
-		spent,
 		stop: unsubscribe,
 	};
 }
--- /dev/null
+++ b/packages/router/src/listener.ts
@@ -0,0 +1,42 @@
+/*
+HTTP listeners of the router, with their limits.
+*/
+import {createServer, type Server} from 'node:http';
+import {getRequestListener} from '@hono/node-server';
+import type {RouterSettings} from '@shallotloom/settings/router-settings.ts';
+
+/** Anything with a fetch function, such as a hono app. */
+export type App = {fetch: Parameters<typeof getRequestListener>[0]};
+
+export type Place = {host: string; port: number};
+
+/** Splits `HOST:PORT`. */
+export function parsePlace(address: string): Place {
+	const colon = address.lastIndexOf(':');
+	return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
+}
+
+/** Starts a listener; rejects when its address can't be bound. */
+export async function listen(app: App, {host, port}: Place, limits: RouterSettings['limits']): Promise<Server> {
+	const listener = getRequestListener(app.fetch);
+	const server = createServer({
+		maxHeaderSize: limits.headerBytes,
+		headersTimeout: limits.headersTimeoutMs,
+		requestTimeout: limits.requestTimeoutMs,
+		noDelay: true,
+	}, (incoming, outgoing) => {
+		void listener(incoming, outgoing);
+	});
+	server.maxConnections = limits.connections;
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	return server;
+}
+
+/** Ends a listener and its connections. */
+export function closeListener(server: Server) {
+	server.close();
+	server.closeAllConnections();
+}
--- a/packages/router/src/operators/app.ts
+++ b/packages/router/src/operators/app.ts
@@ -17,7 +17,7 @@
 	/** Hands a note to the core; resolves with what became of it. */
 	propose: (proposed: Omit<InboundOf<'releaseProposed'>, 'kind' | 'proposal'>) => Promise<ReleaseAnswer>;
 	check: (note: unknown) => {revision: number; problems: unknown[]};
-	releases: (limit: number) => unknown[];
+	releases: (limit: number) => Promise<unknown[]>;
 	metrics: () => Promise<{contentType: string; text: string}>;
 };
 
@@ -82,7 +82,10 @@
 	app.get('/operator/v1/members', context => context.json(membersView(world)));
 	app.get('/operator/v1/targets', context => context.json(targetsView(world)));
 	app.get('/operator/v1/workspaces', context => context.json(workspacesView(world)));
-	app.get('/operator/v1/releases', context => context.json(options.releases(Number(context.req.query('limit') ?? 20))));
+	app.get('/operator/v1/releases', async context => {
+		const limit = Number(context.req.query('limit') ?? 20);
+		return context.json(await options.releases(Number.isInteger(limit) && limit > 0 ? Math.min(limit, 1000) : 20));
+	});
 	app.post('/operator/v1/releases/check', async context => {
 		const body = await readRelease(context);
 		return body ? context.json(options.check(body.note)) : context.json(malformed, 400);
--- /dev/null
+++ b/packages/router/src/operators/releases.ts
@@ -0,0 +1,52 @@
+/*
+Releases for the operators' listener: proposals on their way through the core, and the history as the Object API holds it.
+*/
+import {randomBytes} from 'node:crypto';
+import type {ReleaseReply} from '@shallotloom/core/operator-api.ts';
+import type {InboundOf, OutboundOf, ReleaseAnswer} from '@shallotloom/core/ports.ts';
+import {decodeRelease, releaseKey} from '@shallotloom/core/release-codec.ts';
+import type {World} from '@shallotloom/core/world.ts';
+import type {ObjectStore} from '@shallotloom/platform/object-store.ts';
+
+type Proposed = Omit<InboundOf<'releaseProposed'>, 'kind' | 'proposal'>;
+
+export type Proposals = {
+	/** Hands a note to the core; resolves with what became of it. */
+	propose(proposed: Proposed): Promise<ReleaseAnswer>;
+	onAnswered(item: OutboundOf<'releaseAnswered'>): void;
+};
+
+/** Creates the table of proposals that wait for the core. */
+export function createProposals(push: (inbound: InboundOf<'releaseProposed'>) => void): Proposals {
+	const waiting = new Map<string, (answer: ReleaseAnswer) => void>();
+	return {
+		async propose(proposed) {
+			const proposal = randomBytes(8).toString('hex');
+			return new Promise(resolve => {
+				waiting.set(proposal, resolve);
+				push({kind: 'releaseProposed', proposal, ...proposed});
+			});
+		},
+		onAnswered({proposal, answer}) {
+			waiting.get(proposal)?.(answer);
+			waiting.delete(proposal);
+		},
+	};
+}
+
+/** Newest releases first; those that this router still holds when the Object API can't be reached. */
+export async function readReleases(world: World, store: ObjectStore, limit: number): Promise<ReleaseReply[]> {
+	const from = Math.max(0, world.configuration.revision - limit);
+	const {result, objects} = await store.run({kind: 'list', prefix: 'release/', after: releaseKey(from)});
+	const texts = result.kind === 'ok'
+		? (objects ?? []).map(({value}) => value)
+		: [...world.releases.texts.values()];
+	return texts
+		.flatMap(text => {
+			const decoded = decodeRelease(text);
+			return decoded.kind === 'ok' ? [decoded.value] : [];
+		})
+		.toSorted((a, b) => b.revision - a.revision)
+		.slice(0, limit)
+		.map(({revision, note, audit}) => ({revision, note, audit}));
+}
