--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -241,6 +241,8 @@
 		String(engine.firstTokenMs),
 		'--between-tokens-ms',
 		String(engine.betweenTokensMs),
+		'--slope',
+		String(engine.slope),
 		'--warm-capacity',
 		String(engine.warmCapacity),
 		'--cold-capacity',
