Bench: end waits for a retry with the load, and tell a signal from a result

A request that was to come back after a long Retry-After held the load open past its end, and the signal that then ended the command was printed as the scenario's result. A test drives a Retry-After of an hour.

--- a/packages/bench/src/cli/interrupt.ts
+++ b/packages/bench/src/cli/interrupt.ts
@@ -18,13 +18,17 @@
 	const received = new Promise<void>(settle => {
 		resolve = settle;
 	});
-	process.on('SIGINT', resolve);
-	process.on('SIGTERM', resolve);
+	const onSignal = () => {
+		resolve();
+	};
+
+	process.on('SIGINT', onSignal);
+	process.on('SIGTERM', onSignal);
 	return {
 		received,
 		release() {
-			process.off('SIGINT', resolve);
-			process.off('SIGTERM', resolve);
+			process.off('SIGINT', onSignal);
+			process.off('SIGTERM', onSignal);
 		},
 	};
 }
--- a/packages/bench/src/load/load.ts
+++ b/packages/bench/src/load/load.ts
@@ -62,13 +62,16 @@
 	const end = new AbortController();
 	// Every open request listens to the end of the load.
 	setMaxListeners(0, end.signal);
+	const ended = new Promise(resolve => {
+		end.signal.addEventListener('abort', resolve, {once: true});
+	});
 
 	const finish = async () => {
 		const open = await sendAll(arrivals, elapsedMs, async (arrival, share) => {
 			const record = emptyRecord(arrival, elapsedMs());
 			records.push(record);
 			await follow(record, {
-				arrival, share, options, dispatcher, series, totals, elapsedMs, signal: end.signal,
+				arrival, share, options, dispatcher, series, totals, elapsedMs, signal: end.signal, ended,
 			});
 		}, shares);
 		await sleep(Math.max(0, durationMs - elapsedMs()));
@@ -117,21 +120,24 @@
 	totals: ServiceSeries;
 	elapsedMs: () => number;
 	signal: AbortSignal;
+	/** Settles when the load ends. */
+	ended: Promise<unknown>;
 };
 
 /** Follows one request to its end, over its retries. */
 async function follow(record: RequestRecord, following: Following): Promise<void> {
-	const {options, signal, elapsedMs} = following;
+	const {options, signal, ended, elapsedMs} = following;
 	const attemptsAllowed = (options.retries ?? 0) + 1;
 	for (let attempts = 1; attempts <= attemptsAllowed; attempts++) {
 		const result = await tryOnce(record, attempts, following);
 		apply(record, result, attempts, elapsedMs());
-		if (!(result.ending === Ending.Refused && result.outcome === 'not-run') || signal.aborted) {
+		const mayRetry = result.ending === Ending.Refused && result.outcome === 'not-run';
+		if (!mayRetry || signal.aborted) {
 			return;
 		}
 
 		if (attempts < attemptsAllowed) {
-			await sleep(Math.max(leastRetryMs, result.retryAfterMs ?? 0));
+			await settledWithin(ended, Math.max(leastRetryMs, result.retryAfterMs ?? 0));
 		}
 	}
 }
--- a/packages/bench/test/load.test.ts
+++ b/packages/bench/test/load.test.ts
@@ -47,9 +47,9 @@
 	};
 }
 
-async function load(entry: string, retries = 0) {
+async function load(entry: string, retries = 0, drainMs = 5000) {
 	return startLoad({
-		arrivals: [arrivalAt(entry)], durationMs: 100, workspaces, retries, drainMs: 5000,
+		arrivals: [arrivalAt(entry)], durationMs: 100, workspaces, retries, drainMs,
 	}).finished;
 }
 
@@ -70,6 +70,14 @@
 	expect(records.filter(record => isFailure(record))).toHaveLength(1);
 });
 
+test('a retry that is due after the end of the load is not waited for', async () => {
+	const {records} = await load(await serve(response => {
+		response.writeHead(429, {'retry-after': '3600'});
+		response.end('{"error":{"kind":"queue-full","outcome":"not-run"}}');
+	}), 1, 0);
+	expect(records[0]).toMatchObject({ending: Ending.Unfinished});
+});
+
 test('a connection that breaks mid-answer is a failure', async () => {
 	const {records} = await load(await serve(response => {
 		response.writeHead(200);
