Bench: call from one address a workspace

Shortage of local ports is the likely cause, not a proven one: callers and the relay both bind the one client address, each open request takes a port at both, and ports of earlier runs stay taken for a minute. Each workspace now has an address of its own.

--- a/packages/bench/src/deployment/plan.ts
+++ b/packages/bench/src/deployment/plan.ts
@@ -11,8 +11,10 @@
 /** Pool that every application service serves. */
 export const servicePool = 'desk';
 
-/** Source address of the load. */
-export const clientAddress = '127.0.1.1';
+/** Source address of the load of workspace number `index`; no failure domain lies there. */
+export function clientAddress(index: number): string {
+	return `127.0.1.${index + 1}`;
+}
 
 /** Key of the operator in every deployment of the bench. */
 export const operatorKey = 'operator-duty-key';
--- a/packages/bench/src/load/closed-loop.ts
+++ b/packages/bench/src/load/closed-loop.ts
@@ -3,9 +3,9 @@
 many requests a second go through.
 */
 import {setMaxListeners} from 'node:events';
-import {Agent} from 'undici';
-import {clientAddress, enginePool, type WorkspaceShare} from '../deployment/plan.ts';
+import {enginePool, type WorkspaceShare} from '../deployment/plan.ts';
 import {attempt} from './attempt.ts';
+import {createCallers, type Callers} from './callers.ts';
 import {Ending} from './record.ts';
 
 export type ClosedLoopOptions = {
@@ -26,22 +26,22 @@
 };
 
 export async function runClosedLoop(options: ClosedLoopOptions): Promise<ClosedLoopResult> {
-	const dispatcher = new Agent({connect: {localAddress: clientAddress}, headersTimeout: 0, bodyTimeout: 0});
+	const callers = createCallers(options.workspaces);
 	const end = new AbortController();
 	// Every open request listens to the end of the load.
 	setMaxListeners(0, end.signal);
 	const timer = setTimeout(() => {
 		end.abort();
 	}, options.durationMs);
-	const counts = await Promise.all(Array.from({length: options.callers}, async (_, index) => caller(options, index, dispatcher, end.signal)));
+	const counts = await Promise.all(Array.from({length: options.callers}, async (_, index) => caller(options, index, callers, end.signal)));
 	clearTimeout(timer);
-	await dispatcher.destroy();
+	await callers.close();
 	const whole = counts.reduce((sum, count) => sum + count.whole, 0);
 	const failed = counts.reduce((sum, count) => sum + count.failed, 0);
 	return {requestsPerSecond: whole * 1000 / options.durationMs, failed};
 }
 
-async function caller(options: ClosedLoopOptions, index: number, dispatcher: Agent, signal: AbortSignal) {
+async function caller(options: ClosedLoopOptions, index: number, callers: Callers, signal: AbortSignal) {
 	const {entries, workspaces, inputTokens, outputTokens} = options;
 	const entry = entries[index % entries.length] ?? '';
 	const workspace = workspaces[index % workspaces.length];
@@ -52,7 +52,7 @@
 	let failed = 0;
 	while (!signal.aborted) {
 		const {ending} = await attempt({
-			dispatcher,
+			dispatcher: callers.of(arrival.workspace),
 			entry,
 			arrival,
 			key: workspace?.key ?? '',
--- a/packages/bench/src/load/load.ts
+++ b/packages/bench/src/load/load.ts
@@ -3,12 +3,12 @@
 came back and when. One process drives the whole load over keep-alive connections.
 */
 import {setMaxListeners} from 'node:events';
-import {Agent} from 'undici';
 import {settledWithin, sleep} from '../deployment/http.ts';
-import {clientAddress, enginePool, type WorkspaceShare} from '../deployment/plan.ts';
+import {enginePool, type WorkspaceShare} from '../deployment/plan.ts';
 import {Total} from '../measure/goodput.ts';
 import {createServiceSeries, type ServiceSeries} from '../measure/service-series.ts';
 import {attempt, type AttemptResult} from './attempt.ts';
+import {createCallers, type Callers} from './callers.ts';
 import {Ending, type RequestRecord} from './record.ts';
 import type {Arrival} from './schedule.ts';
 
@@ -56,9 +56,7 @@
 	const totals = createServiceSeries(durationMs);
 	const records: RequestRecord[] = [];
 	const shares = new Map(workspaces.map(workspace => [workspace.id, workspace]));
-	const dispatcher = new Agent({
-		connect: {localAddress: clientAddress, timeout: 5000}, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000,
-	});
+	const callers = createCallers(workspaces);
 	const end = new AbortController();
 	// Every open request listens to the end of the load.
 	setMaxListeners(0, end.signal);
@@ -71,14 +69,14 @@
 			const record = emptyRecord(arrival, elapsedMs());
 			records.push(record);
 			await follow(record, {
-				arrival, share, options, dispatcher, series, totals, elapsedMs, signal: end.signal, ended,
+				arrival, share, options, callers, series, totals, elapsedMs, signal: end.signal, ended,
 			});
 		}, shares);
 		await sleep(Math.max(0, durationMs - elapsedMs()));
 		await settledWithin(Promise.all(open), options.drainMs ?? 0);
 		end.abort();
 		await Promise.all(open);
-		await dispatcher.destroy();
+		await callers.close();
 		return {
 			records, series, totals, startedAt,
 		};
@@ -115,7 +113,7 @@
 	arrival: Arrival;
 	share: WorkspaceShare;
 	options: LoadOptions;
-	dispatcher: Agent;
+	callers: Callers;
 	series: ServiceSeries;
 	totals: ServiceSeries;
 	elapsedMs: () => number;
@@ -143,10 +141,10 @@
 }
 
 async function tryOnce(record: RequestRecord, attempts: number, following: Following): Promise<AttemptResult> {
-	const {arrival, share, options, dispatcher, series, totals, elapsedMs, signal} = following;
+	const {arrival, share, options, callers, series, totals, elapsedMs, signal} = following;
 	record.entry = options.entryOf?.(arrival, attempts) ?? arrival.entry;
 	return attempt({
-		dispatcher,
+		dispatcher: callers.of(share.id),
 		entry: record.entry,
 		arrival,
 		key: share.key,
