--- a/packages/bench/src/deployment/plan.ts
+++ b/packages/bench/src/deployment/plan.ts
@@ -11,8 +11,10 @@
 /** Pool that every application service serves. */
 export const servicePool = 'desk';
 
-/** Source address of the load. */
-export const clientAddress = '127.0.1.1';
+/** Source address of the load of workspace number `index`; no failure domain lies there. */
+export function clientAddress(index: number): string {
+	return `127.0.1.${index + 1}`;
+}
 
 /** Key of the operator in every deployment of the bench. */
 export const operatorKey = 'operator-duty-key';
@@ -28,6 +30,8 @@
 export type EngineTiming = {
 	firstTokenMs: number;
 	betweenTokensMs: number;
+	/** Growth of the time between tokens up to full load; 0 makes the capacity exact. */
+	slope: number;
 	/** Requests at once when warm. */
 	warmCapacity: number;
 	/** Requests at once in cold start. */
@@ -87,7 +91,7 @@
 	services: 3,
 	workspaces: workspaceShares(briefWeights),
 	engine: {
-		firstTokenMs: 60, betweenTokensMs: 20, warmCapacity: 8, coldCapacity: 2, coldCompletions: 4,
+		firstTokenMs: 60, betweenTokensMs: 20, slope: 0, warmCapacity: 8, coldCapacity: 2, coldCompletions: 4,
 	},
 	fairness: {exchange: true, discipline: Discipline.Fair},
 	control: {
