Leave terminated instances out of majorities

After a crash of most routers no majority was left to end their leases, for good. A member whose lease has lapsed and whose instance has gone from the platform's list no longer counts; a list without the reading router itself is not believed, since an empty or foreign list would drop the majority rule. The edge doesn't feed the list yet.

--- a/packages/core/src/systems/quorum.ts
+++ b/packages/core/src/systems/quorum.ts
@@ -70,8 +70,13 @@
 	return member !== undefined && isHeard(world, member);
 }
 
+/** A list that lacks this router itself is too old, or tells of other instances, and proves nothing. */
 function isGone(world: World, contact: Contact): boolean {
+	const {instances, self} = world;
+	if (instances === undefined || !instances.has(self.id) || instances.has(contact.member)) {
+		return false;
+	}
+
 	const member = world.members.get(contact.member);
-	const listed = world.instances === undefined || world.instances.has(contact.member);
-	return !listed && (member === undefined || hasLapsed(world, member.leaseSeenAt));
+	return member === undefined || hasLapsed(world, member.leaseSeenAt);
 }
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -1,4 +1,5 @@
 import type {StoreOperation} from '../src/ports.ts';
+import {onInstanceList} from '../src/systems/membership.ts';
 import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
 import {StoreFault} from './support/store-map.ts';
 
@@ -152,3 +153,24 @@
 	fleet.run(4000);
 	expect(fleet.worlds.get('d')!.holdings.size).toBe(2);
 });
+
+const lists = [
+	{name: 'shows that they are gone', listed: ['a', 'b'], isTakenOver: true},
+	{name: 'still has them', listed: Object.keys(routers), isTakenOver: false},
+	{name: 'is empty', listed: [], isTakenOver: false},
+];
+
+test.each(lists)('after a crash of most routers the rest takes over: $isTakenOver when the instance list $name', ({listed, isTakenOver}) => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(8000);
+	for (const id of ['c', 'd', 'e']) {
+		fleet.kill(id);
+	}
+
+	for (const world of fleet.worlds.values()) {
+		onInstanceList(world, {kind: 'instanceList', instances: listed.map(id => ({id, state: 'live'}))});
+	}
+
+	fleet.run(15_000);
+	expect(targetIds.every(target => fleet.servers(target).length === 1)).toBe(isTakenOver);
+});
