Number every lease write, and keep a doubtful handover closed

Two faults found by reading: a renewal repeated after a lost answer had the same sequence as the first, so that others could count its lease from the first write and end it while its holder took it for valid; and an owner whose handover got no answer took the target back when its second write was refused, although the first could still take effect. Both tests failed before the change (one sequence for two writes; two servers of t1). A refused handover is now tried again after 1 s: each attempt stops the target for a moment, and a stopping router in an outage tried ten times a second.

--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -77,6 +77,8 @@
 	kind: MoveKind;
 	/** A claim is tried again, and the result of a handover looked up, from this time on. */
 	retryAt: number;
+	/** A write of it got no answer and may take effect at any time. */
+	isDoubtful?: boolean;
 	/** What a handover writes. */
 	record?: OwnerRecord;
 	/** Budget of the target when the handover began. */
@@ -103,6 +105,8 @@
 	version: number;
 	/** When this was learnt. */
 	learntAt: number;
+	/** When the Object API last refused a handover. */
+	refusedAt?: number;
 	/** What the owner before told of the target, when it handed it to this router. */
 	handover?: TargetHandover;
 };
--- a/packages/core/src/systems/handovers.ts
+++ b/packages/core/src/systems/handovers.ts
@@ -14,6 +14,9 @@
 /** Time after which the result of a handover is looked up again. */
 const lookupMs = 500;
 
+/** Time for which a target is served on after a refused handover; each attempt stops it for a moment. */
+const refusedMs = 1000;
+
 /** Hands a target over to a member whose lease is known. */
 export function handOver(world: World, ownership: Ownership, to: string) {
 	const {target, epoch, version} = ownership;
@@ -38,6 +41,12 @@
 	write(world, move, record, version);
 }
 
+/** Whether this router serves a target and nothing speaks against handing it over now. */
+export function canHandOver(world: World, target: string): boolean {
+	const refusedAt = world.ownerships.get(target)?.refusedAt ?? Number.NEGATIVE_INFINITY;
+	return world.holdings.has(target) && !world.moves.has(target) && world.now - refusedAt >= refusedMs;
+}
+
 /** Looks up the result of a handover whose answer was lost. */
 export function lookUp(world: World, move: Move) {
 	move.retryAt = world.now + lookupMs;
@@ -68,10 +77,11 @@
 
 		if (result.kind === 'ok') {
 			finish(world, move, result.version, record);
-		} else if (result.kind === 'unavailable') {
-			restore(world, move);
-		} else {
+		} else if (result.kind !== 'unavailable') {
+			move.isDoubtful = true;
 			lookUp(world, move);
+		} else if (!move.isDoubtful) {
+			restore(world, move);
 		}
 	});
 }
@@ -101,12 +111,8 @@
 function restore(world: World, move: Move) {
 	const ownership = world.ownerships.get(move.target);
 	world.moves.delete(move.target);
-	const preference = world.preferences.get(move.target);
-	if (preference) {
-		preference.since = world.now;
-	}
-
 	if (ownership !== undefined) {
+		ownership.refusedAt = world.now;
 		ownership.handover = move.handover;
 		settle(world, ownership);
 	}
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/lease.ts
@@ -145,7 +145,7 @@
 		nonce: nonce(world),
 		incarnation: self.incarnation,
 		tenure,
-		sequence: lease.sequence + 1,
+		sequence: Math.max(lease.sequence, lease.attempted) + 1,
 		state: world.state,
 		failureDomain: self.failureDomain,
 		callerUrl: self.callerUrl,
@@ -160,6 +160,7 @@
 	const record = recordOf(world, tenure);
 	const renewal = {record, sentAt: now, relayed: false};
 	lease.renewal = renewal;
+	lease.attempted = record.sequence;
 	store(world, {
 		kind: 'put', key: leaseKey(world.self.id), value: JSON.stringify(record), ifVersion: lease.version,
 	}, ({result}) => {
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -10,7 +10,7 @@
 import {second} from '../units.ts';
 import {due, type World} from '../world.ts';
 import {claim} from './claims.ts';
-import {handOver, lookUp} from './handovers.ts';
+import {canHandOver, handOver, lookUp} from './handovers.ts';
 import {drop} from './holdings.ts';
 import {hasValidLease} from './lease.ts';
 import {listAll} from './listing.ts';
@@ -132,10 +132,6 @@
 	return world.now - preference.since >= world.limits.preferenceMs;
 }
 
-function canHandOver(world: World, target: string): boolean {
-	return world.holdings.has(target) && !world.moves.has(target);
-}
-
 /** Whether a target may be given to a member: one that has just gone silent may be dead. */
 function canReceive(world: World, id: string): boolean {
 	const member = world.members.get(id);
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -39,7 +39,10 @@
 
 /** State of this router's own lease. */
 export type Lease = {
+	/** Sequence of the last renewal that took effect. */
 	sequence: number;
+	/** Sequence of the last write that was sent; no two writes have the same, since others tell renewals apart by it. */
+	attempted: number;
 	/** Version of the object `lease/ROUTER`; 0 while it isn't known. */
 	version: number;
 	/** The lease is valid before this time; -Infinity before the first. */
@@ -153,7 +156,7 @@
 		configuration: emptyConfiguration(),
 		releases: {texts: new Map(), isRead: false},
 		lease: {
-			sequence: 0, version: 0, validUntil: Number.NEGATIVE_INFINITY, renewal: undefined, nextRenewalAt: now,
+			sequence: 0, attempted: 0, version: 0, validUntil: Number.NEGATIVE_INFINITY, renewal: undefined, nextRenewalAt: now,
 			tenure: '', renewedAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY, startedAt: Number.POSITIVE_INFINITY,
 			outranked: false, predecessor: undefined, released: false,
 		},
--- a/packages/core/test/lease.test.ts
+++ b/packages/core/test/lease.test.ts
@@ -1,6 +1,7 @@
 import {mayDispatch} from '../src/systems/lease.ts';
 import {liveMembers} from '../src/systems/membership.ts';
 import {MemberState} from '../src/messages.ts';
+import type {LeaseRecord} from '../src/records.ts';
 import type {World} from '../src/world.ts';
 import {createFleet, type Fleet} from './support/fleet.ts';
 import {StoreFault} from './support/store-map.ts';
@@ -50,6 +51,22 @@
 	fleet.until(() => dispatching(fleet) === 'abcde', 3000);
 });
 
+test('no two writes of a lease have the same sequence, whatever became of the first', () => {
+	const fleet = start();
+	let turn = 0;
+	fleet.storeFault = (id, action) => {
+		turn += 1;
+		return id === 'a' && action.kind !== 'list' ? [StoreFault.AnswerLost, StoreFault.Cut, StoreFault.Down, StoreFault.None][turn % 4]! : StoreFault.None;
+	};
+
+	fleet.run(20_000);
+	const writes = fleet.outbox.flatMap(({item}) => item.kind === 'store' && item.action.kind === 'put' && item.action.key === 'lease/a' ? [item.action.value] : []);
+	const nonces = new Map(writes.map(value => JSON.parse(value) as LeaseRecord).map(({sequence, nonce}) => [sequence, nonce]));
+	expect(nonces.size).toBe(new Set(nonces.values()).size);
+	expect(nonces.size).toBe(new Set(writes).size);
+	expect(dispatching(fleet)).toBe('abcde');
+});
+
 test('a lease whose every answer is lost is confirmed by reading it', () => {
 	const fleet = start();
 	fleet.storeFault = (id, action) => id === 'a' && action.kind === 'put' ? StoreFault.AnswerLost : StoreFault.None;
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -115,6 +115,32 @@
 	expect(took).toBeLessThan(10_000);
 });
 
+test('an owner doesn\'t take a target back while its lost handover may still take effect', () => {
+	const fleet = createFleet({routers, targets});
+	fleet.run(8000);
+	const [from] = fleet.servers('t1');
+	const writes = new Set<string>();
+	const isLater = (value: string) => [...writes].indexOf(value) > 0;
+	fleet.storeFault = (_id, action) => action.kind === 'put' && isLater(action.value) ? StoreFault.Down : StoreFault.None;
+	fleet.delay = (sender, receiver, item) => {
+		if (sender === from && receiver === 'store' && item.kind === 'store' && item.action.kind === 'put' && item.action.key === 'owner/t1') {
+			writes.add(item.action.value);
+			return isLater(item.action.value) ? 1 : 3000;
+		}
+
+		return sender === 'watch' && receiver === from ? undefined : 1;
+	};
+
+	fleet.check = () => {
+		expect(fleet.servers('t1').length).toBeLessThan(2);
+	};
+
+	fleet.stop(from!);
+	fleet.run(9000);
+	expect(writes.size).toBeGreaterThan(1);
+	expect(fleet.servers('t1')).not.toEqual([from]);
+});
+
 test('a router that stops hands nothing to a member that has gone silent', () => {
 	const fleet = createFleet({routers, targets});
 	fleet.run(8000);
