Count a succeeding start for half in the majority that ends the earlier one

An earlier start that goes on in an outage counts itself, and so did the new one under the same name: with five routers the two majorities could share nobody else. Found by reading; the test failed before (the new start dispatched with two of four others cut off).

--- a/packages/core/src/systems/quorum.ts
+++ b/packages/core/src/systems/quorum.ts
@@ -6,6 +6,12 @@
 import type {Contact, Member} from '../rows.ts';
 import type {World} from '../world.ts';
 
+/**
+Part that a router counts for when it succeeds its own earlier start. That one counts itself too, so the two majorities
+must share one of the others: half of all members is just enough for that.
+*/
+const successorShare = 0.5;
+
 /** Other routers that count in majorities: those with a lease, less those that lapsed and whose instance is gone. */
 export function voters(world: World): Contact[] {
 	return [...world.contacts.rows()].filter(contact => contact.tenure !== '' && !isGone(world, contact));
@@ -36,7 +42,7 @@
 /**
 Whether the lease of `holder`, whose latest renewal was first seen at `seenAt`, may be ended: it has lapsed, and a
 strict majority has told, for longer than any member counts as heard, of renewals that were sent so late that the holder
-must take the Object API for up. A router that succeeds its own earlier start counts itself without a lease.
+must take the Object API for up.
 */
 export function mayEndLease(world: World, holder: string, seenAt: number): boolean {
 	if (!hasLapsed(world, seenAt) || !knowsMembers(world)) {
@@ -46,14 +52,16 @@
 	const {outageSlackMs, heardMs, clockDrift} = world.limits;
 	const after = seenAt + (outageSlackMs * (1 + clockDrift));
 	const toldBy = world.now - (heardMs * (1 + (2 * clockDrift)));
+	const isKnowing = (contact: Contact) => contact.renewals.some(renewal => renewal.after > after && renewal.toldAt <= toldBy);
 	const others = voters(world);
-	const settled = others.filter(contact => contact.joinedAt < seenAt);
-	const self = holder === world.self.id || (world.lease.renewedAt > after && world.lease.confirmedAt <= toldBy) ? 1 : 0;
+	if (holder === world.self.id) {
+		return others.length === 0 || isMajority(others.filter(contact => isKnowing(contact)).length + successorShare, others.length + 1);
+	}
+
+	const self = world.lease.renewedAt > after && world.lease.confirmedAt <= toldBy ? 1 : 0;
 	// Routers that joined since may be unknown to the holder, so the majority must hold without them as well.
-	return [others, settled].every(list => {
-		const knowing = list.filter(contact => contact.renewals.some(renewal => renewal.after > after && renewal.toldAt <= toldBy));
-		return isMajority(knowing.length + self, list.length + 1);
-	});
+	const settled = others.filter(contact => contact.joinedAt < seenAt);
+	return [others, settled].every(list => isMajority(list.filter(contact => isKnowing(contact)).length + self, list.length + 1));
 }
 
 /** Whether the leases have been listed since this router started. */
--- a/packages/core/test/lease.test.ts
+++ b/packages/core/test/lease.test.ts
@@ -148,6 +148,23 @@
 	fleet.until(() => dispatching(fleet) === 'abcde', 8000);
 });
 
+test('a new start doesn\'t count for itself, since the earlier one may go on with the other half', () => {
+	const fleet = start();
+	cut(fleet, 'bc', 'ade');
+	cut(fleet, 'ade', 'bc');
+	fleet.storeFault = id => 'bc'.includes(id) ? StoreFault.Cut : StoreFault.None;
+	fleet.start('a');
+	fleet.run(30_000);
+	expect(dispatching(fleet)).toBe('de');
+});
+
+test.each(['a', 'ab', 'abcd'])('a new start succeeds the earlier one where nothing else fails (fleet of %s)', members => {
+	const fleet = createFleet({routers: Object.fromEntries([...members].map(id => [id, 'x']))});
+	fleet.run(8000);
+	fleet.start('a');
+	fleet.until(() => dispatching(fleet) === members, 12_000);
+});
+
 test('a router that was replaced under its own id never dispatches again', () => {
 	const fleet = start();
 	const old: World = fleet.worlds.get('a')!;
