Bench: halve the slots of the fairness deployments

Cause: three deployments at 8 slots a target overran the driver: 10282 answers failed for want of file descriptors. Change: 4 slots a target and queues of 3000 weighted tokens a router.

--- a/packages/bench/src/scenarios/fairness.ts
+++ b/packages/bench/src/scenarios/fairness.ts
@@ -34,6 +34,12 @@
 /** Time after which all targets are warm, which the gap leaves out. */
 const settledMs = 15_000;
 
+/** Half the slots of the other scenarios and short queues, so that three deployments fit on one machine. */
+const base: Partial<DeploymentOptions> = {
+	engine: {...deploymentDefaults.engine, warmCapacity: 4, coldCapacity: 1},
+	workspaces: deploymentDefaults.workspaces.map(workspace => ({...workspace, queueLimit: 3000})),
+};
+
 type Variant = Partial<DeploymentOptions['fairness']>;
 
 type Measurement = Gap & {
@@ -54,7 +60,7 @@
 			measure('fifo', {discipline: Discipline.Fifo}, run),
 			measure('owners that do not exchange', {exchange: false}, run),
 		]);
-		const limit = boundOf(deploymentDefaults);
+		const limit = boundOf({...deploymentDefaults, ...base});
 		return {
 			unit: 'weighted tokens',
 			gap: rounded(fair.gap),
@@ -77,7 +83,7 @@
 
 async function measure(name: string, variant: Variant, {seed, seconds, progress}: ScenarioRun): Promise<Measurement> {
 	const durationMs = seconds * 1000;
-	const options = {fairness: {...deploymentDefaults.fairness, ...variant}};
+	const options = {...base, fairness: {...deploymentDefaults.fairness, ...variant}};
 	return withDeployment(options, async deployment => {
 		progress(`${name}: load for ${rounded(durationMs / 1000)} s`);
 		const arrivals = schedule({seed, durationMs, loads: loadsOf(deployment)});
