Move tickets between owners from a lead of 100 weighted tokens

Cause: workspaces at home in the fuller failure domains ran behind by just the lead of 500 from which tickets move. Ruled out: lost charges (the drift ends once the lead is reached). Change: rebalanceLead 500 → 100.

--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -84,7 +84,7 @@
 	exchange: true,
 	outputWeight: 1,
 	inFlightFactor: 2,
-	rebalanceLead: 500,
+	rebalanceLead: 100,
 	startWithinMs: second,
 	coldCompletions: 8,
 	rampFactor: 1.5,
