Read the instance list, and stop watching leases

Cause: after most routers crash at once the rest need the platform's word that they are gone; and 410 watches of all leases would be 34,000 wake-ups a second. Change: the list is polled each 10 s and handed to membership; lease/ is no longer watched.

--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -14,7 +14,7 @@
 import {digestsSystem, onDigest, silenceSystem} from './systems/digests.ts';
 import {dispatchSystem} from './systems/dispatch.ts';
 import {leaseSystem, onLeaseRelay, onLeaseRelayResult} from './systems/lease.ts';
-import {membershipSystem, onLeaseObject} from './systems/membership.ts';
+import {membershipSystem, onInstanceList} from './systems/membership.ts';
 import {onOwnerObject, onTargetHandover, ownershipSystem} from './systems/ownership.ts';
 import {onPermitProgress, onPermitReturn, permitsSystem} from './systems/permits.ts';
 import {forgetHolder, placementSystem} from './systems/placement.ts';
@@ -36,7 +36,6 @@
 
 /** Watched prefixes of the Object API and who reads their objects. */
 export const watchedPrefixes: Record<string, (world: World, object: StoredObject) => void> = {
-	'lease/': onLeaseObject,
 	'owner/': onOwnerObject,
 	'release/': onReleaseObject,
 };
@@ -121,9 +120,7 @@
 	storeEvent: onStoreEvent,
 	loadReport: onLoadReport,
 	releaseProposed: onReleaseProposed,
-	instanceList() {
-		// The list lags behind the leases; it is shown to operators only.
-	},
+	instanceList: onInstanceList,
 	stopRequested: onStopRequested,
 };
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,7 @@
 import {applyNote} from '@shallotloom/core/release.ts';
 import {watchedPrefixes} from '@shallotloom/core/step.ts';
 import {createWorld, type World} from '@shallotloom/core/world.ts';
+import {pollInstanceList} from '@shallotloom/platform/instance-list.ts';
 import {createObjectStore, type ObjectStore} from '@shallotloom/platform/object-store.ts';
 import type {RouterSettings} from '@shallotloom/settings/router-settings.ts';
 import {createCallerApp} from './callers/app.ts';
@@ -152,6 +153,7 @@
 		onReport: loop.push,
 	});
 	const watch = watchStore(store, loop, log);
+	const instances = watchInstances(settings, loop, log);
 	const peerServer = await startPeerServer({
 		...parsePlace(settings.listen.peers),
 		traffic,
@@ -185,6 +187,7 @@
 			loop.stop();
 			timer.stop();
 			watch.stop();
+			await instances.stop();
 			peers.close();
 			closeListener(callerServer);
 			closeListener(operatorServer);
@@ -195,6 +198,24 @@
 	};
 }
 
+/** Period at which the instance list is read, in milliseconds: it lags by more than that. */
+const instanceListMs = 10_000;
+
+function watchInstances({platform, bindAddress}: RouterSettings, loop: CoreLoop, log: Log) {
+	return pollInstanceList({
+		url: platform.url,
+		pollMs: instanceListMs,
+		callTimeoutMs: platform.callTimeoutMs,
+		...(bindAddress !== undefined && {localAddress: bindAddress}),
+		onInstances(instances) {
+			loop.push({kind: 'instanceList', instances});
+		},
+		onError(error) {
+			log.write({part: EdgePart.Platform, level: 'debug', text: `instance list could not be read: ${error.kind}`});
+		},
+	});
+}
+
 function watchStore(store: ObjectStore, loop: CoreLoop, log: Log) {
 	return store.watch({
 		prefixes: Object.keys(watchedPrefixes),
