Count what a cold target really runs, and free what gone holders held

Cause: after a crash the permits of the killed router were never free again, since its row stays known; queued tickets of it were still given permits; an owner that took over without a report counted the target as empty; answers that began before a fall-back raised the budget; a restart while idle was answered with a full budget; a handover whose message came after the record was served as cold.

Change: holders that aren't heard keep permits until their lease lapses or a load report shows them gone; requests that a report counts and no permit explains take cold slots; only answers begun since the fall-back, and a report from after it, raise a budget; after idleness a report must show the same start id before more than the cold budget is given; the message of a handover is sent along with the write. All targets of a pool out: queued requests are refused at once; a permit for a target that was taken out, or that is too old, isn't started.

--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -53,8 +53,10 @@
 	/** First time for which a failing target is set aside; doubles with each failure in a row. */
 	setAsideMs: number;
 	setAsideMaxMs: number;
-	/** Time for which a new owner waits for the holders' permits and the target's load. */
+	/** Time for which a new owner waits for the holders' permits. */
 	reconcileMs: number;
+	/** Time for which a new owner waits for a load report that tells of the time since it took the target over. */
+	reportWaitMs: number;
 	maxAttempts: number;
 	/** Retries that a workspace may spend for each success. */
 	retryRatio: number;
@@ -92,6 +94,7 @@
 	setAsideMs: 500,
 	setAsideMaxMs: minute,
 	reconcileMs: second,
+	reportWaitMs: 5 * second,
 	maxAttempts: 3,
 	retryRatio: 0.1,
 	retryReserve: 10,
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -72,8 +72,13 @@
 		| {kind: 'storeReply'; operation: number; result: StoreResult; objects?: StoredObject[]}
 	/** An object under a watched prefix changed; `value` is '' when it was deleted. */
 		| {kind: 'storeEvent'; object: StoredObject}
-		/** Load of a target as it was `ageMs` ago. `cold` is undefined when the target doesn't report it. */
-		| {kind: 'loadReport'; target: string; startId: string; running: number; ageMs: number; reachable: boolean; cold?: boolean}
+		/**
+		Load of a target as it was `ageMs` ago, or up to `roundTripMs` earlier, the time that asking for it took; 0 by default.
+		`cold` is undefined when the target doesn't report it.
+		*/
+		| {
+			kind: 'loadReport'; target: string; startId: string; running: number; ageMs: number; roundTripMs?: number; reachable: boolean; cold?: boolean;
+		}
 	/** An operator's release note, validated at the edge; `note` is its JSON form. */
 		| {kind: 'releaseProposed'; proposal: string; note: unknown; operator: string; reason: string; at: string; ifRevision?: number}
 		| {kind: 'instanceList'; instances: Array<{id: string; state: 'live' | 'leaving'}>}
--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -103,6 +103,8 @@
 	version: number;
 	/** When this was learnt. */
 	learntAt: number;
+	/** Whether the owner before may tell of the target in a message that follows the record. */
+	awaitsHandover: boolean;
 	/** What the owner before told of the target, when it handed it to this router. */
 	handover?: TargetHandover;
 };
@@ -122,15 +124,26 @@
 	startId: string;
 	/** Requests that ran at the target by its last report. */
 	reportedRunning: number;
-	/** Time of which the last report tells; -Infinity before the first. */
+	/** Time of which the last report tells at the earliest; -Infinity before the first. */
 	reportedAt: number;
-	reportedCold: boolean;
+	/** Time of which it tells at the latest. */
+	reportedUntil: number;
+	/** Undefined when the target doesn't tell. */
+	reportedCold: boolean | undefined;
 	/** When the target last fell back to its cold budget. */
 	coldAt: number;
-	/** While greater than now, permits of the owner before may still be unknown. */
-	reconcileUntil: number;
+	/** Since when it has had permits out without a break that a restart would fit into; the present time while it has none. */
+	busySince: number;
+	/** When it last had a permit out. */
+	busyAt: number;
+	/** When this router took it over from an owner that told nothing; -Infinity after a planned handover. */
+	takenAt: number;
 	/** Members whose announcement is still missing. */
 	awaiting: Set<string>;
+	/** Permits that ended since the time of the last report. */
+	ended: Array<Pick<Permit, 'grantedAt' | 'isAdopted'> & {endedAt: number}>;
+	/** When a whole answer of it was last heard of. */
+	answeredAt: number;
 	/** Usual time to first byte and between tokens, exponentially weighted; 0 before the first sample. */
 	firstByteMs: number;
 	betweenTokensMs: number;
@@ -195,6 +208,8 @@
 	workspace: string;
 	pool: string;
 	grantedAt: number;
+	/** An owner before gave it; `grantedAt` then is when this router learnt of it. */
+	isAdopted: boolean;
 	inputTokens: number;
 	outputTokens: number;
 	/** When the holder last reported it. */
--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -9,14 +9,17 @@
 import {
 	onAnswerEnded, onAnswerProgress, onAnswerStarted, progressSystem,
 } from './systems/answers.ts';
-import {budgetsSystem, onLoadReport, onPermitAnnounce} from './systems/budgets.ts';
+import {abandonedSystem} from './systems/abandoned.ts';
+import {onPermitAnnounce} from './systems/announcements.ts';
+import {budgetsSystem} from './systems/budgets.ts';
 import {demandsSystem} from './systems/demands.ts';
 import {digestsSystem, onDigest, silenceSystem} from './systems/digests.ts';
 import {dispatchSystem} from './systems/dispatch.ts';
+import {onLoadReport} from './systems/evidence.ts';
 import {leaseSystem, onLeaseRelay, onLeaseRelayResult} from './systems/lease.ts';
 import {membershipSystem, onLeaseObject} from './systems/membership.ts';
 import {onOwnerObject, onTargetHandover, ownershipSystem} from './systems/ownership.ts';
-import {onPermitProgress, onPermitReturn, permitsSystem} from './systems/permits.ts';
+import {onPermitProgress, onPermitReturn} from './systems/permits.ts';
 import {forgetHolder, placementSystem} from './systems/placement.ts';
 import {onWorkRequest, rebalanceSystem, workRequestSystem} from './systems/rebalance.ts';
 import {
@@ -28,7 +31,9 @@
 import {routesSystem} from './systems/routes.ts';
 import {runsSystem} from './systems/runs.ts';
 import {onStopRequested, stopSystem} from './systems/stop.ts';
-import {onTicketCancel, onTicketOffer, ticketsSystem} from './systems/tickets.ts';
+import {
+	onTicketCancel, onTicketOffer, returnTickets, ticketsSystem,
+} from './systems/tickets.ts';
 import type {World} from './world.ts';
 
 type InboundHandlers = {[Kind in Inbound['kind']]: (world: World, inbound: InboundOf<Kind>) => void};
@@ -49,7 +54,7 @@
 	ownershipSystem,
 	routesSystem,
 	budgetsSystem,
-	permitsSystem,
+	abandonedSystem,
 	silenceSystem,
 	ticketsSystem,
 	deadlinesSystem,
@@ -116,6 +121,7 @@
 	},
 	peerLost(world, {member}) {
 		forgetHolder(world, member);
+		returnTickets(world, member);
 	},
 	storeReply: onStoreReply,
 	storeEvent: onStoreEvent,
--- /dev/null
+++ b/packages/core/src/systems/announcements.ts
@@ -0,0 +1,38 @@
+/*
+Announcements: after a change of owner, every router tells the new one which permits it holds for the target.
+*/
+import type {PeerMessageOf} from '../messages.ts';
+import {RequestState} from '../rows.ts';
+import {send, type World} from '../world.ts';
+import {adoptPermit} from './permits.ts';
+
+/** Tells the owner of a target which permits this router holds for it; none is told too. */
+export function announcePermits(world: World, target: string) {
+	const ownership = world.ownerships.get(target);
+	if (!ownership?.owner) {
+		return;
+	}
+
+	const running = [...world.requests.rows()].filter(request => request.target === target
+		&& (request.state === RequestState.Running || request.state === RequestState.Claiming));
+	send(world, ownership.owner, {
+		kind: 'permitAnnounce',
+		target,
+		epoch: ownership.epoch,
+		entries: running.map(({id, workspace, pool, inputTokens, outputTokens}) => ({
+			ticket: id, workspace, pool, inputTokens, outputTokens,
+		})),
+	});
+}
+
+export function onPermitAnnounce(world: World, from: string, message: PeerMessageOf<'permitAnnounce'>) {
+	const budget = world.budgets.get(message.target);
+	if (!budget) {
+		return;
+	}
+
+	budget.awaiting.delete(from);
+	for (const entry of message.entries) {
+		adoptPermit(world, message.target, entry);
+	}
+}
--- a/packages/core/src/systems/budgets.ts
+++ b/packages/core/src/systems/budgets.ts
@@ -1,24 +1,17 @@
 /*
 Budgets of the targets that this router owns. A target that is new, returned, taken over, restarted or suddenly slow
-starts at its cold budget; evidence of good completions raises it in steps; a failing one is set aside for a time that
-doubles. See docs/design/cold-start.md.
+starts at its cold budget; evidence of good completions raises it in steps, see `evidence.ts`; a failing one is set aside
+for a time that doubles and then probed with one request. See docs/design/cold-start.md.
 */
-import {
-	AttemptEnd, Phase, type PeerMessageOf, type PermitReturn, type TargetHandover,
-} from '../messages.ts';
-import {LogPart, type InboundOf} from '../ports.ts';
-import {RequestState, type Budget} from '../rows.ts';
-import {
-	log, send, type World,
-} from '../world.ts';
+import {Phase, type TargetHandover} from '../messages.ts';
+import {LogPart} from '../ports.ts';
+import type {Budget, Permit} from '../rows.ts';
+import {log, type World} from '../world.ts';
 import {isIn} from './routes.ts';
 import {adoptPermit, endPermit} from './permits.ts';
 
-/** Weight of a sample in the running means. */
-const meanWeight = 0.1;
-
-/** Slow answers in a row after which a target counts as fallen back into cold start. */
-const slowInRowLimit = 2;
+/** No target restarts and takes requests again within this time, in milliseconds. */
+const leastRestartMs = 100;
 
 /** Starts the budget of a target that this router has just come to own; cold until evidence says otherwise. */
 export function takeTarget(world: World, target: string, epoch: number, handover?: TargetHandover) {
@@ -34,10 +27,15 @@
 		startId: '',
 		reportedRunning: 0,
 		reportedAt: Number.NEGATIVE_INFINITY,
-		reportedCold: false,
+		reportedUntil: Number.NEGATIVE_INFINITY,
+		reportedCold: undefined,
 		coldAt: world.now,
-		reconcileUntil: world.now + world.limits.reconcileMs,
+		busySince: world.now,
+		busyAt: Number.NEGATIVE_INFINITY,
+		takenAt: world.now,
 		awaiting: new Set([...world.members.rows()].map(member => member.id)),
+		ended: [],
+		answeredAt: Number.NEGATIVE_INFINITY,
 		firstByteMs: 0,
 		betweenTokensMs: 0,
 		slowInRow: 0,
@@ -52,11 +50,15 @@
 function continueBudget(world: World, budget: Budget, handover: TargetHandover) {
 	budget.phase = handover.phase;
 	budget.budget = handover.budget;
-	budget.reconcileUntil = world.now;
-	budget.awaiting.clear();
+	budget.failuresInRow = handover.phase === Phase.SetAside ? 1 : 0;
+	budget.takenAt = Number.NEGATIVE_INFINITY;
 	for (const entry of handover.entries) {
 		adoptPermit(world, budget.target, entry);
 	}
+
+	if (handover.entries.length > 0) {
+		budget.busySince = Number.NEGATIVE_INFINITY;
+	}
 }
 
 /** Drops the budget of a target and returns what the next owner needs; undefined when this router didn't own it. */
@@ -73,70 +75,22 @@
 	}
 
 	world.budgets.delete(target);
+	const isKnownUp = permits.length > 0 && isProven(budget);
 	return {
-		phase: budget.phase,
-		budget: budget.budget,
+		phase: isKnownUp || budget.phase === Phase.SetAside ? budget.phase : Phase.Cold,
+		budget: isKnownUp ? budget.budget : 0,
 		entries: permits.map(({ticket, workspace, pool, inputTokens, outputTokens}) => ({
 			ticket, workspace, pool, inputTokens, outputTokens,
 		})),
 	};
 }
 
-/** Tells the owner of a target which permits this router holds for it; none is told too. */
-export function announcePermits(world: World, target: string) {
-	const ownership = world.ownerships.get(target);
-	if (!ownership?.owner) {
-		return;
-	}
-
-	const running = [...world.requests.rows()].filter(request => request.target === target
-		&& (request.state === RequestState.Running || request.state === RequestState.Claiming));
-	send(world, ownership.owner, {
-		kind: 'permitAnnounce',
-		target,
-		epoch: ownership.epoch,
-		entries: running.map(({id, workspace, pool, inputTokens, outputTokens}) => ({
-			ticket: id, workspace, pool, inputTokens, outputTokens,
-		})),
-	});
-}
-
-export function onPermitAnnounce(world: World, from: string, message: PeerMessageOf<'permitAnnounce'>) {
-	const budget = world.budgets.get(message.target);
-	if (!budget) {
-		return;
-	}
-
-	budget.awaiting.delete(from);
-	for (const entry of message.entries) {
-		adoptPermit(world, message.target, entry);
-	}
-}
-
-/** Takes a load report of a target; a new start id means that it restarted, and is cold again. */
-export function onLoadReport(world: World, report: InboundOf<'loadReport'>) {
-	const budget = world.budgets.get(report.target);
-	if (!budget) {
-		return;
-	}
-
-	if (!report.reachable) {
-		setAside(world, budget);
-		return;
-	}
-
-	if (budget.startId !== '' && budget.startId !== report.startId) {
-		fallBack(world, budget, 'restarted');
-	}
+/**
+Returns a target to its cold budget.
 
-	budget.startId = report.startId;
-	budget.reportedRunning = report.running;
-	budget.reportedAt = world.now - report.ageMs;
-	budget.reportedCold = report.cold ?? false;
-}
-
-/** Returns a target to its cold budget. */
-export function fallBack(world: World, budget: Budget, reason: string) {
+@param since When it fell back at the earliest: what began before then is no evidence for it.
+*/
+export function fallBack(world: World, budget: Budget, reason: string, since = world.now) {
 	const configured = world.configuration.targets.get(budget.target);
 	if (budget.phase !== Phase.Cold) {
 		log(world, LogPart.Target, `${budget.target} ${reason}, back to its cold budget`, 'warn');
@@ -146,10 +100,11 @@
 	budget.budget = configured?.coldBudget ?? 1;
 	budget.completions = 0;
 	budget.slowInRow = 0;
-	budget.coldAt = world.now;
+	budget.coldAt = since;
 }
 
-function setAside(world: World, budget: Budget) {
+/** Keeps new work from a failing target for a time that doubles with each failure in a row. */
+export function setAside(world: World, budget: Budget) {
 	const {setAsideMs, setAsideMaxMs} = world.limits;
 	if (budget.phase === Phase.SetAside && world.now < budget.setAsideUntil) {
 		return;
@@ -163,87 +118,49 @@
 	log(world, LogPart.Target, `${budget.target} set aside for ${pause} ms`, 'warn');
 }
 
-type AttemptHandler = (world: World, budget: Budget, attempt: PermitReturn) => void;
-
-const attemptHandlers: Record<AttemptEnd, AttemptHandler> = {
-	[AttemptEnd.Whole]: onWhole,
-	[AttemptEnd.NotSent]: setAside,
-	[AttemptEnd.Refused]: setAside,
-	[AttemptEnd.Broken]: onBroken,
-	[AttemptEnd.Cancelled]() {
-		// The caller's doing; it tells nothing of the target.
-	},
-	[AttemptEnd.Mismatched](world, budget) {
-		fallBack(world, budget, 'mixed up answers');
-	},
-	[AttemptEnd.Unused]() {
-		// The holder's doing.
-	},
-};
-
-/** Takes the end of an attempt as evidence for its target's budget. */
-export function onAttemptEnd(world: World, attempt: PermitReturn) {
-	const budget = world.budgets.get(attempt.target);
-	if (budget) {
-		attemptHandlers[attempt.end](world, budget, attempt);
-	}
-}
-
-function onBroken(world: World, budget: Budget) {
-	fallBack(world, budget, 'broke an answer');
-}
-
-function onWhole(world: World, budget: Budget, attempt: PermitReturn) {
-	budget.failuresInRow = 0;
-	if (isSlow(world, budget, attempt)) {
-		budget.slowInRow += 1;
-		if (budget.slowInRow >= slowInRowLimit && budget.phase !== Phase.Cold) {
-			fallBack(world, budget, 'turned slow');
-		}
-
-		return;
-	}
-
-	budget.slowInRow = 0;
-	budget.firstByteMs = mean(budget.firstByteMs, attempt.firstByteMs);
-	budget.betweenTokensMs = mean(budget.betweenTokensMs, attempt.betweenTokensMs);
-	budget.completions += 1;
-	raise(world, budget);
+/** Whether the owner before, or the holders of its permits, may still be unheard. */
+function isReconciling({now, limits}: World, budget: Budget): boolean {
+	const awaitsHolders = budget.awaiting.size > 0 && now < budget.takenAt + limits.reconcileMs;
+	const awaitsReport = budget.reportedAt < budget.takenAt && now < budget.takenAt + limits.reportWaitMs;
+	return awaitsHolders || awaitsReport;
 }
 
-function mean(before: number, sample: number): number {
-	return before === 0 ? sample : (before * (1 - meanWeight)) + (sample * meanWeight);
+/**
+Whether a load report tells that the target hasn't restarted since its first permit now out was given. From there on a
+restart would break a running answer, and so be known at once.
+*/
+function isProven(budget: Budget): boolean {
+	return budget.reportedAt >= budget.busySince;
 }
 
-function isSlow({limits}: World, budget: Budget, attempt: PermitReturn): boolean {
-	return (budget.firstByteMs > 0 && attempt.firstByteMs > budget.firstByteMs * limits.slowFactor)
-		|| (budget.betweenTokensMs > 0 && attempt.betweenTokensMs > budget.betweenTokensMs * limits.slowFactor);
+function wasOutAt(permit: Pick<Permit, 'grantedAt' | 'isAdopted'>, time: number): boolean {
+	return permit.isAdopted || permit.grantedAt <= time;
 }
 
-/** Raises the budget by one step once there is evidence enough at the present one. */
-function raise(world: World, budget: Budget) {
-	const configured = world.configuration.targets.get(budget.target);
-	if (!configured || budget.phase === Phase.Warm || budget.reportedCold) {
-		return;
+/** How many requests of the target's last report these permits, and those that have ended since, may account for. */
+export function explainedBy(budget: Budget, permits: Iterable<Permit>): number {
+	let count = 0;
+	for (const permit of permits) {
+		count += wasOutAt(permit, budget.reportedUntil) ? 1 : 0;
 	}
 
-	const needed = budget.phase === Phase.Cold ? world.limits.coldCompletions : budget.budget;
-	if (budget.completions < needed) {
-		return;
+	for (const permit of budget.ended) {
+		count += wasOutAt(permit, budget.reportedUntil) && permit.endedAt >= budget.reportedAt ? 1 : 0;
 	}
 
-	budget.completions = 0;
-	budget.budget = Math.min(configured.warmBudget, Math.max(budget.budget + 1, Math.floor(budget.budget * world.limits.rampFactor)));
-	budget.phase = budget.budget === configured.warmBudget ? Phase.Warm : Phase.Ramping;
+	return count;
 }
 
-/** Whether the owner before, or the holders of its permits, may still be unheard. */
-function isReconciling(world: World, budget: Budget): boolean {
-	if (world.now >= budget.reconcileUntil) {
-		return false;
-	}
+/** Requests that the target's last report counts and that no permit here explains, such as those of a silent holder. */
+function unexplained(world: World, budget: Budget): number {
+	return budget.reportedAt < budget.coldAt
+		? 0
+		: Math.max(0, budget.reportedRunning - explainedBy(budget, world.permits.group(budget.target)));
+}
 
-	return budget.awaiting.size > 0 || budget.reportedAt < budget.coldAt;
+function freeColdSlots(world: World, budget: Budget, coldBudget: number): number {
+	const limit = budget.failuresInRow > 0 ? 1 : coldBudget;
+	return Math.max(0, limit - world.permits.count(budget.target) - unexplained(world, budget));
 }
 
 /** Permits that a target can take at this moment. */
@@ -257,27 +174,35 @@
 		return 0;
 	}
 
-	const permits = world.permits.count(budget.target);
 	if (budget.phase === Phase.Cold || budget.phase === Phase.SetAside) {
-		const reported = budget.reportedAt >= budget.coldAt ? budget.reportedRunning : 0;
-		return Math.max(0, target.coldBudget - Math.max(permits, reported));
+		return freeColdSlots(world, budget, target.coldBudget);
 	}
 
-	return Math.max(0, Math.min(budget.budget, target.warmBudget) - permits);
+	const limit = isProven(budget) ? target.warmBudget : target.coldBudget;
+	return Math.max(0, Math.min(budget.budget, limit) - world.permits.count(budget.target));
 }
 
-/** Resets budgets whose target came back: a target or failure domain that was out starts cold. */
+function noteIdleness(world: World, budget: Budget) {
+	if (world.permits.count(budget.target) > 0) {
+		budget.busyAt = world.now;
+	} else if (world.now - budget.busyAt >= leastRestartMs) {
+		budget.busySince = world.now;
+	}
+}
+
+/** Ends pauses, notes which targets are idle, and resets those that operators took out: they return cold. */
 export function budgetsSystem(world: World) {
 	for (const budget of world.budgets.rows()) {
 		const target = world.configuration.targets.get(budget.target);
 		if (target && !isIn(world.configuration, target)) {
 			fallBack(world, budget, 'was taken out');
-			budget.coldAt = world.now;
 		}
 
 		if (budget.phase === Phase.SetAside && world.now >= budget.setAsideUntil) {
 			budget.phase = Phase.Cold;
 			budget.coldAt = world.now;
 		}
+
+		noteIdleness(world, budget);
 	}
 }
--- /dev/null
+++ b/packages/core/src/systems/evidence.ts
@@ -0,0 +1,157 @@
+/*
+Evidence for the budgets of targets: ends of attempts and load reports. What began before the last fall-back, and what a
+report tells of the time before it, raises nothing. See docs/design/cold-start.md.
+*/
+import {AttemptEnd, Phase, type PermitReturn} from '../messages.ts';
+import type {InboundOf} from '../ports.ts';
+import type {Budget, Permit} from '../rows.ts';
+import type {World} from '../world.ts';
+import {fallBack, setAside} from './budgets.ts';
+
+/** Weight of a sample in the running means. */
+const meanWeight = 0.1;
+
+/** Slow answers in a row after which a target counts as fallen back into cold start. */
+const slowInRowLimit = 2;
+
+/** A first byte that is late by less than this is never slow: the instances' own pauses are as long, in milliseconds. */
+const lateFirstByteMs = 200;
+
+/** Takes a load report of a target; a new start id means that it restarted, and is cold again. */
+export function onLoadReport(world: World, report: InboundOf<'loadReport'>) {
+	const budget = world.budgets.get(report.target);
+	if (!budget) {
+		return;
+	}
+
+	const reportedUntil = world.now - report.ageMs;
+	const reportedAt = reportedUntil - (report.roundTripMs ?? 0);
+	if (!report.reachable) {
+		onReportMissing(world, budget, reportedAt);
+		return;
+	}
+
+	if (reportedAt < budget.reportedAt) {
+		return;
+	}
+
+	if (budget.startId !== '' && budget.startId !== report.startId) {
+		fallBack(world, budget, 'restarted', budget.phase === Phase.Cold ? Math.max(budget.coldAt, reportedUntil) : world.now);
+	} else if (report.cold && reportedAt >= budget.coldAt && isAboveCold(budget)) {
+		fallBack(world, budget, 'reports that it is cold');
+	}
+
+	Object.assign(budget, {
+		startId: report.startId,
+		reportedRunning: report.running,
+		reportedAt,
+		reportedUntil,
+		reportedCold: report.cold,
+		ended: budget.ended.filter(({endedAt}) => endedAt >= reportedAt),
+	});
+}
+
+function isAboveCold({phase}: Budget): boolean {
+	return phase === Phase.Ramping || phase === Phase.Warm;
+}
+
+/** A report may get lost on its own; a target that answered since it was asked for lives. */
+function onReportMissing(world: World, budget: Budget, askedAt: number) {
+	if (budget.answeredAt < askedAt) {
+		setAside(world, budget);
+	}
+}
+
+type AttemptHandler = (world: World, budget: Budget, attempt: PermitReturn, isCurrent: boolean) => void;
+
+const attemptHandlers: Record<AttemptEnd, AttemptHandler> = {
+	[AttemptEnd.Whole]: onWhole,
+	[AttemptEnd.NotSent]: setAside,
+	[AttemptEnd.Refused]: setAside,
+	[AttemptEnd.Broken]: onBroken,
+	[AttemptEnd.Cancelled]() {
+		// The caller's doing; it tells nothing of the target.
+	},
+	[AttemptEnd.Mismatched](world, budget) {
+		fallBack(world, budget, 'mixed up answers');
+	},
+	[AttemptEnd.Unused]() {
+		// The holder's doing.
+	},
+};
+
+/** Takes the end of an attempt as evidence for its target's budget. */
+export function onAttemptEnd(world: World, attempt: PermitReturn, permit: Permit) {
+	const budget = world.budgets.get(attempt.target);
+	if (budget) {
+		attemptHandlers[attempt.end](world, budget, attempt, permit.grantedAt >= budget.coldAt);
+	}
+}
+
+/** The first broken answers mean a restart; one that began since then and got no byte means that the target fails. */
+function onBroken(world: World, budget: Budget, attempt: PermitReturn, isCurrent: boolean) {
+	if (!isCurrent) {
+		return;
+	}
+
+	if (budget.phase === Phase.Cold && attempt.firstByteMs === 0) {
+		setAside(world, budget);
+	} else {
+		fallBack(world, budget, 'broke an answer');
+	}
+}
+
+function onWhole(world: World, budget: Budget, attempt: PermitReturn, isCurrent: boolean) {
+	budget.answeredAt = world.now;
+	if (!isCurrent) {
+		return;
+	}
+
+	budget.failuresInRow = 0;
+	if (isSlow(world, budget, attempt)) {
+		budget.slowInRow += 1;
+		if (budget.slowInRow >= slowInRowLimit && budget.phase !== Phase.Cold) {
+			fallBack(world, budget, 'turned slow');
+		}
+
+		return;
+	}
+
+	budget.slowInRow = 0;
+	budget.firstByteMs = mean(budget.firstByteMs, attempt.firstByteMs);
+	budget.betweenTokensMs = mean(budget.betweenTokensMs, attempt.betweenTokensMs);
+	budget.completions += 1;
+	raise(world, budget);
+}
+
+function mean(before: number, sample: number): number {
+	return before === 0 ? sample : (before * (1 - meanWeight)) + (sample * meanWeight);
+}
+
+function isSlow({limits}: World, budget: Budget, attempt: PermitReturn): boolean {
+	const firstByteLimit = Math.max(budget.firstByteMs * limits.slowFactor, budget.firstByteMs + lateFirstByteMs);
+	return (budget.firstByteMs > 0 && attempt.firstByteMs > firstByteLimit)
+		|| (budget.betweenTokensMs > 0 && attempt.betweenTokensMs > budget.betweenTokensMs * limits.slowFactor);
+}
+
+/** Good completions that the next step takes. A cold target that says it is warm has to prove it just once a slot. */
+function completionsNeeded({limits}: World, budget: Budget): number {
+	if (budget.phase !== Phase.Cold) {
+		return budget.budget;
+	}
+
+	return budget.reportedCold === false ? Math.min(limits.coldCompletions, budget.budget) : limits.coldCompletions;
+}
+
+/** Raises the budget by one step once there is evidence enough at the present one. */
+function raise(world: World, budget: Budget) {
+	const configured = world.configuration.targets.get(budget.target);
+	const isReportedWarm = budget.reportedAt >= budget.coldAt && budget.reportedCold !== true;
+	if (!configured || budget.phase === Phase.Warm || !isReportedWarm || budget.completions < completionsNeeded(world, budget)) {
+		return;
+	}
+
+	budget.completions = 0;
+	budget.budget = Math.min(configured.warmBudget, Math.max(budget.budget + 1, Math.floor(budget.budget * world.limits.rampFactor)));
+	budget.phase = budget.budget === configured.warmBudget ? Phase.Warm : Phase.Ramping;
+}
--- a/packages/core/src/systems/handovers.ts
+++ b/packages/core/src/systems/handovers.ts
@@ -35,6 +35,8 @@
 		},
 	};
 	world.moves.set(move);
+	// Sent along with the write, so that the new owner has it once it sees the record; it counts with the record only.
+	send(world, to, {...move.handover!, epoch: record.epoch, version: 0});
 	write(world, move, record, version);
 }
 
--- a/packages/core/src/systems/owner-records.ts
+++ b/packages/core/src/systems/owner-records.ts
@@ -6,12 +6,15 @@
 import {type OwnerRecord} from '../records.ts';
 import {MoveKind, type Ownership} from '../rows.ts';
 import type {World} from '../world.ts';
-import {announcePermits} from './budgets.ts';
+import {announcePermits} from './announcements.ts';
 import {drop, hold} from './holdings.ts';
 
 /** Time for which the new owner of a target waits for the message of the old one before it starts without. */
 const handoverWaitMs = 100;
 
+/** What the owner before sent along with its write is kept for this time, in milliseconds. */
+const toldAheadMs = 2000;
+
 /** Takes an ownership record at a version, with what the owner before told of the target. */
 export function applyOwner(world: World, target: string, version: number, record: OwnerRecord, handover?: TargetHandover) {
 	const before = world.ownerships.get(target);
@@ -26,10 +29,11 @@
 
 	const {owner, incarnation, epoch} = record;
 	const ownership = {
-		target, owner, incarnation, epoch, version, learntAt: world.now, handover,
+		target, owner, incarnation, epoch, version, learntAt: world.now, awaitsHandover: mayBeHandedOver(world, before),
+		handover: handover ?? toldAhead(world, target, record),
 	};
 	world.ownerships.set(ownership);
-	settle(world, ownership, before);
+	settle(world, ownership);
 	if (before?.epoch !== epoch) {
 		announcePermits(world, target);
 	}
@@ -42,7 +46,7 @@
 }
 
 /** Starts or stops to serve a target as its record says. */
-export function settle(world: World, ownership: Ownership, before?: Ownership) {
+export function settle(world: World, ownership: Ownership) {
 	const {target, epoch, handover} = ownership;
 	const isServed = isOwn(world, ownership) && world.configuration.targets.has(target);
 	const held = world.holdings.get(target);
@@ -51,15 +55,27 @@
 	}
 
 	const isMoving = world.moves.get(target)?.kind === MoveKind.Handover;
-	if (isServed && !isMoving && !world.holdings.has(target) && !awaitsHandover(world, ownership, before)) {
+	if (isServed && !isMoving && !world.holdings.has(target) && !isHandoverUnderWay(world, ownership)) {
 		hold(world, target, epoch, handover);
 	}
 }
 
-/** Whether the message that follows a planned handover may still be under way. */
-function awaitsHandover(world: World, ownership: Ownership, before: Ownership | undefined): boolean {
+/** What the owner before sent along with its write of the record. */
+function toldAhead(world: World, target: string, {epoch, incarnation}: OwnerRecord): TargetHandover | undefined {
+	const told = world.handovers.get(target);
+	world.handovers.delete(target);
+	const isOfRecord = told?.message.epoch === epoch && told.message.tenure === incarnation;
+	return isOfRecord && world.now - told.toldAt < toldAheadMs ? told.message : undefined;
+}
+
+/** Whether the owner before may have handed the target over, so that its message follows the record. */
+function mayBeHandedOver(world: World, before: Ownership | undefined): boolean {
 	const isFromOther = before !== undefined && before.owner !== world.self.id && before.owner !== '';
 	const owner = isFromOther ? world.contacts.get(before.owner) : undefined;
-	return ownership.handover === undefined && owner?.tenure === before?.incarnation
-		&& owner !== undefined && world.now < ownership.learntAt + handoverWaitMs;
+	return owner !== undefined && owner.tenure === before?.incarnation;
+}
+
+/** Whether the message that follows a planned handover may still be under way. */
+function isHandoverUnderWay(world: World, {awaitsHandover, handover, learntAt}: Ownership): boolean {
+	return awaitsHandover && handover === undefined && world.now < learntAt + handoverWaitMs;
 }
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -47,6 +47,11 @@
 /** Takes a target that its owner handed to this router. */
 export function onTargetHandover(world: World, _from: string, message: PeerMessageOf<'targetHandover'>) {
 	const {target, epoch, tenure, version} = message;
+	if (version === 0) {
+		world.handovers.set(target, {message, toldAt: world.now});
+		return;
+	}
+
 	applyOwner(world, target, version, {
 		owner: world.self.id, incarnation: tenure, epoch, nonce: '',
 	}, message);
--- a/packages/core/src/systems/permits.ts
+++ b/packages/core/src/systems/permits.ts
@@ -3,18 +3,14 @@
 */
 import {AttemptEnd, type PeerMessageOf, type TargetHandover} from '../messages.ts';
 import type {Permit, Ticket} from '../rows.ts';
-import {due, type World} from '../world.ts';
-import {second} from '../units.ts';
+import {send, type World} from '../world.ts';
 import {
 	charge, costOf, learnOutput, serviceOf,
 } from './services.ts';
-import {onAttemptEnd} from './budgets.ts';
+import {onAttemptEnd} from './evidence.ts';
 
 type RunningEntry = TargetHandover['entries'][number];
 
-/** A permit that its holder hasn't reported for this long is void, in milliseconds. */
-const unseenMs = 4 * second;
-
 /** Records a permit, charging the input and the workspace's usual output ahead. */
 export function addPermit(world: World, ticket: Ticket, target: string): Permit {
 	const service = serviceOf(world, ticket);
@@ -25,6 +21,7 @@
 		workspace: ticket.workspace,
 		pool: ticket.pool,
 		grantedAt: world.now,
+		isAdopted: false,
 		inputTokens: ticket.inputTokens,
 		outputTokens: 0,
 		seenAt: world.now,
@@ -53,6 +50,7 @@
 		workspace: entry.workspace,
 		pool: entry.pool,
 		grantedAt: world.now,
+		isAdopted: true,
 		inputTokens: entry.inputTokens,
 		outputTokens: entry.outputTokens,
 		seenAt: world.now,
@@ -95,13 +93,15 @@
 	service.running -= 1;
 	world.permits.delete(permit.ticket);
 	chargeUpTo(world, permit, wasServed ? costOf(world, permit.inputTokens, outputTokens) : 0);
+	world.budgets.get(permit.target)?.ended.push({...permit, endedAt: world.now});
 }
 
 const servedEnds = new Set([AttemptEnd.Whole, AttemptEnd.Broken, AttemptEnd.Cancelled, AttemptEnd.Mismatched]);
 
-export function onPermitReturn(world: World, _from: string, message: PeerMessageOf<'permitReturn'>) {
+export function onPermitReturn(world: World, from: string, message: PeerMessageOf<'permitReturn'>) {
 	const permit = world.permits.get(message.ticket);
 	if (permit?.target !== message.target) {
+		passOn(world, from, message);
 		return;
 	}
 
@@ -111,28 +111,13 @@
 		learnOutput(serviceOf(world, permit), outputTokens);
 	}
 
-	onAttemptEnd(world, message);
+	onAttemptEnd(world, message, permit);
 }
 
-/** Drops permits whose holder has lapsed, has restarted, or lives but doesn't report them any more. */
-export function permitsSystem(world: World) {
-	if (!due(world, 'permits', second)) {
-		return;
-	}
-
-	for (const permit of world.permits.rows()) {
-		if (permit.origin !== world.self.id && isAbandoned(world, permit)) {
-			endPermit(world, permit, permit.outputTokens, true);
-		}
+/** Sends a holder's message to the owner that came after this router, of which the holder hasn't heard yet. */
+function passOn(world: World, from: string, message: PeerMessageOf<'permitReturn'>) {
+	const owner = world.ownerships.get(message.target)?.owner ?? '';
+	if (owner !== world.self.id && from === originOf(message.ticket)) {
+		send(world, owner, message);
 	}
 }
-
-function isAbandoned(world: World, permit: Permit): boolean {
-	const holder = world.members.get(permit.origin);
-	if (!holder) {
-		return true;
-	}
-
-	const hears = world.now - holder.heardAt < world.limits.heardMs;
-	return hears && world.now - permit.seenAt > unseenMs;
-}
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -15,7 +15,7 @@
 } from './demands.ts';
 import {canHold, place, placeAt} from './placement.ts';
 import {
-	hasTarget, isPool, rebuildRoutes, routesOf,
+	hasTarget, isIn, isPool, rebuildRoutes, routesOf,
 } from './routes.ts';
 import {checkRun, claimRun, dropRun} from './runs.ts';
 
@@ -85,13 +85,9 @@
 
 /** Puts a request into its workspace's queue, or refuses it at once. */
 export function enqueue(world: World, request: Request) {
-	const refusal = hasTarget(world, request.pool)
-		? queueRefusal(world, request)
-		: {
-			kind: RefusalKind.NoCapacity, outcome: Outcome.NotRun, detail: request.pool, retryAfterMs: 5 * second,
-		};
+	const refusal = hasTarget(world, request.pool) ? queueRefusal(world, request) : noCapacity(request);
 	if (refusal) {
-		refuse(world, request, refusal);
+		refuseUnrun(world, request, refusal);
 		return;
 	}
 
@@ -104,6 +100,18 @@
 	place(world, request);
 }
 
+function noCapacity({pool}: Request): Refusal {
+	return {
+		kind: RefusalKind.NoCapacity, outcome: Outcome.NotRun, detail: pool, retryAfterMs: 5 * second,
+	};
+}
+
+/** Refuses a request that is in no target's hands; its key can be used again. */
+function refuseUnrun(world: World, request: Request, refusal: Refusal) {
+	dropRun(world, request);
+	refuse(world, request, refusal);
+}
+
 /** Gives a request its final answer and forgets it. */
 export function refuse(world: World, request: Request, refusal: Refusal) {
 	leave(world, request);
@@ -152,6 +160,7 @@
 	request.target = message.target;
 	request.epoch = message.epoch;
 	request.attempts += 1;
+	request.startedAt = world.now;
 	if (request.once) {
 		claimRun(world, request);
 		return;
@@ -163,7 +172,10 @@
 /** Lets the edge connect to the target that the request has a permit for. */
 export function startAnswer(world: World, request: Request) {
 	const target = world.configuration.targets.get(request.target);
-	if (!target) {
+	if (!target || !isIn(world.configuration, target) || world.now - request.startedAt > world.limits.startWithinMs) {
+		// The owner may not have heard yet that the target was taken out; it is not to give it again.
+		request.excluded.push(request.target);
+		request.attempts -= 1;
 		giveBack(world, request, AttemptEnd.Unused);
 		enqueue(world, request);
 		return;
@@ -207,7 +219,7 @@
 	[TicketReturnReason.Rebalance]: placeAnew,
 	[TicketReturnReason.QueueFull]: placeAnew,
 	[TicketReturnReason.Late](world, request) {
-		refuse(world, request, lateRefusal(world, request));
+		refuseUnrun(world, request, lateRefusal(world, request));
 	},
 };
 
@@ -261,8 +273,14 @@
 	}
 
 	for (const request of world.requests.rows()) {
-		if (request.state === RequestState.Queued && request.deadline <= world.now) {
-			refuse(world, request, lateRefusal(world, request));
+		if (request.state !== RequestState.Queued) {
+			continue;
+		}
+
+		if (request.deadline <= world.now) {
+			refuseUnrun(world, request, lateRefusal(world, request));
+		} else if (!hasTarget(world, request.pool)) {
+			refuseUnrun(world, request, noCapacity(request));
 		}
 	}
 }
--- a/packages/core/src/systems/tickets.ts
+++ b/packages/core/src/systems/tickets.ts
@@ -7,6 +7,8 @@
 import type {Ticket} from '../rows.ts';
 import {due, send, type World} from '../world.ts';
 import {originOf} from './permits.ts';
+import {isHeard} from './quorum.ts';
+import {isIn} from './routes.ts';
 import {addTicket, removeTicket} from './services.ts';
 
 /** Period at which waiting tickets are looked through, in milliseconds. */
@@ -18,10 +20,11 @@
 	});
 }
 
-/** Whether this router owns a target of the pool. */
+/** Whether this router owns a target of the pool that operators let work go to. */
 export function ownsPool(world: World, pool: string): boolean {
 	for (const budget of world.budgets.rows()) {
-		if (world.configuration.targets.get(budget.target)?.pools.includes(pool)) {
+		const target = world.configuration.targets.get(budget.target);
+		if (target?.pools.includes(pool) && isIn(world.configuration, target)) {
 			return true;
 		}
 	}
@@ -65,14 +68,33 @@
 	}
 
 	for (const ticket of world.tickets.rows()) {
-		if (world.state === MemberState.Leaving) {
+		const reason = reasonToReturn(world, ticket);
+		if (reason !== undefined) {
 			removeTicket(world, ticket.ticket);
-			giveTicketBack(world, ticket, TicketReturnReason.Leaving);
-		} else if (!ownsPool(world, ticket.pool)) {
+			giveTicketBack(world, ticket, reason);
+		} else if (ticket.deadline < world.now - sweepMs) {
 			removeTicket(world, ticket.ticket);
-			giveTicketBack(world, ticket, TicketReturnReason.NotOwner);
-		} else if (ticket.deadline < world.now - sweepMs || !world.members.has(ticket.origin)) {
+		}
+	}
+}
+
+/** Why a ticket can't stay here; a holder that isn't heard could not use a permit. */
+function reasonToReturn(world: World, {pool, origin}: Ticket): TicketReturnReason | undefined {
+	if (world.state === MemberState.Leaving) {
+		return TicketReturnReason.Leaving;
+	}
+
+	const holder = world.members.get(origin);
+	const isReachable = origin === world.self.id || (holder !== undefined && isHeard(world, holder));
+	return ownsPool(world, pool) && isReachable ? undefined : TicketReturnReason.NotOwner;
+}
+
+/** Gives back the tickets of a member whose stream broke: it may be gone, and grants to it may be lost. */
+export function returnTickets(world: World, member: string) {
+	for (const ticket of world.tickets.rows()) {
+		if (ticket.origin === member) {
 			removeTicket(world, ticket.ticket);
+			giveTicketBack(world, ticket, TicketReturnReason.NotOwner);
 		}
 	}
 }
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -5,7 +5,7 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {emptyConfiguration, type Configuration} from './configuration.ts';
 import {limitDefaults, type Limits} from './limits.ts';
-import {MemberState, type PeerMessage} from './messages.ts';
+import {MemberState, type PeerMessage, type TargetHandover} from './messages.ts';
 import type {
 	LogPart, Outbound, StoreOperation, StoreResult, StoredObject,
 } from './ports.ts';
@@ -107,6 +107,8 @@
 	holdings: Map<string, number>;
 	/** Claims and handovers in progress. */
 	moves: Table<Move>;
+	/** Handovers to this router whose record it hasn't seen yet, by target. */
+	handovers: Map<string, {message: TargetHandover; toldAt: number}>;
 	preferences: Table<Preference>;
 	/** Preferred owners as last computed, by target, and the view that they follow from. */
 	preferred: {view: string; owners: Map<string, string>};
@@ -167,6 +169,7 @@
 		ownerships: createTable<Ownership>({key: ownership => ownership.target}),
 		holdings: new Map(),
 		moves: createTable<Move>({key: move => move.target}),
+		handovers: new Map(),
 		preferences: createTable<Preference>({key: preference => preference.target}),
 		preferred: {view: '', owners: new Map()},
 		budgets: createTable<Budget>({key: budget => budget.target}),
--- /dev/null
+++ b/packages/core/test/support/engines.ts
@@ -0,0 +1,190 @@
+/*
+Model engines as the edges of a fleet of cores see them: they carry few requests while cold, lose everything when they
+restart, go on for a while with what nobody reads, and report their load late.
+*/
+import {AttemptEnd} from '../../src/messages.ts';
+import type {Inbound} from '../../src/ports.ts';
+import type {Fleet} from './fleet.ts';
+
+export type EnginesOptions = typeof enginesDefaults;
+
+export const enginesDefaults = {
+	serviceMs: 300,
+	coldCapacity: 1,
+	coldCompletions: 4,
+	reportLagMs: 500,
+	reportEveryMs: 500,
+	/** How long a request goes on whose router is gone. */
+	orphanMs: 2000,
+	/** Whether a router gets the report that it asks for. */
+	reports: (_target: string): boolean => true,
+};
+
+type Running = {request: string; router: string; incarnation: string; startedAt: number; orphanedAt: number | undefined};
+type Snapshot = {at: number; startId: string; running: number; cold: boolean};
+
+export type Engine = {
+	id: string;
+	restarts: number;
+	cold: boolean;
+	completions: number;
+	slowFactor: number;
+	/** Times that a cold engine was given more than it carries. */
+	overruns: number;
+	running: Running[];
+	/** When each request was admitted. */
+	admissions: Array<{at: number; request: string}>;
+	snapshots: Snapshot[];
+};
+
+export type Engines = ReturnType<typeof attachEngines>;
+
+/** Lets engines answer what the routers of a fleet send to its targets. */
+export function attachEngines(fleet: Fleet, targets: string[], options: Partial<EnginesOptions> = {}) {
+	const settings = {...enginesDefaults, ...options};
+	const engines = new Map(targets.map(id => [id, createEngine(id)]));
+	let seen = 0;
+	let advancedAt = 0;
+	const polledAt = new Map<string, number>();
+
+	function give(router: string, inbound: Inbound) {
+		if (fleet.worlds.has(router)) {
+			fleet.give(router, inbound);
+		}
+	}
+
+	function end(engine: Engine, {request, router, startedAt}: Running, attemptEnd: AttemptEnd) {
+		const tookMs = fleet.now - startedAt;
+		give(router, {
+			kind: 'answerEnded', request, target: engine.id, end: attemptEnd, outputTokens: attemptEnd === AttemptEnd.Whole ? 10 : 0,
+			delivered: false, firstByteMs: tookMs / 2, betweenTokensMs: tookMs / 20,
+		});
+	}
+
+	function restart(engine: Engine) {
+		const lost = engine.running;
+		Object.assign(engine, {
+			restarts: engine.restarts + 1, cold: true, completions: 0, running: [],
+		});
+		for (const running of lost) {
+			end(engine, running, AttemptEnd.Broken);
+		}
+	}
+
+	function admit(engine: Engine, router: string, request: string) {
+		const running = {
+			request, router, incarnation: fleet.worlds.get(router)!.self.incarnation, startedAt: fleet.now, orphanedAt: undefined,
+		};
+		engine.admissions.push({at: fleet.now, request});
+		engine.running.push(running);
+		if (engine.cold && engine.running.length > settings.coldCapacity) {
+			engine.overruns += 1;
+			restart(engine);
+		}
+	}
+
+	function advance(engine: Engine) {
+		for (const running of engine.running) {
+			if (running.orphanedAt === undefined && fleet.worlds.get(running.router)?.self.incarnation !== running.incarnation) {
+				running.orphanedAt = fleet.now;
+			}
+		}
+
+		engine.running = engine.running.filter(({orphanedAt}) => orphanedAt === undefined || fleet.now - orphanedAt < settings.orphanMs);
+		const isDone = ({startedAt, orphanedAt}: Running) =>
+			orphanedAt === undefined && fleet.now - startedAt >= settings.serviceMs * engine.slowFactor;
+		const done = engine.running.filter(running => isDone(running));
+		engine.running = engine.running.filter(running => !isDone(running));
+		for (const running of done) {
+			engine.completions += 1;
+			end(engine, running, AttemptEnd.Whole);
+		}
+
+		engine.cold &&= engine.completions < settings.coldCompletions;
+		engine.snapshots.push({
+			at: fleet.now, startId: `${engine.id}.${engine.restarts}`, running: engine.running.length, cold: engine.cold,
+		});
+	}
+
+	function poll(router: string, target: string) {
+		const key = `${router}/${target}`;
+		if (fleet.now - (polledAt.get(key) ?? 0) < settings.reportEveryMs || !settings.reports(target)) {
+			return;
+		}
+
+		polledAt.set(key, fleet.now);
+		const {snapshots} = engines.get(target)!;
+		const {at, ...snapshot} = snapshots.findLast(entry => fleet.now - entry.at >= settings.reportLagMs) ?? snapshots[0]!;
+		give(router, {
+			kind: 'loadReport', target, ...snapshot, ageMs: fleet.now - at, reachable: true,
+		});
+	}
+
+	fleet.check = () => {
+		for (; seen < fleet.outbox.length; seen += 1) {
+			const {from, item} = fleet.outbox[seen]!;
+			if (item.kind === 'startAnswer') {
+				admit(engines.get(item.target)!, from, item.request);
+			}
+		}
+
+		if (advancedAt === fleet.now) {
+			return;
+		}
+
+		advancedAt = fleet.now;
+		for (const engine of engines.values()) {
+			advance(engine);
+		}
+
+		for (const [router, world] of fleet.worlds) {
+			for (const {target} of world.budgets.rows()) {
+				poll(router, target);
+			}
+		}
+	};
+
+	return {
+		settings,
+		of: (id: string) => engines.get(id)!,
+		restart(id: string) {
+			restart(engines.get(id)!);
+		},
+		overruns: () => [...engines.values()].reduce((sum, {overruns}) => sum + overruns, 0),
+	};
+}
+
+function createEngine(id: string): Engine {
+	return {
+		id, restarts: 0, cold: true, completions: 0, slowFactor: 1, overruns: 0, running: [], admissions: [], snapshots: [],
+	};
+}
+
+/** Sends requests of one workspace to a router. */
+export function ask(fleet: Fleet, router: string, count: number, workspace = 'w1') {
+	for (let index = 0; index < count; index += 1) {
+		asked += 1;
+		fleet.give(router, {
+			kind: 'callerRequest', request: {
+				id: `${router}/${asked}`, workspace, pool: 'm', inputTokens: 10, costHint: 10, prefixHash: 0,
+				deadline: fleet.now + 60_000, once: false, idempotencyKey: '',
+			},
+		});
+	}
+}
+
+let asked = 0;
+
+/** Keeps requests waiting at routers while the fleet runs. */
+export function runLoaded(fleet: Fleet, ms: number, routers: string[], perRouter = 6) {
+	const end = fleet.now + ms;
+	while (fleet.now < end) {
+		for (const router of routers) {
+			const world = fleet.worlds.get(router);
+			const open = world ? [...world.requests.rows()].length : perRouter;
+			ask(fleet, router, Math.max(0, perRouter - open));
+		}
+
+		fleet.run(50);
+	}
+}
--- a/packages/core/test/support/fleet.ts
+++ b/packages/core/test/support/fleet.ts
@@ -172,6 +172,12 @@
 	}
 
 	const configuration = {...emptyConfiguration(), revision: 1};
+	for (const id of ['w1', 'w2']) {
+		configuration.workspaces.set(id, {
+			id, weight: 1, keyHash: '0'.repeat(64), queueLimit: 100_000,
+		});
+	}
+
 	for (const [id, failureDomain] of Object.entries(targets)) {
 		configuration.targets.set(id, {
 			id, url: 'http://10.0.0.1', kind: TargetKind.Engine, failureDomain, pools: ['m'], warmBudget: 4, coldBudget: 1, standing: Standing.In, fences: false,
--- a/packages/router/src/targets/load-poll.ts
+++ b/packages/router/src/targets/load-poll.ts
@@ -39,6 +39,7 @@
 		}
 
 		inFlight.add(target);
+		const askedAt = timer.now();
 		const load = await readLoad(url, agents, 4 * periodMs);
 		inFlight.delete(target);
 		onReport({
@@ -47,6 +48,7 @@
 			startId: load?.startId ?? '',
 			running: load?.running ?? 0,
 			ageMs: load?.ageMs ?? 0,
+			roundTripMs: timer.now() - askedAt,
 			reachable: load !== undefined,
 			cold: load?.cold,
 		});
