End an answer whose rest the engine doesn't keep as broken

Cause: the error that answers a resumption was taken for a whole answer and its head written into a stream that had begun; that threw, and the caller hung until its own timeout. A failure of the engine itself counted as a good completion.

Change: anything but 200 in place of the rest of a stream, and a 5xx of an engine, is a broken attempt.

--- /dev/null
+++ b/packages/core/test/failure-domains.test.ts
@@ -0,0 +1,148 @@
+import {Standing} from '../src/configuration.ts';
+import {Phase} from '../src/messages.ts';
+import type {ReleaseNote} from '../src/release-note.ts';
+import {RefusalKind} from '../src/refusal.ts';
+import {RequestState} from '../src/rows.ts';
+import {addresses} from '../src/systems/addresses.ts';
+import {attachEngines, ask, runLoaded} from './support/engines.ts';
+import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
+
+const routers = {
+	a: 'x', b: 'x', c: 'y', d: 'y', e: 'z', f: 'z',
+};
+const targets = {t1: 'x', t2: 'y', t3: 'z'};
+const entries = Object.keys(routers);
+
+function start() {
+	const fleet = createFleet({routers, targets});
+	const engines = attachEngines(fleet, Object.keys(targets));
+	fleet.until(() => Object.keys(targets).every(target => fleet.servers(target).length === 1), 6000);
+	runLoaded(fleet, 15_000, entries);
+	expect(engines.overruns()).toBe(0);
+	return {fleet, engines};
+}
+
+function release(fleet: Fleet, note: ReleaseNote, to = 'a') {
+	fleet.give(to, {
+		kind: 'releaseProposed', proposal: `${to}-${fleet.now}`, note, operator: 'op', reason: 'drill', at: '2026-01-01T00:00:00Z',
+	});
+	const revision = Math.max(...[...fleet.worlds.values()].map(world => world.configuration.revision));
+	fleet.until(() => [...fleet.worlds.values()].every(world => world.configuration.revision === revision + 1), 3000);
+}
+
+function domain(name: string, standing: Standing): ReleaseNote {
+	return {changed: {failureDomains: [{name, standing}]}};
+}
+
+const takingOut: Array<{name: string; note: ReleaseNote}> = [
+	{name: 'a failure domain that is taken out', note: domain('y', Standing.Out)},
+	{name: 'a target that is drained', note: {changed: {targets: [{id: 't2', standing: Standing.Out}]}}},
+	{name: 'a target that is withdrawn', note: {withdrawn: {targets: ['t2']}}},
+];
+
+test.each(takingOut)('$name gets no new work once the release is in force, and the others go on', ({note}) => {
+	const {fleet, engines} = start();
+	release(fleet, note);
+	const inForce = fleet.now;
+	const before = engines.of('t1').admissions.length;
+	runLoaded(fleet, 5000, entries);
+	expect(engines.of('t2').admissions.filter(({at}) => at > inForce)).toEqual([]);
+	// Each of the two others serves 4 at once, 300 ms and two ticks each; what waited for the domain counts too.
+	expect(engines.of('t1').admissions.length - before).toBeGreaterThan(0.9 * 4 * 5000 / (300 + (3 * tickMs)));
+	expect(refusals(fleet)).toEqual([]);
+});
+
+function refusals(fleet: Fleet, since = 0) {
+	return fleet.outbox.filter(({at, item}) => at > since && item.kind === 'refuse')
+		.map(({item}) => item.kind === 'refuse' ? item.refusal : undefined);
+}
+
+test('callers are told no address of a failure domain that is out', () => {
+	const {fleet} = start();
+	release(fleet, domain('y', Standing.Out));
+	for (const world of fleet.worlds.values()) {
+		const domains = addresses(world, 'y').map(({failureDomain}) => failureDomain);
+		expect(domains).toHaveLength(4);
+		expect(domains).not.toContain('y');
+	}
+});
+
+test('a permit that was given before the release but not started isn\'t started', () => {
+	const {fleet, engines} = start();
+	// Routers of y learn of the release last: their grants meet holders that have it in force.
+	fleet.delay = (from, to, item) => (from === 'watch' && ['c', 'd'].includes(to))
+		|| (item.kind === 'send' && ['releaseNotes'].includes(item.message.kind))
+		? undefined
+		: 1;
+	const revision = fleet.worlds.get('a')!.configuration.revision + 1;
+	fleet.give('a', {
+		kind: 'releaseProposed', proposal: 'p', note: domain('y', Standing.Out), operator: 'op', reason: 'drill', at: '2026-01-01T00:00:00Z',
+	});
+	const others = ['a', 'b', 'e', 'f'];
+	fleet.until(() => others.every(id => fleet.worlds.get(id)!.configuration.revision === revision), 3000);
+	const inForce = fleet.now;
+	runLoaded(fleet, 500, others);
+	const late = engines.of('t2').admissions.filter(({at, request}) => at > inForce && others.includes(request[0]!));
+	expect(late).toEqual([]);
+});
+
+test('requests of a pool of which every target is out are refused at once, those that wait too', () => {
+	const {fleet} = start();
+	ask(fleet, 'a', 20);
+	fleet.run(tickMs);
+	release(fleet, {changed: {failureDomains: ['x', 'y', 'z'].map(name => ({name, standing: Standing.Out}))}});
+	const inForce = fleet.now;
+	fleet.run(1000);
+	ask(fleet, 'c', 1);
+	fleet.run(tickMs);
+	const told = refusals(fleet);
+	expect(told.length).toBeGreaterThan(1);
+	for (const refusal of told) {
+		expect(refusal).toMatchObject({kind: RefusalKind.NoCapacity, outcome: 'not-run', retryAfterMs: expect.any(Number)});
+	}
+
+	expect(Math.max(...fleet.outbox.filter(({item}) => item.kind === 'refuse').map(({at}) => at))).toBeLessThanOrEqual(inForce + 1100);
+	expect([...fleet.worlds.values()].flatMap(world => [...world.requests.rows()]).filter(({state}) => state === RequestState.Queued)).toEqual([]);
+});
+
+test('a failure domain that returns starts cold and ramps, and no workspace floods it', () => {
+	const {fleet, engines} = start();
+	release(fleet, domain('y', Standing.Out));
+	runLoaded(fleet, 5000, entries);
+	engines.restart('t2');
+	for (let tick = 0; tick < 100; tick += 1) {
+		ask(fleet, 'a', 1, 'w2');
+		fleet.run(tickMs);
+	}
+
+	release(fleet, domain('y', Standing.In));
+	const returned = fleet.now;
+	const cold = [...fleet.worlds.values()].find(world => world.budgets.has('t2'))!.budgets.get('t2')!;
+	expect(cold.phase).toBe(Phase.Cold);
+	runLoaded(fleet, 15_000, entries);
+	expect(cold.phase).toBe(Phase.Warm);
+	expect(engines.overruns()).toBe(0);
+	const own = engines.of('t2').admissions.filter(({at}) => at > returned).length;
+	expect(own).toBeGreaterThan(20);
+});
+
+test('a failure domain that dies and comes back leaves the others at work and returns cold', () => {
+	const {fleet, engines} = start();
+	const rest = ['a', 'b', 'e', 'f'];
+	fleet.kill('c');
+	fleet.kill('d');
+	engines.restart('t2');
+	const died = fleet.now;
+	engines.settings.reports = target => target !== 't2';
+	engines.settings.down.add('t2');
+	runLoaded(fleet, 15_000, rest);
+	const after = engines.of('t1').admissions.filter(({at}) => at > died + 5000).length;
+	expect(after).toBeGreaterThan(0.9 * 4 * 10_000 / (300 + (3 * tickMs)));
+	engines.settings.down.clear();
+	engines.settings.reports = () => true;
+	fleet.start('c');
+	fleet.start('d');
+	runLoaded(fleet, 40_000, rest);
+	expect(engines.overruns()).toBe(0);
+	expect([...fleet.worlds.values()].find(world => world.budgets.has('t2'))!.budgets.get('t2')!.phase).toBe(Phase.Warm);
+});
--- a/packages/core/test/support/engines.ts
+++ b/packages/core/test/support/engines.ts
@@ -18,6 +18,8 @@
 	orphanMs: 2000,
 	/** Whether a router gets the report that it asks for. */
 	reports: (_target: string): boolean => true,
+	/** Targets that can't be connected. */
+	down: new Set<string>(),
 };
 
 type Running = {request: string; router: string; incarnation: string; startedAt: number; orphanedAt: number | undefined};
@@ -41,7 +43,7 @@
 
 /** Lets engines answer what the routers of a fleet send to its targets. */
 export function attachEngines(fleet: Fleet, targets: string[], options: Partial<EnginesOptions> = {}) {
-	const settings = {...enginesDefaults, ...options};
+	const settings = {...enginesDefaults, down: new Set<string>(), ...options};
 	const engines = new Map(targets.map(id => [id, createEngine(id)]));
 	let seen = 0;
 	let advancedAt = 0;
@@ -72,6 +74,13 @@
 	}
 
 	function admit(engine: Engine, router: string, request: string) {
+		if (settings.down.has(engine.id)) {
+			end(engine, {
+				request, router, incarnation: '', startedAt: fleet.now, orphanedAt: undefined,
+			}, AttemptEnd.NotSent);
+			return;
+		}
+
 		const running = {
 			request, router, incarnation: fleet.worlds.get(router)!.self.incarnation, startedAt: fleet.now, orphanedAt: undefined,
 		};
--- a/packages/router/src/targets/attempt.ts
+++ b/packages/router/src/targets/attempt.ts
@@ -57,6 +57,11 @@
 	return echoed === undefined || echoed === exchange.request;
 }
 
+/** Whether an engine answers the request: not with its own failure, nor with an error in place of the rest of a stream. */
+function isAnswer(exchange: Exchange, {statusCode}: Answer): boolean {
+	return statusCode === 200 || (statusCode < 500 && !exchange.response.headersSent);
+}
+
 /** Runs attempts and resumptions of exchanges. */
 export function createAttempts({agents, now, onStarted, onEnded}: AttemptOptions) {
 	function markFirstByte(exchange: Exchange) {
@@ -143,6 +148,12 @@
 			return;
 		}
 
+		if (exchange.kind === TargetKind.Engine && !isAnswer(exchange, answer)) {
+			await answer.body.dump();
+			onEnded(end(exchange, place, AttemptEnd.Broken));
+			return;
+		}
+
 		const isStream = exchange.wantsStream && answer.statusCode === 200;
 		await (isStream ? stream(exchange, place, answer) : collect(exchange, place, answer));
 	}
--- /dev/null
+++ b/packages/router/test/attempt.test.ts
@@ -0,0 +1,79 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {TargetKind} from '@shallotloom/core/configuration.ts';
+import {AttemptEnd} from '@shallotloom/core/messages.ts';
+import type {InboundOf} from '@shallotloom/core/ports.ts';
+import type {Exchange} from '../src/exchange.ts';
+import {createAttempts} from '../src/targets/attempt.ts';
+import {createTargetAgents} from '../src/targets/target-client.ts';
+
+const cases = [
+	{
+		name: 'a stream that the engine doesn\'t keep any more', isResumed: true, status: 404, end: AttemptEnd.Broken,
+	},
+	{
+		name: 'a failure of the engine itself', isResumed: false, status: 500, end: AttemptEnd.Broken,
+	},
+	{
+		name: 'an engine that takes no more', isResumed: false, status: 503, end: AttemptEnd.Refused,
+	},
+	{
+		name: 'an error that is the caller\'s own', isResumed: false, status: 400, end: AttemptEnd.Whole,
+	},
+];
+
+test.each(cases)('$name ends the attempt as $end and writes nothing of it into a begun answer', async ({isResumed, status, end}) => {
+	const engine = createServer((_request, response) => {
+		response.writeHead(status, {'content-type': 'application/json'});
+		response.end('{"error":"no"}');
+	});
+	const url = await listen(engine);
+	const agents = createTargetAgents();
+	const written: string[] = [];
+	try {
+		const ended = await new Promise<InboundOf<'answerEnded'>>(resolve => {
+			const attempts = createAttempts({
+				agents, now: () => performance.now(), onEnded: resolve, onStarted() {
+					// Only the end matters here.
+				},
+			});
+			const exchange = exchangeOf(isResumed, written);
+			attempts[isResumed ? 'resume' : 'start'](exchange, {target: 't1', url});
+		});
+		expect(ended.end).toBe(end);
+		expect(written).toEqual(end === AttemptEnd.Whole ? ['400', '{"error":"no"}'] : []);
+	} finally {
+		await agents.close();
+		engine.close();
+	}
+});
+
+async function listen(server: Server): Promise<string> {
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function exchangeOf(headersSent: boolean, written: string[]): Exchange {
+	const response = {
+		headersSent,
+		writeHead(code: number) {
+			written.push(String(code));
+		},
+		write(text: string) {
+			written.push(text);
+			return true;
+		},
+		end(text: string) {
+			written.push(text);
+		},
+	};
+	return {
+		request: 'a/1', kind: TargetKind.Engine, path: '/v1/chat/completions', method: 'POST', body: Buffer.from('{}').toString(),
+		contentType: 'application/json', idempotencyKey: '', prefixHash: 0, wantsStream: true, once: false,
+		response: response as unknown as ServerResponse, abort: new AbortController(), isAborted: false, offset: headersSent ? 3 : 0,
+		isFinished: false, delivered: headersSent, reported: 0, attemptStartedAt: 0, firstByteAt: 0, lastTokenAt: 0,
+	};
+}
