Bench: a failure domain that dies at once, and utilisation from when the fleet is warm

Cause: failure-domain only takes a domain out by a release; utilisation counted the cold ramp, 3 s after the start, as idle. Change: domain-crash kills all routers and targets of a domain and starts them again; utilisation counts from when owners allow every slot, at the latest after 12 s, so that later fall-backs still count.

--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -20,7 +20,7 @@
 import {writeSettings, type RouterAddresses} from './settings-file.ts';
 import {addLink, setDomains} from './standin.ts';
 
-const standin = 'shallotloom-standin';
+export const standinProgram = 'shallotloom-standin';
 const routerProgram = 'shallotloom-router';
 const localHost = '127.0.0.1';
 
@@ -43,6 +43,7 @@
 	/** The target itself, without the relay: for the controls of the stand-in. */
 	directUrl: string;
 	child: Child;
+	args: string[];
 };
 
 export type Deployment = {
@@ -62,6 +63,8 @@
 	term: (router: string) => Promise<number | null>;
 	/** Starts a killed or stopped router again with the same settings. */
 	restart: (router: string) => Promise<void>;
+	/** Ends a process with the deployment that was started for it later. */
+	adopt: (child: Child) => void;
 	/** Last lines that each process has written. */
 	outputs: () => string;
 	/** Ends every process of the deployment. */
@@ -112,8 +115,8 @@
 	};
 
 	const [platform, network] = await Promise.all([
-		start('platform', standin, ['platform', '--listen', await place(localHost)]),
-		start('network', standin, ['network', '--listen', await place(localHost)]),
+		start('platform', standinProgram, ['platform', '--listen', await place(localHost)]),
+		start('network', standinProgram, ['network', '--listen', await place(localHost)]),
 	]);
 	const networkUrl = urlOf(network);
 	const platformUrl = urlOf(platform);
@@ -126,9 +129,10 @@
 
 	const targets = await Promise.all(plan.targets.map(async target => {
 		const listen = await place(target.address);
-		const child = await start(target.id, standin, targetArguments(target, listen, options));
+		const args = targetArguments(target, listen, options);
+		const child = await start(target.id, standinProgram, args);
 		return {
-			...target, child, directUrl: `http://${listen}`, url: `http://${await relay(target.address, listen)}`,
+			...target, child, args, directUrl: `http://${listen}`, url: `http://${await relay(target.address, listen)}`,
 		};
 	}));
 	const routers = await Promise.all(plan.routers.map(async router => {
@@ -147,6 +151,9 @@
 	const deployment: Deployment = {
 		options, platformUrl, networkUrl, routers, targets, workspaces: options.workspaces, stop,
 		outputs: () => lastOutputs(children),
+		adopt(child) {
+			children.push(child);
+		},
 		...routerControls(routers, start),
 	};
 	await releaseFirst(deployment, firstRelease(options, targets));
--- /dev/null
+++ b/packages/bench/src/scenarios/domain-crash.ts
@@ -0,0 +1,85 @@
+/*
+A failure domain dies under full load and comes back: its routers and targets are killed at once. What ran there is lost;
+what callers send from then on, with addresses that they asked for anew, must not be.
+*/
+import type {Deployment} from '../deployment/deployment.ts';
+import {killDomain, restartDomain} from '../deployment/domain-controls.ts';
+import {sleep} from '../deployment/http.ts';
+import {openAddressBook} from '../load/address-book.ts';
+import {startLoad} from '../load/load.ts';
+import {endings, isFailure} from '../load/record.ts';
+import {schedule} from '../load/schedule.ts';
+import {atLeast, atMost, rounded} from '../measure/figures.ts';
+import {goodputFraction, timeToGoodput, type GoodputOptions} from '../measure/goodput.ts';
+import {fleetCapacity, routerUrls, shareLoads} from './capacity.ts';
+import {coldOverrunsOf, enginesOf} from './engines.ts';
+import {
+	withDeployment, type Scenario, type ScenarioResult, type ScenarioRun,
+} from './scenario.ts';
+
+const domain = 'labasa';
+
+/** Offered load as a multiple of the full capacity. */
+const loadFactor = 1.1;
+
+const retries = 5;
+
+/** Time after which goodput counts: as long as a domain that is taken out may still get new work. */
+const allowedMs = 3000;
+
+/** Callers keep an address for 5 s; a request that they send to a dead router in that time is lost with it. */
+const addressesKeptMs = 6000;
+
+const fullService = 0.95;
+
+export const domainCrash: Scenario = {
+	summary: 'service while a failure domain dies at once and comes back',
+	seconds: 44,
+	run: async run => withDeployment({}, async deployment => measure(deployment, run)),
+};
+
+async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun): Promise<ScenarioResult> {
+	const durationMs = seconds * 1000;
+	const loads = shareLoads(deployment, {factorOf: () => loadFactor, burstSeconds: 2});
+	const book = await openAddressBook(deployment.workspaces, routerUrls(deployment));
+	const load = startLoad({
+		arrivals: schedule({seed, durationMs, loads}),
+		durationMs,
+		workspaces: deployment.workspaces,
+		entryOf: ({workspace}, attempts) => book.addressOf(workspace, attempts),
+		retries,
+	});
+	await sleep(durationMs / 4);
+	const overrunsBefore = await coldOverrunsOf(enginesOf(deployment, domain));
+	const diedMs = load.elapsedMs();
+	await killDomain(deployment, domain);
+	progress(`${domain} died`);
+	await sleep((durationMs * 0.6) - load.elapsedMs());
+	const backMs = load.elapsedMs();
+	await restartDomain(deployment, domain);
+	progress(`${domain} is back`);
+	await sleep(durationMs - load.elapsedMs() - 200);
+	const coldOverruns = overrunsBefore + await coldOverrunsOf(enginesOf(deployment));
+	const {records, totals} = await load.finished;
+	book.close();
+	const {slots} = fleetCapacity(deployment.options);
+	const survivingSlots = slots * (1 - (enginesOf(deployment, domain).length / enginesOf(deployment).length));
+	const capacity = (of: number): GoodputOptions => ({...deployment.options.engine, totals, slots: of});
+	const failures = records.filter(record => isFailure(record));
+	const failedRequests = failures.filter(({sentMs}) => sentMs > diedMs + addressesKeptMs).length;
+	const goodput = goodputFraction(capacity(survivingSlots), diedMs + allowedMs, backMs);
+	return {
+		failedRequests,
+		lostAtCrash: failures.filter(({sentMs}) => sentMs <= diedMs + addressesKeptMs).length,
+		goodputFraction: rounded(goodput),
+		coldOverruns,
+		returnSeconds: rounded(timeToGoodput(capacity(slots), fullService, backMs, durationMs) / 1000),
+		goodputBefore: rounded(goodputFraction(capacity(slots), diedMs / 2, diedMs)),
+		endings: endings(records),
+		bounds: {
+			failedRequests: atMost(failedRequests, 0),
+			goodputFraction: atLeast(goodput, fullService),
+			coldOverruns: atMost(coldOverruns, 0),
+		},
+	};
+}
--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -4,6 +4,7 @@
 import {coldStart} from './cold-start.ts';
 import {control} from './control.ts';
 import {failureDomain} from './failure-domain.ts';
+import {domainCrash} from './domain-crash.ts';
 import {fairness} from './fairness.ts';
 import {overhead} from './overhead.ts';
 import type {Scenario} from './scenario.ts';
@@ -15,6 +16,7 @@
 	starvation,
 	utilisation,
 	'failure-domain': failureDomain,
+	'domain-crash': domainCrash,
 	'cold-start': coldStart,
 	control,
 	overhead,
--- a/packages/bench/src/scenarios/utilisation.ts
+++ b/packages/bench/src/scenarios/utilisation.ts
@@ -8,9 +8,7 @@
 import {isRefusal, type RequestRecord} from '../load/record.ts';
 import {schedule} from '../load/schedule.ts';
 import {atLeast, mean, rounded} from '../measure/figures.ts';
-import {
-	fleetCapacity, routerUrls, shareLoads, warmUpMs,
-} from './capacity.ts';
+import {fleetCapacity, routerUrls, shareLoads} from './capacity.ts';
 import {engineBudgets, enginesOf, runningOn} from './engines.ts';
 import {startSampler, type Sample} from './sampler.ts';
 import {withDeployment, type Scenario, type ScenarioRun} from './scenario.ts';
@@ -19,11 +17,15 @@
 const loadFactor = 1;
 
 const sampleEveryMs = 100;
+
+/** What isn't warm by then counts as idle. */
+const longestWarmUpMs = 12_000;
+
 const leastBusy = 0.97;
 
 export const utilisation: Scenario = {
 	summary: 'how much of the warm slots is busy while any request waits',
-	seconds: 36,
+	seconds: 44,
 	async run(run) {
 		const {busyFraction, allowedFraction} = await measure(Discipline.Fair, run);
 		const baseline = await measure(Discipline.Bound, run);
@@ -72,9 +74,11 @@
 	});
 }
 
-/** Mean parts of the slots that were used and allowed, over the samples at which some request waited. */
+/** Mean parts of the slots that were used and allowed, over the samples at which all were warm and some request waited. */
 function useOf(samples: Array<Sample<SlotSample>>, records: RequestRecord[], slots: number): Use {
-	const counted = samples.filter(({atMs}) => atMs >= warmUpMs && anyWaits(records, atMs));
+	const firstWarm = samples.find(({value}) => value.allowed >= slots);
+	const fromMs = Math.min(longestWarmUpMs, firstWarm?.atMs ?? longestWarmUpMs);
+	const counted = samples.filter(({atMs}) => atMs >= fromMs && anyWaits(records, atMs));
 	return {
 		busyFraction: mean(counted.map(({value}) => Math.min(1, value.running / slots))),
 		allowedFraction: mean(counted.map(({value}) => value.allowed / slots)),
