Treat a target at a new address as cold, and reach a raised warm budget

Cause: a release that changed a target's address kept its warm budget for another machine; a warm target never rose to a warm budget that a release had raised. Change: budgets remember the address; evidence raises a budget while it is below the configured one.

--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -112,6 +112,8 @@
 /** Budget of a target that this router owns. */
 export type Budget = {
 	target: string;
+	/** Where it is by the configuration in force. */
+	url: string;
 	epoch: number;
 	phase: Phase;
 	/** Most permits at once. */
--- a/packages/core/src/systems/budgets.ts
+++ b/packages/core/src/systems/budgets.ts
@@ -18,6 +18,7 @@
 	const configured = world.configuration.targets.get(target);
 	const budget: Budget = {
 		target,
+		url: configured?.url ?? '',
 		epoch,
 		phase: Phase.Cold,
 		budget: configured?.coldBudget ?? 1,
@@ -198,6 +199,11 @@
 			fallBack(world, budget, 'was taken out');
 		}
 
+		if (target && target.url !== budget.url) {
+			fallBack(world, budget, 'has another address');
+			Object.assign(budget, {url: target.url, startId: '', busySince: world.now});
+		}
+
 		if (budget.phase === Phase.SetAside && world.now >= budget.setAsideUntil) {
 			budget.phase = Phase.Cold;
 			budget.coldAt = world.now;
--- a/packages/core/src/systems/evidence.ts
+++ b/packages/core/src/systems/evidence.ts
@@ -147,7 +147,7 @@
 function raise(world: World, budget: Budget) {
 	const configured = world.configuration.targets.get(budget.target);
 	const isReportedWarm = budget.reportedAt >= budget.coldAt && budget.reportedCold !== true;
-	if (!configured || budget.phase === Phase.Warm || !isReportedWarm || budget.completions < completionsNeeded(world, budget)) {
+	if (!configured || budget.budget >= configured.warmBudget || !isReportedWarm || budget.completions < completionsNeeded(world, budget)) {
 		return;
 	}
 
--- a/packages/core/test/budgets.test.ts
+++ b/packages/core/test/budgets.test.ts
@@ -1,8 +1,9 @@
+import type {Target} from '../src/configuration.ts';
 import {AttemptEnd, Phase} from '../src/messages.ts';
 import {
 	attachEngines, ask, runLoaded, type Engines, type EnginesOptions,
 } from './support/engines.ts';
-import {createFleet, type Fleet} from './support/fleet.ts';
+import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
 
 const routers = {a: 'x', b: 'x', c: 'x'};
 const entries = Object.keys(routers);
@@ -268,3 +269,41 @@
 	fleet.delay = () => 1;
 	fleet.until(() => [...fleet.worlds.get(other)!.requests.rows()].length === 0, 8000);
 });
+
+/** Changes the configured target everywhere, as a release does. */
+function configure(fleet: Fleet, change: Partial<Target>) {
+	for (const world of fleet.worlds.values()) {
+		Object.assign(world.configuration.targets.get('t1')!, change);
+	}
+}
+
+test('two pools share the budget of one target', () => {
+	const {fleet, engines} = start();
+	configure(fleet, {pools: ['m', 'n']});
+	ask(fleet, 'a', 5);
+	ask(fleet, 'b', 5, 'w2', 'n');
+	fleet.run(20_000);
+	expect(engines.overruns()).toBe(0);
+	expect(engines.of('t1').completions).toBe(10);
+});
+
+test('a target whose address a release changes is cold at the new one', () => {
+	const {fleet, engines} = start();
+	warm(fleet, engines);
+	configure(fleet, {url: 'http://10.0.0.2'});
+	fleet.run(tickMs);
+	expect(budgetOf(fleet).phase).toBe(Phase.Cold);
+	runLoaded(fleet, 15_000, entries);
+	expect(engines.overruns()).toBe(0);
+});
+
+test('a warm budget that a release raises is reached in steps, and one that it lowers holds at once', () => {
+	const {fleet, engines} = start();
+	warm(fleet, engines);
+	configure(fleet, {warmBudget: 6});
+	runLoaded(fleet, 5000, entries);
+	expect(budgetOf(fleet).budget).toBe(6);
+	configure(fleet, {warmBudget: 2});
+	runLoaded(fleet, 2000, entries);
+	expect(engines.of('t1').running.length).toBeLessThanOrEqual(2);
+});
--- a/packages/core/test/support/engines.ts
+++ b/packages/core/test/support/engines.ts
@@ -170,12 +170,12 @@
 }
 
 /** Sends requests of one workspace to a router. */
-export function ask(fleet: Fleet, router: string, count: number, workspace = 'w1') {
+export function ask(fleet: Fleet, router: string, count: number, workspace = 'w1', pool = 'm') {
 	for (let index = 0; index < count; index += 1) {
 		asked += 1;
 		fleet.give(router, {
 			kind: 'callerRequest', request: {
-				id: `${router}/${asked}`, workspace, pool: 'm', inputTokens: 10, costHint: 10, prefixHash: 0,
+				id: `${router}/${asked}`, workspace, pool, inputTokens: 10, costHint: 10, prefixHash: 0,
 				deadline: fleet.now + 60_000, once: false, idempotencyKey: '',
 			},
 		});
