Give no more work to a target that stops to answer

Cause: an answer that never begins ends no attempt, so a target that hung kept its warm budget as slots came free by callers going away. Change: two permits without a first token, four times the usual time and at least 2 s past it, return their target to its cold budget; the permits count, so that it gets nothing more.

--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -15,7 +15,7 @@
 import {demandsSystem} from './systems/demands.ts';
 import {digestsSystem, onDigest, silenceSystem} from './systems/digests.ts';
 import {dispatchSystem} from './systems/dispatch.ts';
-import {onLoadReport} from './systems/evidence.ts';
+import {latenessSystem, onLoadReport} from './systems/evidence.ts';
 import {leaseSystem, onLeaseRelay, onLeaseRelayResult} from './systems/lease.ts';
 import {membershipSystem, onLeaseObject} from './systems/membership.ts';
 import {onOwnerObject, onTargetHandover, ownershipSystem} from './systems/ownership.ts';
@@ -54,6 +54,7 @@
 	ownershipSystem,
 	routesSystem,
 	budgetsSystem,
+	latenessSystem,
 	abandonedSystem,
 	silenceSystem,
 	ticketsSystem,
--- a/packages/core/src/systems/evidence.ts
+++ b/packages/core/src/systems/evidence.ts
@@ -5,7 +5,8 @@
 import {AttemptEnd, Phase, type PermitReturn} from '../messages.ts';
 import type {InboundOf} from '../ports.ts';
 import type {Budget, Permit} from '../rows.ts';
-import type {World} from '../world.ts';
+import {second} from '../units.ts';
+import {due, type World} from '../world.ts';
 import {fallBack, setAside} from './budgets.ts';
 
 /** Weight of a sample in the running means. */
@@ -17,6 +18,12 @@
 /** A first byte that is late by less than this is never slow: the instances' own pauses are as long, in milliseconds. */
 const lateFirstByteMs = 200;
 
+/** A first token that is this late means that the target is slow; holders report tokens twice a second, in milliseconds. */
+const missingFirstByteMs = 2 * second;
+
+/** Period at which permits without a first token are looked for, in milliseconds. */
+const latenessMs = 250;
+
 /** Takes a load report of a target; a new start id means that it restarted, and is cold again. */
 export function onLoadReport(world: World, report: InboundOf<'loadReport'>) {
 	const budget = world.budgets.get(report.target);
@@ -134,6 +141,29 @@
 		|| (budget.betweenTokensMs > 0 && attempt.betweenTokensMs > budget.betweenTokensMs * limits.slowFactor);
 }
 
+/** Returns targets to their cold budget of which several answers should have begun long ago. */
+export function latenessSystem(world: World) {
+	if (!due(world, 'lateness', latenessMs)) {
+		return;
+	}
+
+	for (const budget of world.budgets.rows()) {
+		if (isAboveCold(budget) && budget.firstByteMs > 0 && countLate(world, budget) >= slowInRowLimit) {
+			fallBack(world, budget, 'stopped to answer');
+		}
+	}
+}
+
+function countLate(world: World, budget: Budget): number {
+	const lateMs = Math.max(budget.firstByteMs * world.limits.slowFactor, budget.firstByteMs + missingFirstByteMs);
+	let late = 0;
+	for (const {outputTokens, grantedAt, isAdopted} of world.permits.group(budget.target)) {
+		late += outputTokens === 0 && !isAdopted && world.now - grantedAt > lateMs ? 1 : 0;
+	}
+
+	return late;
+}
+
 /** Good completions that the next step takes. A cold target that says it is warm has to prove it just once a slot. */
 function completionsNeeded({limits}: World, budget: Budget): number {
 	if (budget.phase !== Phase.Cold) {
--- a/packages/core/test/budgets.test.ts
+++ b/packages/core/test/budgets.test.ts
@@ -155,6 +155,16 @@
 	expect(budgetOf(fleet).phase).not.toBe(Phase.Warm);
 });
 
+test('a target that stops to answer gets no more work', () => {
+	const {fleet, engines} = start();
+	warm(fleet, engines);
+	engines.of('t1').slowFactor = 1000;
+	fleet.until(() => budgetOf(fleet).phase === Phase.Cold, 5000);
+	const {length} = engines.of('t1').admissions;
+	runLoaded(fleet, 10_000, entries);
+	expect(engines.of('t1').admissions).toHaveLength(length);
+});
+
 test('without load reports a target stays at its cold budget, and a report from before the fall-back raises nothing', () => {
 	let reported = true;
 	const {fleet, engines} = start({reports: () => reported});
