Offer a waiting ticket anew every five seconds

Cause: a ticket whose offer or return got lost between owners waited at nobody until its deadline. Ruled out: acknowledging every offer, which costs a message a ticket; this costs one for each 5 s of waiting. Change: a holder that has the ticket, or has granted it, leaves it as it is.

--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -175,6 +175,8 @@
 	resumes: number;
 	/** Router that holds the ticket, '' while it is nowhere. */
 	holder: string;
+	/** When the ticket was last offered to it. */
+	offeredAt: number;
 	/** Weighted tokens that the request counts for in its workspace's queue. */
 	queueCost: number;
 	excluded: string[];
--- a/packages/core/src/systems/placement.ts
+++ b/packages/core/src/systems/placement.ts
@@ -12,12 +12,16 @@
 	due, pick, random, send, type World,
 } from '../world.ts';
 import {rendezvous} from '../hash.ts';
+import {second} from '../units.ts';
 import {budgetOf, slotsOf} from './dispatch.ts';
 import {routesOf} from './routes.ts';
 
 /** Period at which requests whose ticket is lost are placed anew, in milliseconds. */
 const replaceMs = 100;
 
+/** A ticket is offered anew after this time, in case that its holder lost it; one that it has is left as it is. */
+const reofferMs = 5 * second;
+
 type Candidate = {
 	owner: string;
 	isNear: boolean;
@@ -134,6 +138,7 @@
 /** Puts the ticket of a request at a given owner. */
 export function placeAt(world: World, request: Request, owner: string) {
 	request.holder = owner;
+	request.offeredAt = world.now;
 	const load = world.members.get(owner)?.pools.get(request.pool);
 	if (load && owner !== world.self.id) {
 		// Until the next digest, later placements see what was sent.
@@ -160,12 +165,19 @@
 	}
 
 	for (const request of world.requests.rows()) {
-		if (request.state === RequestState.Queued && !canHold(world, world.members.get(request.holder))) {
+		if (request.state !== RequestState.Queued) {
+			continue;
+		}
+
+		if (!canHold(world, world.members.get(request.holder))) {
 			if (request.holder !== '') {
 				send(world, request.holder, {kind: 'ticketCancel', ticket: request.id});
 			}
 
 			place(world, request);
+		} else if (world.now - request.offeredAt >= reofferMs) {
+			request.offeredAt = world.now;
+			send(world, request.holder, offer(world, request));
 		}
 	}
 }
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -30,6 +30,7 @@
 		attempts: 0,
 		resumes: 0,
 		holder: '',
+		offeredAt: world.now,
 		queueCost: queueCostOf(world, arrived),
 		excluded: [],
 		target: '',
--- a/packages/core/src/systems/tickets.ts
+++ b/packages/core/src/systems/tickets.ts
@@ -44,6 +44,11 @@
 		arrivedAt: world.now - offer.waitedMs,
 		excluded: offer.excluded,
 	};
+	if (world.permits.has(ticket.ticket)) {
+		// Its grant is under way; a lost one comes to light when the holder doesn't report the permit.
+		return;
+	}
+
 	if (world.state === MemberState.Leaving) {
 		giveTicketBack(world, ticket, TicketReturnReason.Leaving);
 		return;
--- /dev/null
+++ b/packages/core/test/work-conservation.test.ts
@@ -0,0 +1,63 @@
+import {freeSlots} from '../src/systems/budgets.ts';
+import {attachEngines, ask, runLoaded} from './support/engines.ts';
+import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
+
+const routers = {a: 'x', b: 'y', c: 'z'};
+const targets = {t1: 'x', t2: 'y', t3: 'z'};
+
+function start() {
+	const fleet = createFleet({routers, targets});
+	const engines = attachEngines(fleet, Object.keys(targets));
+	fleet.until(() => Object.keys(targets).every(target => fleet.servers(target).length === 1), 6000);
+	runLoaded(fleet, 15_000, Object.keys(routers), 8);
+	return {fleet, engines};
+}
+
+function free(fleet: Fleet): number {
+	let sum = 0;
+	for (const world of fleet.worlds.values()) {
+		for (const budget of world.budgets.rows()) {
+			sum += freeSlots(world, budget);
+		}
+	}
+
+	return sum;
+}
+
+function waiting(fleet: Fleet): number {
+	return [...fleet.worlds.values()].reduce((sum, world) => sum + [...world.tickets.rows()].length, 0);
+}
+
+/** Longest time for which some slot was free and some ticket waited, while requests enter through one router. */
+function longestIdleMs(fleet: Fleet): number {
+	let longest = 0;
+	let current = 0;
+	for (let tick = 0; tick < 200; tick += 1) {
+		runLoaded(fleet, tickMs, ['a'], 40);
+		current = free(fleet) > 0 && waiting(fleet) > 0 ? current + tickMs : 0;
+		longest = Math.max(longest, current);
+	}
+
+	return longest;
+}
+
+test('no slot stays free for longer than a digest and the way of a ticket while a ticket waits anywhere', () => {
+	const {fleet} = start();
+	fleet.run(2000);
+	longestIdleMs(fleet);
+	const {digestMs} = fleet.worlds.get('a')!.limits;
+	// A work request, the return of the ticket, its offer, and the grant: a tick each way.
+	expect(longestIdleMs(fleet)).toBeLessThanOrEqual(digestMs + (5 * tickMs));
+});
+
+const losses = ['ticketOffer', 'ticketReturn', 'workRequest', 'permitGrant', 'digest'] as const;
+
+test.each(losses)('requests whose %s messages are lost for a while are served all the same', kind => {
+	const {fleet} = start();
+	fleet.run(3000);
+	fleet.delay = (_from, _to, item) => item.kind === 'send' && item.message.kind === kind ? undefined : 1;
+	ask(fleet, 'a', 30);
+	fleet.run(500);
+	fleet.delay = () => 1;
+	fleet.until(() => [...fleet.worlds.get('a')!.requests.rows()].length === 0, 15_000);
+});
