Bench: measure utilisation where requests wait but not at every target

Change: half load while targets warm up, then 0.97 of the capacity; counted from then on, cold targets included.

--- a/packages/bench/src/scenarios/utilisation.ts
+++ b/packages/bench/src/scenarios/utilisation.ts
@@ -13,13 +13,19 @@
 import {startSampler, type Sample} from './sampler.ts';
 import {withDeployment, type Scenario, type ScenarioRun} from './scenario.ts';
 
-/** Offered load as a multiple of the capacity: work nearly always waits, though not at every target. */
-const loadFactor = 1;
+/**
+Offered load as a multiple of the capacity: some request often waits, though not at every target. With a backlog at every
+target, binding tickets on arrival would look as good as binding them late.
+*/
+const loadFactor = 0.97;
 
-const sampleEveryMs = 100;
+/** Load while the targets warm up, so that no backlog builds up meanwhile. */
+const warmUpFactor = 0.5;
 
-/** What isn't warm by then counts as idle. */
-const longestWarmUpMs = 12_000;
+/** Time from which the full load comes and counts, in milliseconds. */
+const measuredFromMs = 9000;
+
+const sampleEveryMs = 100;
 
 const leastBusy = 0.97;
 
@@ -27,11 +33,13 @@
 	summary: 'how much of the warm slots is busy while any request waits',
 	seconds: 44,
 	async run(run) {
-		const {busyFraction, allowedFraction} = await measure(Discipline.Fair, run);
+		const {busyFraction, allowedFraction, samples} = await measure(Discipline.Fair, run);
 		const baseline = await measure(Discipline.Bound, run);
 		return {
 			busyFraction: rounded(busyFraction),
 			baselineBusyFraction: rounded(baseline.busyFraction),
+			samples,
+			baselineSamples: baseline.samples,
 			allowedFraction: rounded(allowedFraction),
 			baselineAllowedFraction: rounded(baseline.allowedFraction),
 			bounds: {busyFraction: atLeast(busyFraction, leastBusy)},
@@ -40,6 +48,8 @@
 };
 
 type Use = {
+	/** Samples at which some request waited. */
+	samples: number;
 	busyFraction: number;
 	/** Part of the warm slots that owners allowed to be used, over the same samples. */
 	allowedFraction: number;
@@ -67,19 +77,18 @@
 /** All workspaces enter through routers of one failure domain and a half, so that work must move to find free slots. */
 function loadsOf(deployment: Deployment) {
 	const [first, second] = deployment.options.failureDomains;
-	return shareLoads(deployment, {
-		factorOf: () => loadFactor,
-		entriesOf: ({id}) => routerUrls(deployment, Number(id.slice(-1)) % 3 === 0 ? second : first),
-		burstSeconds: 2,
-	});
+	const entriesOf = ({id}: {id: string}) => routerUrls(deployment, Number(id.slice(-1)) % 3 === 0 ? second : first);
+	return [
+		...shareLoads(deployment, {factorOf: () => warmUpFactor, entriesOf}).map(load => ({...load, untilMs: measuredFromMs})),
+		...shareLoads(deployment, {factorOf: () => loadFactor, entriesOf}).map(load => ({...load, fromMs: measuredFromMs})),
+	];
 }
 
-/** Mean parts of the slots that were used and allowed, over the samples at which all were warm and some request waited. */
+/** Mean parts of the slots that were used and allowed, over the samples after the warm-up at which some request waited. */
 function useOf(samples: Array<Sample<SlotSample>>, records: RequestRecord[], slots: number): Use {
-	const firstWarm = samples.find(({value}) => value.allowed >= slots);
-	const fromMs = Math.min(longestWarmUpMs, firstWarm?.atMs ?? longestWarmUpMs);
-	const counted = samples.filter(({atMs}) => atMs >= fromMs && anyWaits(records, atMs));
+	const counted = samples.filter(({atMs}) => atMs >= measuredFromMs && anyWaits(records, atMs));
 	return {
+		samples: counted.length,
 		busyFraction: mean(counted.map(({value}) => Math.min(1, value.running / slots))),
 		allowedFraction: mean(counted.map(({value}) => value.allowed / slots)),
 	};
