--- a/packages/core/src/systems/permits.ts
+++ b/packages/core/src/systems/permits.ts
@@ -11,6 +11,9 @@
 
 type RunningEntry = TargetHandover['entries'][number];
 
+/** Most ends of permits that are kept for a target while its load reports don't come. */
+const endedLimit = 4096;
+
 /** Records a permit, charging the input and the workspace's usual output ahead. */
 export function addPermit(world: World, ticket: Ticket, target: string): Permit {
 	const service = serviceOf(world, ticket);
@@ -93,7 +96,20 @@
 	service.running -= 1;
 	world.permits.delete(permit.ticket);
 	chargeUpTo(world, permit, wasServed ? costOf(world, permit.inputTokens, outputTokens) : 0);
-	world.budgets.get(permit.target)?.ended.push({...permit, endedAt: world.now});
+	noteEnd(world, permit);
+}
+
+/** Keeps the end of a permit until a load report tells of a later time. */
+function noteEnd(world: World, {target, grantedAt, isAdopted}: Permit) {
+	const budget = world.budgets.get(target);
+	if (!budget) {
+		return;
+	}
+
+	budget.ended.push({grantedAt, isAdopted, endedAt: world.now});
+	if (budget.ended.length > endedLimit) {
+		budget.ended.shift();
+	}
 }
 
 const servedEnds = new Set([AttemptEnd.Whole, AttemptEnd.Broken, AttemptEnd.Cancelled, AttemptEnd.Mismatched]);
