--- a/packages/bench/src/scenarios/domain-crash.ts
+++ b/packages/bench/src/scenarios/domain-crash.ts
@@ -7,7 +7,7 @@
 import {sleep} from '../deployment/http.ts';
 import {openAddressBook} from '../load/address-book.ts';
 import {startLoad} from '../load/load.ts';
-import {endings, isFailure} from '../load/record.ts';
+import {endings, isFailure, type RequestRecord} from '../load/record.ts';
 import {schedule} from '../load/schedule.ts';
 import {atLeast, atMost, rounded} from '../measure/figures.ts';
 import {goodputFraction, timeToGoodput, type GoodputOptions} from '../measure/goodput.ts';
@@ -70,6 +70,7 @@
 	const goodput = goodputFraction(capacity(survivingSlots), diedMs + allowedMs, backMs);
 	return {
 		failedRequests,
+		failures: bySecond(failures, routerUrls(deployment, domain)),
 		lostAtCrash: failures.filter(({sentMs}) => sentMs <= diedMs + addressesKeptMs).length,
 		goodputFraction: rounded(goodput),
 		coldOverruns,
@@ -83,3 +84,16 @@
 		},
 	};
 }
+
+/** Failures by the second in which the request was sent, apart for routers of the failed domain and for others. */
+function bySecond(failures: RequestRecord[], deadUrls: string[]): Record<string, string> {
+	const counts = new Map<number, {dead: number; others: number}>();
+	for (const {sentMs, entry} of failures) {
+		const second = Math.floor(sentMs / 1000);
+		const count = counts.get(second) ?? {dead: 0, others: 0};
+		count[deadUrls.includes(entry) ? 'dead' : 'others'] += 1;
+		counts.set(second, count);
+	}
+
+	return Object.fromEntries([...counts].map(([second, {dead, others}]) => [second, `${dead}+${others}`]));
+}
--- a/packages/core/test/failure-domains.test.ts
+++ b/packages/core/test/failure-domains.test.ts
@@ -135,7 +135,10 @@
 	const died = fleet.now;
 	engines.settings.reports = target => target !== 't2';
 	engines.settings.down.add('t2');
-	runLoaded(fleet, 15_000, rest);
+	runLoaded(fleet, 2500, rest);
+	expect(addresses(fleet.worlds.get('a')!).map(({failureDomain}) => failureDomain)).toEqual(['x', 'x', 'z', 'z']);
+	runLoaded(fleet, 12_500, rest);
+	expect(addresses(fleet.worlds.get('a')!).map(({failureDomain}) => failureDomain)).toEqual(['x', 'x', 'z', 'z']);
 	const after = engines.of('t1').admissions.filter(({at}) => at > died + 5000).length;
 	expect(after).toBeGreaterThan(0.9 * 4 * 10_000 / (300 + (3 * tickMs)));
 	engines.settings.down.clear();
