Prove that shares hold while a failure domain returns

The case counted only that the domain got work again; it now lets one workspace flood while the domain is out, and wants both workspaces' parts of all admissions after the return between 0.4 and 0.6.

--- a/packages/core/test/failure-domains.test.ts
+++ b/packages/core/test/failure-domains.test.ts
@@ -4,7 +4,9 @@
 import {RefusalKind} from '../src/refusal.ts';
 import {RequestState} from '../src/rows.ts';
 import {addresses} from '../src/systems/addresses.ts';
-import {attachEngines, ask, runLoaded} from './support/engines.ts';
+import {
+	attachEngines, ask, runLoaded, workspaceOf,
+} from './support/engines.ts';
 import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
 
 const routers = {
@@ -110,10 +112,8 @@
 	release(fleet, domain('y', Standing.Out));
 	runLoaded(fleet, 5000, entries);
 	engines.restart('t2');
-	for (let tick = 0; tick < 100; tick += 1) {
-		ask(fleet, 'a', 1, 'w2');
-		fleet.run(tickMs);
-	}
+	ask(fleet, 'a', 400, 'w2');
+	runLoaded(fleet, 5000, entries);
 
 	release(fleet, domain('y', Standing.In));
 	const returned = fleet.now;
@@ -122,8 +122,11 @@
 	runLoaded(fleet, 15_000, entries);
 	expect(cold.phase).toBe(Phase.Warm);
 	expect(engines.overruns()).toBe(0);
-	const own = engines.of('t2').admissions.filter(({at}) => at > returned).length;
-	expect(own).toBeGreaterThan(20);
+	const admitted = Object.keys(targets).flatMap(target => engines.of(target).admissions.filter(({at}) => at > returned));
+	const flooding = admitted.filter(({request}) => workspaceOf(request) === 'w2').length;
+	expect(engines.of('t2').admissions.filter(({at}) => at > returned).length).toBeGreaterThan(60);
+	expect(flooding / admitted.length).toBeGreaterThan(0.4);
+	expect(flooding / admitted.length).toBeLessThan(0.6);
 });
 
 test('a failure domain that dies and comes back leaves the others at work and returns cold', () => {
--- a/packages/core/test/support/engines.ts
+++ b/packages/core/test/support/engines.ts
@@ -173,9 +173,11 @@
 export function ask(fleet: Fleet, router: string, count: number, workspace = 'w1', pool = 'm') {
 	for (let index = 0; index < count; index += 1) {
 		asked += 1;
+		const id = `${router}/${asked}`;
+		workspaces.set(id, workspace);
 		fleet.give(router, {
 			kind: 'callerRequest', request: {
-				id: `${router}/${asked}`, workspace, pool, inputTokens: 10, costHint: 10, prefixHash: 0,
+				id, workspace, pool, inputTokens: 10, costHint: 10, prefixHash: 0,
 				deadline: fleet.now + 60_000, once: false, idempotencyKey: '',
 			},
 		});
@@ -183,6 +185,12 @@
 }
 
 let asked = 0;
+const workspaces = new Map<string, string>();
+
+/** Workspace of a request that `ask` sent. */
+export function workspaceOf(request: string): string {
+	return workspaces.get(request) ?? '';
+}
 
 /** Keeps requests waiting at routers while the fleet runs. */
 export function runLoaded(fleet: Fleet, ms: number, routers: string[], perRouter = 6) {
