--- a/packages/core/src/systems/placement.ts
+++ b/packages/core/src/systems/placement.ts
@@ -149,8 +149,17 @@
 	send(world, owner, offer(world, request));
 }
 
+/** Lets a request that has failed everywhere try again, the last target last. */
+function readmit(world: World, request: Request) {
+	const targets = routesOf(world, request.pool).flatMap(route => route.targets);
+	if (targets.length > 0 && targets.every(target => request.excluded.includes(target))) {
+		request.excluded = targets.length > 1 ? request.excluded.slice(-1) : [];
+	}
+}
+
 /** Places the ticket of a request; it stays unplaced while no owner is known. */
 export function place(world: World, request: Request) {
+	readmit(world, request);
 	const owner = world.limits.discipline === Discipline.Bound ? bind(world, request) : chooseOwner(world, request);
 	request.holder = '';
 	if (owner !== undefined) {
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -173,12 +173,15 @@
 /** Lets the edge connect to the target that the request has a permit for. */
 export function startAnswer(world: World, request: Request) {
 	const target = world.configuration.targets.get(request.target);
-	if (!target || !isIn(world.configuration, target) || world.now - request.startedAt > world.limits.startWithinMs) {
+	if (!target || !isIn(world.configuration, target)) {
 		// The owner may not have heard yet that the target was taken out; it is not to give it again.
 		request.excluded.push(request.target);
-		request.attempts -= 1;
-		giveBack(world, request, AttemptEnd.Unused);
-		enqueue(world, request);
+		leaveUnused(world, request);
+		return;
+	}
+
+	if (world.now - request.startedAt > world.limits.startWithinMs) {
+		leaveUnused(world, request);
 		return;
 	}
 
@@ -189,6 +192,13 @@
 	});
 }
 
+/** Queues a request again whose permit can't be used. */
+function leaveUnused(world: World, request: Request) {
+	request.attempts -= 1;
+	giveBack(world, request, AttemptEnd.Unused);
+	enqueue(world, request);
+}
+
 function returnPermit(world: World, owner: string, {ticket, target, epoch}: {ticket: string; target: string; epoch: number}, end: AttemptEnd) {
 	send(world, owner, {
 		kind: 'permitReturn', ticket, target, epoch, end, outputTokens: 0, firstByteMs: 0, betweenTokensMs: 0,
@@ -246,11 +256,6 @@
 	request.target = '';
 	request.holder = '';
 	request.outputTokens = 0;
-	const targets = routesOf(world, request.pool).flatMap(route => route.targets);
-	if (targets.every(target => request.excluded.includes(target))) {
-		request.excluded = request.excluded.slice(-1);
-	}
-
 	const mayRetry = request.attempts < world.limits.maxAttempts
 		&& request.deadline > world.now
 		&& spendRetry(world, request);
--- a/packages/core/test/budgets.test.ts
+++ b/packages/core/test/budgets.test.ts
@@ -317,3 +317,35 @@
 	runLoaded(fleet, 2000, entries);
 	expect(engines.of('t1').running.length).toBeLessThanOrEqual(2);
 });
+
+test('a request that its pool\'s only target broke off is tried there again', () => {
+	const {fleet, engines} = start();
+	warm(fleet, engines);
+	fleet.run(3000);
+	ask(fleet, 'a', 1);
+	fleet.until(() => engines.of('t1').running.length === 1, 1000);
+	engines.restart('t1');
+	fleet.until(() => [...fleet.worlds.get('a')!.requests.rows()].length === 0, 5000);
+	expect(fleet.outbox.filter(({item}) => item.kind === 'refuse')).toEqual([]);
+});
+
+test('a permit that is too old when the run record is written isn\'t used, and the request runs once with another', () => {
+	const {fleet, engines} = start();
+	warm(fleet, engines);
+	fleet.run(3000);
+	const {length} = engines.of('t1').admissions;
+	const granted = fleet.now;
+	fleet.delay = (from, _to, item) => from === 'store' && item.kind === 'store' && item.action.kind === 'put' && item.action.key.startsWith('run/') ? 1500 : 1;
+	fleet.give('a', {
+		kind: 'callerRequest', request: {
+			id: 'a/once', workspace: 'w1', pool: 'm', inputTokens: 10, costHint: 10, prefixHash: 0, deadline: fleet.now + 60_000, once: true, idempotencyKey: 'k',
+		},
+	});
+	fleet.run(tickMs);
+	fleet.until(() => [...fleet.worlds.get('a')!.requests.rows()].length === 0, 8000);
+	expect(engines.of('t1').admissions.slice(length).map(({request}) => request)).toEqual(['a/once']);
+	expect(engines.of('t1').admissions[length]!.at - granted).toBeGreaterThan(1500);
+	const returns = fleet.outbox.flatMap(({at, item}) => at > granted && item.kind === 'send' && item.message.kind === 'permitReturn' ? [item.message.end] : []);
+	// A router that owns the target itself sends no message for it.
+	expect(returns).toEqual(ownerOf(fleet) === 'a' ? [] : [AttemptEnd.Unused, AttemptEnd.Whole]);
+});
