--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -4,28 +4,35 @@
 */
 import {MemberState, type PeerMessageOf} from '../messages.ts';
 import type {StoredObject} from '../ports.ts';
+import {rendezvous} from '../hash.ts';
 import {decodeOwner, ownerPrefix} from '../records.ts';
-import {MoveKind, type Preference} from '../rows.ts';
-import {minute, second} from '../units.ts';
+import {MoveKind, type Member, type Preference} from '../rows.ts';
+import {second} from '../units.ts';
 import {due, type World} from '../world.ts';
 import {claim} from './claims.ts';
-import {handOver, lookUp} from './handovers.ts';
+import {canHandOver, handOver, lookUp} from './handovers.ts';
 import {drop} from './holdings.ts';
 import {hasValidLease} from './lease.ts';
 import {listAll} from './listing.ts';
+import {liveMembers} from './membership.ts';
 import {applyOwner, settle} from './owner-records.ts';
 import {updatePreferences} from './preferences.ts';
+import {isHeard} from './quorum.ts';
 
 /** Period of the system; a step runs on each message, and placement needn't. */
 const periodMs = 100;
 
+/** Period at which the records are listed again, since watches may lose events: at least this, and more for many targets. */
+const leastListMs = 5 * second;
+const listMsPerTarget = 25;
+
 /** Brings the targets that this router serves in line with records, members and configuration. */
 export function ownershipSystem(world: World) {
 	if (!due(world, 'ownership', periodMs)) {
 		return;
 	}
 
-	if (due(world, 'ownership.list', world.ownersListed ? minute : second)) {
+	if (due(world, 'ownership.list', listPeriod(world))) {
 		listOwners(world);
 	}
 
@@ -57,6 +64,10 @@
 	}, message);
 }
 
+function listPeriod(world: World): number {
+	return world.ownersListed ? Math.max(leastListMs, world.configuration.targets.size * listMsPerTarget) : second;
+}
+
 function listOwners(world: World) {
 	listAll(world, ownerPrefix, objects => {
 		for (const object of objects) {
@@ -97,20 +108,21 @@
 		}
 	}
 
-	const surplus = settled.find(({target, member}) => member !== world.self.id && canHandOver(world, target));
+	const surplus = settled.find(({target, member}) => canReceive(world, member) && canHandOver(world, target));
 	if (surplus !== undefined && due(world, 'ownership.balance', world.limits.balanceMs)) {
-		giveTo(world, surplus);
+		giveTo(world, surplus.target, surplus.member);
 	}
 }
 
-/** Hands over all targets of a router that stops; those that nobody else can own are given up. */
+/** Hands over all targets of a router that stops; with no other live member they are given up. */
 function leave(world: World) {
+	const live = liveMembers(world);
+	const receivers = live.filter(member => canReceive(world, member.id));
 	for (const target of world.holdings.keys()) {
-		const preference = world.preferences.get(target);
-		if (preference === undefined) {
+		if (live.length === 0) {
 			drop(world, target);
 		} else if (canHandOver(world, target)) {
-			giveTo(world, preference);
+			giveTo(world, target, receiverOf(world, target, receivers));
 		}
 	}
 
@@ -125,13 +137,27 @@
 	return world.now - preference.since >= world.limits.preferenceMs;
 }
 
-function canHandOver(world: World, target: string): boolean {
-	return world.holdings.has(target) && !world.moves.has(target);
+/** Whether a target may be given to a member: one that has just gone silent may be dead. */
+function canReceive(world: World, id: string): boolean {
+	const member = world.members.get(id);
+	return member !== undefined && id !== world.self.id && isHeard(world, member);
+}
+
+/** Preferred owner of a target, or the next best where that one is silent. */
+function receiverOf(world: World, target: string, receivers: readonly Member[]): string | undefined {
+	const preferred = world.preferences.get(target)?.member;
+	if (preferred !== undefined && canReceive(world, preferred)) {
+		return preferred;
+	}
+
+	const failureDomain = world.configuration.targets.get(target)?.failureDomain;
+	const near = receivers.filter(member => member.failureDomain === failureDomain);
+	return rendezvous(target, near.length > 0 ? near : receivers, member => member.id)?.id;
 }
 
-function giveTo(world: World, {target, member}: Preference) {
+function giveTo(world: World, target: string, member: string | undefined) {
 	const ownership = world.ownerships.get(target);
-	if (ownership !== undefined) {
+	if (ownership !== undefined && member !== undefined) {
 		handOver(world, ownership, member);
 	}
 }
