--- a/packages/core/src/systems/permits.ts
+++ b/packages/core/src/systems/permits.ts
@@ -3,17 +3,16 @@
 */
 import {AttemptEnd, type PeerMessageOf, type TargetHandover} from '../messages.ts';
 import type {Permit, Ticket} from '../rows.ts';
-import {due, type World} from '../world.ts';
-import {second} from '../units.ts';
+import {send, type World} from '../world.ts';
 import {
 	charge, costOf, learnOutput, serviceOf,
 } from './services.ts';
-import {onAttemptEnd} from './budgets.ts';
+import {onAttemptEnd} from './evidence.ts';
 
 type RunningEntry = TargetHandover['entries'][number];
 
-/** A permit that its holder hasn't reported for this long is void, in milliseconds. */
-const unseenMs = 4 * second;
+/** Most ends of permits that are kept for a target while its load reports don't come. */
+const endedLimit = 4096;
 
 /** Records a permit, charging the input and the workspace's usual output ahead. */
 export function addPermit(world: World, ticket: Ticket, target: string): Permit {
@@ -25,6 +24,7 @@
 		workspace: ticket.workspace,
 		pool: ticket.pool,
 		grantedAt: world.now,
+		isAdopted: false,
 		inputTokens: ticket.inputTokens,
 		outputTokens: 0,
 		seenAt: world.now,
@@ -53,6 +53,7 @@
 		workspace: entry.workspace,
 		pool: entry.pool,
 		grantedAt: world.now,
+		isAdopted: true,
 		inputTokens: entry.inputTokens,
 		outputTokens: entry.outputTokens,
 		seenAt: world.now,
@@ -95,13 +96,28 @@
 	service.running -= 1;
 	world.permits.delete(permit.ticket);
 	chargeUpTo(world, permit, wasServed ? costOf(world, permit.inputTokens, outputTokens) : 0);
+	noteEnd(world, permit);
+}
+
+/** Keeps the end of a permit until a load report tells of a later time. */
+function noteEnd(world: World, {target, grantedAt, isAdopted}: Permit) {
+	const budget = world.budgets.get(target);
+	if (!budget) {
+		return;
+	}
+
+	budget.ended.push({grantedAt, isAdopted, endedAt: world.now});
+	if (budget.ended.length > endedLimit) {
+		budget.ended.shift();
+	}
 }
 
 const servedEnds = new Set([AttemptEnd.Whole, AttemptEnd.Broken, AttemptEnd.Cancelled, AttemptEnd.Mismatched]);
 
-export function onPermitReturn(world: World, _from: string, message: PeerMessageOf<'permitReturn'>) {
+export function onPermitReturn(world: World, from: string, message: PeerMessageOf<'permitReturn'>) {
 	const permit = world.permits.get(message.ticket);
 	if (permit?.target !== message.target) {
+		passOn(world, from, message);
 		return;
 	}
 
@@ -111,28 +127,13 @@
 		learnOutput(serviceOf(world, permit), outputTokens);
 	}
 
-	onAttemptEnd(world, message);
-}
-
-/** Drops permits whose holder has lapsed, has restarted, or lives but doesn't report them any more. */
-export function permitsSystem(world: World) {
-	if (!due(world, 'permits', second)) {
-		return;
-	}
-
-	for (const permit of world.permits.rows()) {
-		if (permit.origin !== world.self.id && isAbandoned(world, permit)) {
-			endPermit(world, permit, permit.outputTokens, true);
-		}
-	}
+	onAttemptEnd(world, message, permit);
 }
 
-function isAbandoned(world: World, permit: Permit): boolean {
-	const holder = world.members.get(permit.origin);
-	if (!holder) {
-		return true;
+/** Sends a holder's message to the owner that came after this router, of which the holder hasn't heard yet. */
+function passOn(world: World, from: string, message: PeerMessageOf<'permitReturn'>) {
+	const owner = world.ownerships.get(message.target)?.owner ?? '';
+	if (owner !== world.self.id && from === originOf(message.ticket)) {
+		send(world, owner, message);
 	}
-
-	const hears = world.now - holder.heardAt < world.limits.heardMs;
-	return hears && world.now - permit.seenAt > unseenMs;
 }
