Bench: measure the core alone at full tables

The scenario core-size builds one router's world at 9 to 410 members, with targets, workspaces, permits and backlog in proportion, drives it at the cadence of a running router, and gives step times, digest bytes and heap.

--- /dev/null
+++ b/packages/bench/src/core-size/fleet.ts
@@ -0,0 +1,275 @@
+/*
+Builds the world of one router at the full tables of a fleet: members, targets, workspaces, running permits and waiting
+tickets in the proportions of the users' letter, and the digests that the other members send.
+*/
+import {Standing, TargetKind, type Configuration} from '@shallotloom/core/configuration.ts';
+import {
+	MemberState, Phase, type Digest, type HeardEntry, type ServiceEntry,
+} from '@shallotloom/core/messages.ts';
+import type {Member} from '@shallotloom/core/rows.ts';
+import {noteLease} from '@shallotloom/core/systems/contacts.ts';
+import {preferredOwners} from '@shallotloom/core/systems/preferences.ts';
+import {applyOwner} from '@shallotloom/core/systems/owner-records.ts';
+import {addTicket} from '@shallotloom/core/systems/services.ts';
+import {createWorld, type World} from '@shallotloom/core/world.ts';
+import {createRandom, type Random} from '../load/random.ts';
+
+/** Sizes of the users' letter. */
+export const letter = {
+	members: 410, targets: 2600, workspaces: 1300, failureDomains: 17, pools: 9,
+} as const;
+
+/** Permits of one warm target: 19,000 requests a second of 216 tokens at 58 ms each, over 2,600 targets. */
+const permitsPerTarget = 92;
+
+/** Part of the workspaces that always has tickets waiting. */
+const backloggedFraction = 0.1;
+
+/** Part of the permits that backlogged workspaces hold. */
+const backloggedPermits = 0.5;
+
+const ticketsPerBacklog = 2;
+
+/** Time of the world when it is built, in milliseconds. */
+const startMs = 1_000_000;
+
+export type Fleet = {
+	world: World;
+	/** Ids of the other members. */
+	peers: string[];
+	/** Targets by owner. */
+	owned: Map<string, string[]>;
+	pools: string[];
+	workspaces: string[];
+	/** Digest number `round` of a peer, with what it had heard by then. */
+	digestOf: (peer: string, round: number) => Digest;
+};
+
+export type FleetOptions = {
+	members: number;
+	seed: number;
+};
+
+/** Builds the world of the fleet's first router; all else shrinks in proportion to the number of members. */
+export function createFleet({members, seed}: FleetOptions): Fleet {
+	const random = createRandom(seed);
+	const shape = shapeOf(members);
+	const world = createWorld({
+		self: {
+			id: shape.ids[0]!, incarnation: incarnationOf(shape.ids[0]!), failureDomain: shape.domains[0]!, callerUrl: urlOf(0), peerUrl: urlOf(0),
+		},
+		seed,
+		now: startMs,
+	});
+	world.configuration = configurationOf(shape);
+	world.releases.isRead = true;
+	world.ownersListed = true;
+	world.leasesListedAt = startMs;
+	Object.assign(world.lease, {
+		sequence: 1, version: 1, tenure: tenureOf(world.self.id), validUntil: Number.POSITIVE_INFINITY,
+		nextRenewalAt: startMs, renewedAt: startMs, confirmedAt: startMs, startedAt: startMs - 60_000,
+	});
+	joinMembers(world, shape);
+	const owned = assignTargets(world, shape);
+	fillQueues(world, shape, random);
+	const activity = new Map(shape.ids.map(id => [id, activeServices(shape, poolsOf(world, owned.get(id) ?? []), random)]));
+	return {
+		world,
+		peers: shape.ids.slice(1),
+		owned,
+		pools: shape.pools,
+		workspaces: shape.workspaces,
+		digestOf: (peer, round) => digestOf(world, shape, {
+			peer, round, services: activity.get(peer)!, pools: poolsOf(world, owned.get(peer) ?? []),
+		}),
+	};
+}
+
+type Shape = {
+	ids: string[];
+	domains: string[];
+	targets: string[];
+	pools: string[];
+	workspaces: string[];
+	backlogged: string[];
+};
+
+function names(prefix: string, count: number, digits: number): string[] {
+	return Array.from({length: count}, (_, index) => `${prefix}-${String(index).padStart(digits, '0')}`);
+}
+
+function shapeOf(members: number): Shape {
+	const part = members / letter.members;
+	const workspaces = names('workspace', Math.max(16, Math.round(letter.workspaces * part)), 4);
+	return {
+		ids: names('router', members, 3),
+		domains: names('domain', Math.min(letter.failureDomains, Math.max(3, Math.round(letter.failureDomains * part))), 2),
+		targets: names('engine', Math.round(letter.targets * part), 4),
+		pools: names('model', letter.pools, 1),
+		workspaces,
+		backlogged: workspaces.slice(0, Math.max(2, Math.round(workspaces.length * backloggedFraction))),
+	};
+}
+
+function domainOf(shape: Shape, index: number): string {
+	return shape.domains[index % shape.domains.length]!;
+}
+
+function urlOf(index: number): string {
+	return `http://10.${Math.trunc(index / 65_536)}.${Math.trunc(index / 256) % 256}.${index % 256}:7001`;
+}
+
+function tenureOf(id: string): string {
+	return `${id}-tenure`.slice(-12);
+}
+
+function incarnationOf(id: string): string {
+	return `${id}0000`.slice(-8);
+}
+
+function configurationOf(shape: Shape): Configuration {
+	return {
+		revision: 1,
+		workspaces: new Map(shape.workspaces.map(id => [id, {
+			id, weight: 1, keyHash: id, queueLimit: 1_000_000,
+		}])),
+		targets: new Map(shape.targets.map((id, index) => [id, {
+			id,
+			url: urlOf(1000 + index),
+			kind: TargetKind.Engine,
+			failureDomain: domainOf(shape, index),
+			pools: [shape.pools[Math.trunc(index / shape.domains.length) % shape.pools.length]!],
+			warmBudget: permitsPerTarget,
+			coldBudget: 4,
+			standing: Standing.In,
+			fences: true,
+		}])),
+		failureDomains: new Map(shape.domains.map(name => [name, {name, standing: Standing.In}])),
+	};
+}
+
+function joinMembers(world: World, shape: Shape) {
+	for (const [index, id] of shape.ids.entries()) {
+		if (id !== world.self.id) {
+			noteLease(world, id, 1, {
+				nonce: '',
+				incarnation: incarnationOf(id),
+				tenure: tenureOf(id),
+				sequence: 1,
+				state: MemberState.Active,
+				failureDomain: domainOf(shape, index),
+				callerUrl: urlOf(index),
+				peerUrl: urlOf(index),
+				durationMs: world.limits.leaseDurationMs,
+			});
+		}
+	}
+}
+
+/** Gives each target to its preferred owner, warm, and returns the targets by owner. */
+function assignTargets(world: World, shape: Shape): Map<string, string[]> {
+	const live = shape.ids.map((id, index): Pick<Member, 'id' | 'failureDomain'> => ({id, failureDomain: domainOf(shape, index)}));
+	const owned = new Map<string, string[]>();
+	for (const [target, owner] of preferredOwners([...world.configuration.targets.values()], live as Member[])) {
+		owned.set(owner, [...owned.get(owner) ?? [], target]);
+		applyOwner(world, target, 1, {
+			owner, incarnation: tenureOf(owner), epoch: 1, nonce: '',
+		}, {
+			kind: 'targetHandover', target, epoch: 1, tenure: tenureOf(owner), version: 1, phase: Phase.Warm, budget: permitsPerTarget, entries: [],
+		});
+	}
+
+	return owned;
+}
+
+function poolsOf(world: World, targets: string[]): string[] {
+	return [...new Set(targets.flatMap(target => world.configuration.targets.get(target)?.pools ?? []))].toSorted();
+}
+
+function pickWorkspace(shape: Shape, random: Random): string {
+	const from = random.uniform() < backloggedPermits ? shape.backlogged : shape.workspaces;
+	return from[Math.trunc(random.uniform() * from.length)]!;
+}
+
+/** Puts more tickets into this router's queues than its targets take, so that the first steps fill every permit. */
+function fillQueues(world: World, shape: Shape, random: Random) {
+	let number = 0;
+	const add = (pool: string, workspace: string) => {
+		const origin = shape.ids[number % shape.ids.length]!;
+		number += 1;
+		addTicket(world, {
+			ticket: `${origin}-${number}`, origin, workspace, pool, inputTokens: 100, prefixHash: 0, deadline: Number.MAX_SAFE_INTEGER, arrivedAt: world.now, excluded: [],
+		});
+	};
+
+	for (const {target} of world.budgets.rows()) {
+		const pool = world.configuration.targets.get(target)!.pools[0]!;
+		for (let permit = 0; permit < permitsPerTarget; permit += 1) {
+			add(pool, pickWorkspace(shape, random));
+		}
+	}
+
+	for (const pool of poolsOf(world, [...world.holdings.keys()])) {
+		for (const workspace of shape.backlogged) {
+			for (let ticket = 0; ticket < ticketsPerBacklog; ticket += 1) {
+				add(pool, workspace);
+			}
+		}
+	}
+}
+
+/** Service of an owner that changed lately or has tickets waiting. */
+function activeServices(shape: Shape, pools: string[], random: Random): ServiceEntry[] {
+	const entries = new Map<string, ServiceEntry>();
+	const add = (pool: string, workspace: string, waiting: number) => {
+		entries.set(`${pool}/${workspace}`, {
+			workspace, pool, service: Math.trunc(random.uniform() * 1e6), waiting, virtualTime: 0,
+		});
+	};
+
+	const permits = permitsPerTarget * letter.targets / letter.members;
+	for (let permit = 0; permit < permits && pools.length > 0; permit += 1) {
+		add(pools[permit % pools.length]!, pickWorkspace(shape, random), 0);
+	}
+
+	for (const pool of pools) {
+		for (const workspace of shape.backlogged) {
+			add(pool, workspace, ticketsPerBacklog);
+		}
+	}
+
+	return [...entries.values()];
+}
+
+type DigestOptions = {peer: string; round: number; services: ServiceEntry[]; pools: string[]};
+
+function digestOf(world: World, shape: Shape, {peer, round, services, pools}: DigestOptions): Digest {
+	const index = shape.ids.indexOf(peer);
+	return {
+		kind: 'digest',
+		state: MemberState.Active,
+		failureDomain: domainOf(shape, index),
+		callerUrl: urlOf(index),
+		peerUrl: urlOf(index),
+		revision: 1,
+		leaseSequence: round,
+		storeAgeMs: 500,
+		// Each round charges what a permit streams in one period, once or twice a second as holders report it.
+		services: services.map(entry => ({...entry, service: entry.service + (round * 4)})),
+		pools: pools.map(pool => ({
+			pool, free: 0, budget: permitsPerTarget, waiting: shape.backlogged.length * ticketsPerBacklog, frontier: 0,
+		})),
+		heard: heardBy(world, shape, peer, round),
+	};
+}
+
+function heardBy(world: World, shape: Shape, peer: string, round: number): HeardEntry[] {
+	return shape.ids.map(member => ({
+		member,
+		incarnation: incarnationOf(member),
+		ageMs: member === peer ? 0 : 250,
+		leaseSequence: round,
+		digestSequence: member === world.self.id ? world.gossip.sequence : round,
+		tenure: tenureOf(member),
+	}));
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/core-size.ts
@@ -0,0 +1,105 @@
+/*
+The decision core alone at growing tables, in one process without I/O: time of its steps, bytes of its digest on the
+wire, and heap of its tables, with the fitted value at the size of the users' letter.
+*/
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {toBinary} from '@bufbuild/protobuf';
+import {createDigest} from '@shallotloom/core/systems/digests.ts';
+import {EnvelopeSchema} from '@shallotloom/protocol/gen/peer_pb.ts';
+import {encodeEnvelope} from '@shallotloom/router/peers/codec.ts';
+import {createFleet, letter, type Fleet} from '../core-size/fleet.ts';
+import {drive, StepKind} from '../core-size/drive.ts';
+import {atMost, fittedLine, rounded} from '../measure/figures.ts';
+import type {Scenario, ScenarioResult, ScenarioRun} from './scenario.ts';
+
+const fleetSizes = [9, 50, 100, 205, 410];
+
+const allowedCoreFraction = 0.014;
+const allowedHeapBytes = 64 * 1024 * 1024;
+const allowedBytesPerSecond = 25 * 1024;
+
+/** World time that passes before the measurement, so that queues, digests and compiled code are in steady use. */
+const warmUpSeconds = 1;
+
+type Size = {
+	members: number;
+	tickMs: number;
+	digestMs: number;
+	requestMs: number;
+	/** Time of all steps in one second, as a part of that second. */
+	coreFraction: number;
+	digestBytes: number;
+	heardBytes: number;
+	serviceBytes: number;
+	/** Digests sent and received in one second, without framing. */
+	bytesPerSecond: number;
+	heapBytes: number;
+};
+
+export const coreSize: Scenario = {
+	summary: 'the decision core alone: step time, digest bytes and heap by the size of the fleet',
+	seconds: 10,
+	async run(run) {
+		const sizes = fleetSizes.map(members => {
+			const size = measure(members, run);
+			run.progress(JSON.stringify(size));
+			return size;
+		});
+		return resultOf(sizes);
+	},
+};
+
+function measure(members: number, {seed, seconds}: ScenarioRun): Size {
+	const heapBefore = heapUsed();
+	const fleet = createFleet({members, seed});
+	drive(fleet, {seconds: warmUpSeconds, seed});
+	const heapBytes = heapUsed() - heapBefore;
+	const runSeconds = seconds / fleetSizes.length;
+	const {times} = drive(fleet, {seconds: runSeconds, seed: seed + 1});
+	const spentMs = Object.values(times).reduce((sum, {ms}) => sum + ms, 0);
+	const bytes = digestSizes(fleet);
+	const digestsPerSecond = 1000 / fleet.world.limits.digestMs;
+	return {
+		members,
+		...bytes,
+		tickMs: times[StepKind.Tick].ms / times[StepKind.Tick].count,
+		digestMs: times[StepKind.Digest].ms / times[StepKind.Digest].count,
+		requestMs: times[StepKind.Request].ms / times[StepKind.Request].count,
+		coreFraction: spentMs / (runSeconds * 1000),
+		bytesPerSecond: 2 * bytes.digestBytes * digestsPerSecond * (members - 1),
+		heapBytes,
+	};
+}
+
+function digestSizes({world}: Fleet) {
+	const digest = createDigest(world);
+	const bytesOf = (part: Partial<typeof digest>) =>
+		toBinary(EnvelopeSchema, encodeEnvelope('', '', [{...digest, ...part}])).length;
+	const digestBytes = bytesOf({});
+	return {digestBytes, heardBytes: digestBytes - bytesOf({heard: []}), serviceBytes: digestBytes - bytesOf({services: []})};
+}
+
+/** Heap in use after a full collection, in bytes. */
+function heapUsed(): number {
+	setFlagsFromString('--expose_gc');
+	(runInNewContext('gc') as () => void)();
+	return process.memoryUsage().heapUsed;
+}
+
+function resultOf(sizes: Size[]): ScenarioResult {
+	const fitted = (figure: keyof Size) => fittedLine(sizes.map(size => ({x: size.members, y: size[figure]})));
+	const figures: Array<keyof Size> = ['tickMs', 'digestMs', 'requestMs', 'coreFraction', 'digestBytes', 'heapBytes'];
+	const last = sizes.at(-1)!;
+	return {
+		sizes: sizes.map(size => Object.fromEntries(Object.entries(size).map(([key, value]) => [key, rounded(value)]))),
+		slopes: Object.fromEntries(figures.map(figure => [figure, Number(fitted(figure).slope.toPrecision(4))])),
+		atMembers: letter.members,
+		bounds: {
+			coreFraction: atMost(last.coreFraction, allowedCoreFraction),
+			heapBytes: atMost(last.heapBytes, allowedHeapBytes),
+			bytesPerSecond: atMost(last.bytesPerSecond, allowedBytesPerSecond),
+		},
+	};
+}
--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -3,6 +3,7 @@
 */
 import {coldStart} from './cold-start.ts';
 import {control} from './control.ts';
+import {coreSize} from './core-size.ts';
 import {failureDomain} from './failure-domain.ts';
 import {fairness} from './fairness.ts';
 import {overhead} from './overhead.ts';
@@ -17,5 +18,6 @@
 	'failure-domain': failureDomain,
 	'cold-start': coldStart,
 	control,
+	'core-size': coreSize,
 	overhead,
 };
