Bound what a digest says of others, and drop late digests whole

It now tells of its sender, echoes the receiver, and tells of a window of 16 others that moves on with each digest; a fleet of up to 17 sends what it sent before. Each entry stands alone, so the argument of docs/design/membership.md holds as for a lost digest.

Counters of workspaces of which nothing waits anywhere now go out with every eighth digest; of backlogged ones with each. A workspace that becomes backlogged at any owner has its counters sent with the next digest of all others.

--- a/packages/bench/src/core-size/drive.ts
+++ b/packages/bench/src/core-size/drive.ts
@@ -72,7 +72,6 @@
 
 	const ticksPerDigest = world.limits.digestMs / tickMs;
 	const perTick = Math.ceil(fleet.peers.length / ticksPerDigest);
-	const pick = <Item>(items: Item[]) => items[Math.trunc(random.uniform() * items.length)]!;
 	for (let tick = 0; tick < seconds * 1000 / tickMs; tick += 1) {
 		now += tickMs;
 		round += tick % ticksPerDigest === 0 ? 1 : 0;
@@ -84,9 +83,10 @@
 				take(StepKind.Request, [endOf(permit)]);
 			}
 
+			const pool = fleet.pools[Math.trunc(random.uniform() * fleet.pools.length)]!;
 			take(StepKind.Request, [{
 				kind: 'callerRequest',
-				request: requestOf(`${world.self.id}-c${requests}`, pick(fleet.workspaces), pick(fleet.pools), now + deadlineMs),
+				request: requestOf(`${world.self.id}-c${requests}`, fleet.pickWorkspace(pool, random), pool, now + deadlineMs),
 			}]);
 		}
 	}
--- a/packages/bench/src/core-size/fleet.ts
+++ b/packages/bench/src/core-size/fleet.ts
@@ -8,6 +8,7 @@
 } from '@shallotloom/core/messages.ts';
 import type {Member} from '@shallotloom/core/rows.ts';
 import {noteLease} from '@shallotloom/core/systems/contacts.ts';
+import {heardWindow} from '@shallotloom/core/systems/heard.ts';
 import {preferredOwners} from '@shallotloom/core/systems/preferences.ts';
 import {applyOwner} from '@shallotloom/core/systems/owner-records.ts';
 import {addTicket} from '@shallotloom/core/systems/services.ts';
@@ -25,6 +26,9 @@
 /** Part of the workspaces that always has tickets waiting. */
 const backloggedFraction = 0.1;
 
+/** Models that one workspace uses. */
+const poolsPerWorkspace = 2;
+
 /** Part of the permits that backlogged workspaces hold. */
 const backloggedPermits = 0.5;
 
@@ -40,7 +44,8 @@
 	/** Targets by owner. */
 	owned: Map<string, string[]>;
 	pools: string[];
-	workspaces: string[];
+	/** A workspace that uses a pool, at random. */
+	pickWorkspace: (pool: string, random: Random) => string;
 	/** Digest number `round` of a peer, with what it had heard by then. */
 	digestOf: (peer: string, round: number) => Digest;
 };
@@ -78,7 +83,7 @@
 		peers: shape.ids.slice(1),
 		owned,
 		pools: shape.pools,
-		workspaces: shape.workspaces,
+		pickWorkspace: (pool, generator) => pickWorkspace(shape, pool, generator),
 		digestOf: (peer, round) => digestOf(world, shape, {
 			peer, round, services: activity.get(peer)!, pools: poolsOf(world, owned.get(peer) ?? []),
 		}),
@@ -186,9 +191,19 @@
 	return [...new Set(targets.flatMap(target => world.configuration.targets.get(target)?.pools ?? []))].toSorted();
 }
 
-function pickWorkspace(shape: Shape, random: Random): string {
-	const from = random.uniform() < backloggedPermits ? shape.backlogged : shape.workspaces;
-	return from[Math.trunc(random.uniform() * from.length)]!;
+/** Workspaces of a list that use a pool; the whole list when none does. */
+function usersOf(shape: Shape, pool: string, from: string[]): string[] {
+	const poolIndex = shape.pools.indexOf(pool);
+	const users = from.filter(id => {
+		const distance = (poolIndex + shape.pools.length - (Number(id.slice(-4)) % shape.pools.length)) % shape.pools.length;
+		return distance < poolsPerWorkspace;
+	});
+	return users.length === 0 ? from : users;
+}
+
+function pickWorkspace(shape: Shape, pool: string, random: Random): string {
+	const users = usersOf(shape, pool, random.uniform() < backloggedPermits ? shape.backlogged : shape.workspaces);
+	return users[Math.trunc(random.uniform() * users.length)]!;
 }
 
 /** Puts more tickets into this router's queues than its targets take, so that the first steps fill every permit. */
@@ -205,12 +220,12 @@
 	for (const {target} of world.budgets.rows()) {
 		const pool = world.configuration.targets.get(target)!.pools[0]!;
 		for (let permit = 0; permit < permitsPerTarget; permit += 1) {
-			add(pool, pickWorkspace(shape, random));
+			add(pool, pickWorkspace(shape, pool, random));
 		}
 	}
 
 	for (const pool of poolsOf(world, [...world.holdings.keys()])) {
-		for (const workspace of shape.backlogged) {
+		for (const workspace of usersOf(shape, pool, shape.backlogged)) {
 			for (let ticket = 0; ticket < ticketsPerBacklog; ticket += 1) {
 				add(pool, workspace);
 			}
@@ -229,11 +244,12 @@
 
 	const permits = permitsPerTarget * letter.targets / letter.members;
 	for (let permit = 0; permit < permits && pools.length > 0; permit += 1) {
-		add(pools[permit % pools.length]!, pickWorkspace(shape, random), 0);
+		const pool = pools[permit % pools.length]!;
+		add(pool, pickWorkspace(shape, pool, random), 0);
 	}
 
 	for (const pool of pools) {
-		for (const workspace of shape.backlogged) {
+		for (const workspace of usersOf(shape, pool, shape.backlogged)) {
 			add(pool, workspace, ticketsPerBacklog);
 		}
 	}
@@ -257,14 +273,18 @@
 		// Each round charges what a permit streams in one period, once or twice a second as holders report it.
 		services: services.map(entry => ({...entry, service: entry.service + (round * 4)})),
 		pools: pools.map(pool => ({
-			pool, free: 0, budget: permitsPerTarget, waiting: shape.backlogged.length * ticketsPerBacklog, frontier: 0,
+			pool, free: 0, budget: permitsPerTarget, waiting: usersOf(shape, pool, shape.backlogged).length * ticketsPerBacklog, frontier: 0,
 		})),
 		heard: heardBy(world, shape, peer, round),
 	};
 }
 
+/** The peer's own entry, the echo of this router, and a window of others, as `heard.ts` of the core chooses them. */
 function heardBy(world: World, shape: Shape, peer: string, round: number): HeardEntry[] {
-	return shape.ids.map(member => ({
+	const others = shape.ids.filter(id => id !== peer && id !== world.self.id);
+	const start = (round * heardWindow) % others.length;
+	const told = [peer, world.self.id, ...[...others, ...others].slice(start, start + Math.min(heardWindow, others.length))];
+	return told.map(member => ({
 		member,
 		incarnation: incarnationOf(member),
 		ageMs: member === peer ? 0 : 250,
--- a/packages/bench/src/scenarios/core-size.ts
+++ b/packages/bench/src/scenarios/core-size.ts
@@ -5,10 +5,11 @@
 import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
-import {toBinary} from '@bufbuild/protobuf';
+import {fromBinary, toBinary} from '@bufbuild/protobuf';
 import {createDigest} from '@shallotloom/core/systems/digests.ts';
+import {nextHeard} from '@shallotloom/core/systems/heard.ts';
 import {EnvelopeSchema} from '@shallotloom/protocol/gen/peer_pb.ts';
-import {encodeEnvelope} from '@shallotloom/router/peers/codec.ts';
+import {decodeMessage, encodeEnvelope} from '@shallotloom/router/peers/codec.ts';
 import {createFleet, letter, type Fleet} from '../core-size/fleet.ts';
 import {drive, StepKind} from '../core-size/drive.ts';
 import {atMost, fittedLine, rounded} from '../measure/figures.ts';
@@ -23,6 +24,8 @@
 /** World time that passes before the measurement, so that queues, digests and compiled code are in steady use. */
 const warmUpSeconds = 1;
 
+const wireSamples = 200;
+
 type Size = {
 	members: number;
 	tickMs: number;
@@ -33,6 +36,10 @@
 	digestBytes: number;
 	heardBytes: number;
 	serviceBytes: number;
+	/** Time to encode one digest and to decode it again. */
+	wireMs: number;
+	/** Steps, and digests encoded and decoded, in one second, as a part of that second. */
+	coreFractionWithWire: number;
 	/** Digests sent and received in one second, without framing. */
 	bytesPerSecond: number;
 	heapBytes: number;
@@ -59,7 +66,9 @@
 	const runSeconds = seconds / fleetSizes.length;
 	const {times} = drive(fleet, {seconds: runSeconds, seed: seed + 1});
 	const spentMs = Object.values(times).reduce((sum, {ms}) => sum + ms, 0);
+	const coreFraction = spentMs / (runSeconds * 1000);
 	const bytes = digestSizes(fleet);
+	const wireMs = wireTime(fleet);
 	const digestsPerSecond = 1000 / fleet.world.limits.digestMs;
 	return {
 		members,
@@ -67,20 +76,36 @@
 		tickMs: times[StepKind.Tick].ms / times[StepKind.Tick].count,
 		digestMs: times[StepKind.Digest].ms / times[StepKind.Digest].count,
 		requestMs: times[StepKind.Request].ms / times[StepKind.Request].count,
-		coreFraction: spentMs / (runSeconds * 1000),
+		coreFraction,
+		wireMs,
+		coreFractionWithWire: coreFraction + (wireMs * digestsPerSecond * (members - 1) / 1000),
 		bytesPerSecond: 2 * bytes.digestBytes * digestsPerSecond * (members - 1),
 		heapBytes,
 	};
 }
 
-function digestSizes({world}: Fleet) {
-	const digest = createDigest(world);
+function digestSizes({world, peers}: Fleet) {
+	const digest = {...createDigest(world), heard: nextHeard(world)(peers[0]!)};
 	const bytesOf = (part: Partial<typeof digest>) =>
 		toBinary(EnvelopeSchema, encodeEnvelope('', '', [{...digest, ...part}])).length;
 	const digestBytes = bytesOf({});
 	return {digestBytes, heardBytes: digestBytes - bytesOf({heard: []}), serviceBytes: digestBytes - bytesOf({services: []})};
 }
 
+/** Mean time to encode and decode a digest, which differs in what it says of others for each member. */
+function wireTime({world, peers}: Fleet): number {
+	const digest = createDigest(world);
+	const heardBy = nextHeard(world);
+	const before = performance.now();
+	for (let sample = 0; sample < wireSamples; sample += 1) {
+		const heard = heardBy(peers[sample % peers.length]!);
+		const bytes = toBinary(EnvelopeSchema, encodeEnvelope('', '', [{...digest, heard}]));
+		fromBinary(EnvelopeSchema, bytes).messages.map(message => decodeMessage(message));
+	}
+
+	return (performance.now() - before) / wireSamples;
+}
+
 /** Heap in use after a full collection, in bytes. */
 function heapUsed(): number {
 	setFlagsFromString('--expose_gc');
@@ -90,14 +115,14 @@
 
 function resultOf(sizes: Size[]): ScenarioResult {
 	const fitted = (figure: keyof Size) => fittedLine(sizes.map(size => ({x: size.members, y: size[figure]})));
-	const figures: Array<keyof Size> = ['tickMs', 'digestMs', 'requestMs', 'coreFraction', 'digestBytes', 'heapBytes'];
+	const figures: Array<keyof Size> = ['tickMs', 'digestMs', 'requestMs', 'coreFraction', 'coreFractionWithWire', 'wireMs', 'digestBytes', 'heapBytes'];
 	const last = sizes.at(-1)!;
 	return {
 		sizes: sizes.map(size => Object.fromEntries(Object.entries(size).map(([key, value]) => [key, rounded(value)]))),
 		slopes: Object.fromEntries(figures.map(figure => [figure, Number(fitted(figure).slope.toPrecision(4))])),
 		atMembers: letter.members,
 		bounds: {
-			coreFraction: atMost(last.coreFraction, allowedCoreFraction),
+			coreFraction: atMost(last.coreFractionWithWire, allowedCoreFraction),
 			heapBytes: atMost(last.heapBytes, allowedHeapBytes),
 			bytesPerSecond: atMost(last.bytesPerSecond, allowedBytesPerSecond),
 		},
--- a/packages/core/src/systems/digests.ts
+++ b/packages/core/src/systems/digests.ts
@@ -3,11 +3,12 @@
 pool, and the revision in force. Counters are cumulative, so a lost digest loses nothing.
 */
 import type {Digest, PoolEntry, ServiceEntry} from '../messages.ts';
-import type {Member} from '../rows.ts';
+import type {Member, Service} from '../rows.ts';
 import {
 	due, send, serviceKey, type World,
 } from '../world.ts';
-import {heardEntries, hearDigest, storeAge} from './membership.ts';
+import {nextHeard} from './heard.ts';
+import {hearDigest, storeAge} from './membership.ts';
 import {loadOf} from './placement.ts';
 import {
 	serviceOf, setWaiting, virtualTimeOf, waitingServices, weightOf,
@@ -16,10 +17,28 @@
 /** Digests for which a counter that has changed is sent, so that a lost digest doesn't hide the change. */
 const repeats = 4;
 
+/** How many digests go by between two that tell of workspaces of which nothing waits anywhere. */
+const idlePeriods = 8;
+
+/** Period at which members are looked through for silent ones, in milliseconds. */
+const silenceMs = 100;
+
+/** Whether the next digest tells of a service: of a backlogged one at once, of another from time to time. */
+function isTold(world: World, service: Service): boolean {
+	const {now, limits, gossip} = world;
+	if (service.waiting > 0) {
+		return true;
+	}
+
+	const age = now - service.changedAt;
+	return service.remoteWaiting > 0 || gossip.sequence % idlePeriods === 0
+		? age <= repeats * idlePeriods * limits.digestMs
+		: false;
+}
+
 function serviceEntries(world: World): ServiceEntry[] {
-	const changedSince = world.now - (repeats * world.limits.digestMs);
 	return [...world.services.rows()]
-		.filter(service => service.waiting > 0 || service.changedAt >= changedSince)
+		.filter(service => isTold(world, service))
 		.map(service => ({
 			workspace: service.workspace,
 			pool: service.pool,
@@ -46,8 +65,8 @@
 	});
 }
 
-/** What this router tells the others about itself now. */
-export function createDigest(world: World): Digest {
+/** What this router tells all others about itself now; whom it hears depends on whom it tells. */
+export function createDigest(world: World): Omit<Digest, 'heard'> {
 	return {
 		kind: 'digest',
 		state: world.state,
@@ -59,7 +78,6 @@
 		storeAgeMs: Math.ceil(storeAge(world)),
 		services: serviceEntries(world),
 		pools: poolEntries(world),
-		heard: heardEntries(world),
 	};
 }
 
@@ -70,19 +88,21 @@
 	}
 
 	const digest = createDigest(world);
+	const heardBy = nextHeard(world);
 	for (const member of world.members.rows()) {
 		if (member.id !== world.self.id) {
-			send(world, member.id, digest);
+			send(world, member.id, {...digest, heard: heardBy(member.id)});
 		}
 	}
 }
 
+type KeyedEntry = {key: string; entry: ServiceEntry};
+
 /** Charges what another owner served since its last digest; the first digest of an owner only sets the base. */
-function absorbService(world: World, member: Member, entry: ServiceEntry) {
-	const key = serviceKey(entry);
-	const isNewHere = !world.services.has(key);
-	const service = serviceOf(world, entry);
-	if (isNewHere) {
+function absorbService(world: World, member: Member, {key, entry}: KeyedEntry) {
+	const known = world.services.get(key);
+	const service = known ?? serviceOf(world, entry);
+	if (!known) {
 		service.offset += entry.virtualTime * weightOf(world, entry.workspace);
 	}
 
@@ -94,8 +114,14 @@
 	member.services.set(key, entry.service);
 }
 
-function absorbWaiting(world: World, member: Member, digest: Digest) {
-	const waiting = new Map(digest.services.filter(entry => entry.waiting > 0).map(entry => [serviceKey(entry), entry]));
+function absorbWaiting(world: World, member: Member, entries: KeyedEntry[]) {
+	const waiting = new Map<string, ServiceEntry>();
+	for (const {key, entry} of entries) {
+		if (entry.waiting > 0) {
+			waiting.set(key, entry);
+		}
+	}
+
 	for (const [key, before] of member.waiting) {
 		const service = world.services.get(key);
 		if (service && !waiting.has(key)) {
@@ -104,8 +130,11 @@
 	}
 
 	for (const [key, entry] of waiting) {
-		const service = serviceOf(world, entry);
-		setWaiting(world, service, service.waiting, service.remoteWaiting + entry.waiting - (member.waiting.get(key) ?? 0));
+		const change = entry.waiting - (member.waiting.get(key) ?? 0);
+		if (change !== 0) {
+			const service = serviceOf(world, entry);
+			setWaiting(world, service, service.waiting, service.remoteWaiting + change);
+		}
 	}
 
 	member.waiting = new Map([...waiting].map(([key, entry]) => [key, entry.waiting]));
@@ -113,9 +142,9 @@
 
 export function onDigest(world: World, from: string, digest: Digest, incarnation: string) {
 	const before = world.members.get(from)?.incarnation;
-	hearDigest(world, from, incarnation, digest);
+	const isTaken = hearDigest(world, from, incarnation, digest);
 	const member = world.members.get(from);
-	if (member?.incarnation !== incarnation) {
+	if (!isTaken || member === undefined) {
 		return;
 	}
 
@@ -126,11 +155,12 @@
 		}
 	}
 
-	for (const entry of digest.services) {
-		absorbService(world, member, entry);
+	const entries = digest.services.map(entry => ({key: serviceKey(entry), entry}));
+	for (const keyed of entries) {
+		absorbService(world, member, keyed);
 	}
 
-	absorbWaiting(world, member, digest);
+	absorbWaiting(world, member, entries);
 	member.pools = new Map(digest.pools.map(entry => [entry.pool, entry]));
 }
 
@@ -148,6 +178,10 @@
 
 /** Forgets the waiting tickets of members that aren't heard any more: what they hold is placed anew by its holders. */
 export function silenceSystem(world: World) {
+	if (!due(world, 'silence', silenceMs)) {
+		return;
+	}
+
 	for (const member of world.members.rows()) {
 		if (member.waiting.size > 0 && world.now - member.heardAt > world.limits.heardMs) {
 			forgetWaiting(world, member);
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -19,15 +19,9 @@
 	hasLapsed, isHeard, mayEndLease,
 } from './quorum.ts';
 
-/** Time for which the send times of this router's digests are kept. */
-const echoWindowMs = 10_000;
-
 /** Renewals kept a contact; older ones can't matter for a lease that lapses now. */
 const renewalsKept = 6;
 
-/** Age told of a member that was never heard; the wire form has 32 bits. */
-const unheardAgeMs = 1_000_000_000;
-
 /** Time for which the list of leases may grow old for each member, so that reads don't grow with the fleet's square. */
 const listMsPerMember = 50;
 
@@ -43,22 +37,22 @@
 	}
 }
 
-/** Takes what a digest says of its sender and of the members that it heard. */
-export function hearDigest(world: World, from: string, incarnation: string, digest: PeerMessageOf<'digest'>) {
+/** Takes what a digest says of its sender and of the members that it heard; false for one that is older than another already taken. */
+export function hearDigest(world: World, from: string, incarnation: string, digest: PeerMessageOf<'digest'>): boolean {
 	if (from === world.self.id) {
-		return;
+		return false;
 	}
 
 	const contact = contactOf(world, from);
 	const own = digest.heard.find(entry => entry.member === from);
 	if (contact.incarnation === incarnation && own !== undefined && own.digestSequence <= contact.digestSequence) {
-		return;
+		return false;
 	}
 
 	const echoAt = echoTime(world, digest);
 	const member = memberOf(world, from);
 	if (contact.incarnation !== '' && contact.incarnation !== incarnation && echoAt < member.heardAt) {
-		return;
+		return false;
 	}
 
 	contact.incarnation = incarnation;
@@ -79,30 +73,8 @@
 	for (const entry of digest.heard) {
 		hearOf(world, from, entry, echoAt);
 	}
-}
 
-/** What this router's next digest says of the members that it hears; each call numbers a new digest. */
-export function heardEntries(world: World): HeardEntry[] {
-	const {gossip, self, lease, now} = world;
-	gossip.sequence += 1;
-	gossip.sentAt.set(gossip.sequence, now);
-	for (const [sequence, sentAt] of gossip.sentAt) {
-		if (now - sentAt < echoWindowMs) {
-			break;
-		}
-
-		gossip.sentAt.delete(sequence);
-	}
-
-	const own: HeardEntry = {
-		member: self.id,
-		incarnation: self.incarnation,
-		ageMs: 0,
-		leaseSequence: lease.renewedAt === Number.NEGATIVE_INFINITY ? 0 : lease.sequence,
-		digestSequence: gossip.sequence,
-		tenure: lease.tenure,
-	};
-	return [own, ...[...world.contacts.rows()].filter(contact => contact.digestSequence > 0).map(contact => entryOf(world, contact))];
+	return true;
 }
 
 /** Time since this router's lease was renewed; -1 when it has none or knows that others go on renewing theirs. */
@@ -196,8 +168,10 @@
 	const live = liveMembers(world).map(member => member.id);
 	for (const contact of world.contacts.rows()) {
 		const member = world.members.get(contact.member);
-		const isMine = rendezvous(contact.member, live, id => id) === world.self.id;
-		if (member && isMine && contact.tenure !== '' && mayEndLease(world, member.id, member.leaseSeenAt)) {
+		// Hashing is dear in a large fleet, and few leases lapse.
+		const isDue = member !== undefined && contact.tenure !== '' && hasLapsed(world, member.leaseSeenAt);
+		const isMine = isDue && rendezvous(contact.member, live, id => id) === world.self.id;
+		if (isMine && mayEndLease(world, member.id, member.leaseSeenAt)) {
 			endLease(world, member.id, contact.tenure, () => undefined);
 		}
 	}
@@ -249,15 +223,3 @@
 
 	noteRenewal(world, member, entry.leaseSequence, world.now);
 }
-
-function entryOf(world: World, contact: Contact): HeardEntry {
-	const member = world.members.get(contact.member);
-	return {
-		member: contact.member,
-		incarnation: contact.incarnation,
-		ageMs: Math.min(Math.ceil(world.now - (member?.heardAt ?? Number.NEGATIVE_INFINITY)), unheardAgeMs),
-		leaseSequence: member?.leaseSequence ?? 0,
-		digestSequence: contact.digestSequence,
-		tenure: contact.tenure,
-	};
-}
--- a/packages/core/src/systems/rebalance.ts
+++ b/packages/core/src/systems/rebalance.ts
@@ -113,14 +113,13 @@
 	}
 }
 
-function moveToward(world: World, member: Member, pool: string) {
+function moveToward(world: World, member: Member, pool: string, waiting: Service[]) {
 	const load = member.pools.get(pool);
 	if (!load || load.frontier < 0) {
 		return;
 	}
 
-	const behind = waitingServices(world, pool)
-		.filter(service => virtualTimeOf(world, service) + world.limits.rebalanceLead < load.frontier);
+	const behind = waiting.filter(service => virtualTimeOf(world, service) + world.limits.rebalanceLead < load.frontier);
 	const count = Math.ceil(load.budget * moveShare);
 	for (const ticket of ticketsToMove(world, behind, count)) {
 		moveTicket(world, ticket, member.id);
@@ -135,10 +134,11 @@
 	}
 
 	for (const pool of waitingPools(world)) {
+		const waiting = waitingServices(world, pool);
 		for (const route of routesOf(world, pool)) {
 			const member = world.members.get(route.owner);
 			if (member && member.id !== world.self.id && canHold(world, member)) {
-				moveToward(world, member, pool);
+				moveToward(world, member, pool, waiting);
 			}
 		}
 	}
--- a/packages/core/src/systems/routes.ts
+++ b/packages/core/src/systems/routes.ts
@@ -14,26 +14,26 @@
 		&& configuration.failureDomains.get(target.failureDomain)?.standing !== Standing.Out;
 }
 
-function addRoute(world: World, routes: Map<string, Route[]>, target: Target, pool: string) {
+function addRoute(world: World, routes: Map<string, Map<string, Route>>, target: Target, pool: string) {
 	const owner = world.ownerships.get(target.id)?.owner;
 	if (!owner) {
 		return;
 	}
 
-	const poolRoutes = routes.get(pool) ?? [];
+	const poolRoutes = routes.get(pool) ?? new Map<string, Route>();
 	routes.set(pool, poolRoutes);
-	const route = poolRoutes.find(candidate => candidate.owner === owner);
+	const route = poolRoutes.get(owner);
 	if (route) {
 		route.targets.push(target.id);
 		return;
 	}
 
-	poolRoutes.push({owner, failureDomain: world.members.get(owner)?.failureDomain ?? '', targets: [target.id]});
+	poolRoutes.set(owner, {owner, failureDomain: world.members.get(owner)?.failureDomain ?? '', targets: [target.id]});
 }
 
 /** Rebuilds the routes. */
 export function rebuildRoutes(world: World) {
-	const routes = new Map<string, Route[]>();
+	const routes = new Map<string, Map<string, Route>>();
 	for (const target of world.configuration.targets.values()) {
 		if (isIn(world.configuration, target)) {
 			for (const pool of target.pools) {
@@ -42,7 +42,7 @@
 		}
 	}
 
-	world.routes = routes;
+	world.routes = new Map([...routes].map(([pool, poolRoutes]) => [pool, [...poolRoutes.values()]]));
 }
 
 /** Rebuilds the routes when they are due. */
--- /dev/null
+++ b/packages/core/test/digests.test.ts
@@ -0,0 +1,132 @@
+import fc from 'fast-check';
+import type {Digest} from '../src/messages.ts';
+import {isHeard} from '../src/systems/quorum.ts';
+import {heardWindow} from '../src/systems/heard.ts';
+import {charge, serviceOf, setWaiting} from '../src/systems/services.ts';
+import type {World} from '../src/world.ts';
+import {createFleet, type Fleet} from './support/fleet.ts';
+
+const domains = ['x', 'y', 'z'];
+
+function start(count: number): Fleet {
+	const ids = Array.from({length: count}, (_, index) => `r${String(index).padStart(2, '0')}`);
+	const fleet = createFleet({routers: Object.fromEntries(ids.map((id, index) => [id, domains[index % domains.length]!]))});
+	fleet.run(4000);
+	return fleet;
+}
+
+function digestsSince(fleet: Fleet, at: number): Array<{from: string; to: string; digest: Digest}> {
+	return fleet.outbox.flatMap(({at: sentAt, from, item}) =>
+		sentAt > at && item.kind === 'send' && item.message.kind === 'digest' ? [{from, to: item.to, digest: item.message}] : []);
+}
+
+function hears({worlds}: Fleet, one: string, other: string): boolean {
+	const world = worlds.get(one)!;
+	return isHeard(world, world.members.get(other)!);
+}
+
+describe('what a digest tells of other members', () => {
+	it.each([3, 17, 40])('is bounded and echoes the receiver in a fleet of %d', count => {
+		const fleet = start(count);
+		const from = fleet.now;
+		fleet.run(1000);
+		const digests = digestsSince(fleet, from);
+		expect(digests.length).toBeGreaterThan(0);
+		for (const {from: sender, to, digest} of digests) {
+			const told = digest.heard.map(({member}) => member);
+			expect(told.length).toBeLessThanOrEqual(heardWindow + 2);
+			expect(new Set(told).size).toBe(told.length);
+			expect(told).toEqual(expect.arrayContaining([sender, to]));
+		}
+	});
+
+	it('tells of every member in turn', () => {
+		const fleet = start(40);
+		const from = fleet.now;
+		fleet.run(1000);
+		const told = digestsSince(fleet, from).filter(({from: sender}) => sender === 'r00').flatMap(({digest}) => digest.heard);
+		expect(new Set(told.map(({member}) => member)).size).toBe(40);
+	});
+
+	it.each([
+		{cut: 'one way', isCut: (from: string, to: string) => from === 'r01' && to === 'r00'},
+		{cut: 'both ways', isCut: (from: string, to: string) => [from, to].toSorted().join(' ') === 'r00 r01'},
+	])('lets two members whose stream is cut $cut hear of each other through the rest', ({isCut}) => {
+		const fleet = start(40);
+		fleet.delay = (from, to) => isCut(from, to) ? undefined : 1;
+		fleet.check = () => {
+			if (fleet.now % 1000 === 0) {
+				expect(hears(fleet, 'r00', 'r01')).toBe(true);
+			}
+		};
+
+		fleet.run(6000);
+	});
+
+	it('lets no member count as heard that is cut from all', () => {
+		const fleet = start(24);
+		fleet.delay = (from, to) => from === 'r01' || to === 'r01' ? undefined : 1;
+		fleet.run(2000);
+		expect(hears(fleet, 'r00', 'r01')).toBe(false);
+		expect(hears(fleet, 'r01', 'r00')).toBe(false);
+	});
+});
+
+const entry = {pool: 'm', workspace: 'w'};
+
+function remoteOf(world: World): number {
+	return world.services.get('m/w')?.remote ?? 0;
+}
+
+describe('counters of service', () => {
+	it('of an idle workspace travel at every eighth digest, and at once when it is backlogged elsewhere', () => {
+		const fleet = start(3);
+		const world = fleet.worlds.get('r00')!;
+		charge(world, serviceOf(world, entry), 100);
+		const from = fleet.now;
+		fleet.run(4000);
+		const idle = digestsSince(fleet, from).filter(({from: sender, to}) => sender === 'r00' && to === 'r01');
+		expect(idle.filter(({digest}) => digest.services.length > 0)).toHaveLength(idle.length / 8);
+
+		const other = fleet.worlds.get('r01')!;
+		setWaiting(other, serviceOf(other, entry), 1, 0);
+		charge(world, serviceOf(world, entry), 50);
+		fleet.run((2 * world.limits.digestMs) + 50);
+		expect(remoteOf(other)).toBe(50);
+	});
+
+	it('reach the true sum whatever is lost, late or out of order, and never fall', () => {
+		fc.assert(fc.property(
+			fc.array(fc.record({ms: fc.integer({min: 50, max: 1500}), amount: fc.integer({min: 1, max: 1000}), owner: fc.constantFrom('r00', 'r01')}), {minLength: 1, maxLength: 12}),
+			fc.infiniteStream(fc.option(fc.integer({min: 1, max: 700}), {freq: 2, nil: undefined})),
+			(charges, delays) => {
+				const fleet = start(3);
+				const observer = fleet.worlds.get('r02')!;
+				for (const owner of ['r00', 'r01']) {
+					const world = fleet.worlds.get(owner)!;
+					setWaiting(world, serviceOf(world, entry), 1, 0);
+				}
+
+				fleet.run(2500);
+				fleet.delay = (_from, _to, item) => item.kind === 'send' && item.message.kind === 'digest' ? delays.next().value as number | undefined : 1;
+				let last = remoteOf(observer);
+				fleet.check = () => {
+					expect(remoteOf(observer)).toBeGreaterThanOrEqual(last);
+					last = remoteOf(observer);
+				};
+
+				let sum = 0;
+				for (const {ms, amount, owner} of charges) {
+					const world = fleet.worlds.get(owner)!;
+					charge(world, serviceOf(world, entry), amount);
+					sum += amount;
+					fleet.run(ms);
+				}
+
+				fleet.delay = () => 1;
+				fleet.run(5000);
+				expect(remoteOf(observer)).toBe(sum);
+			},
+		), {seed: 11, numRuns: 20});
+	});
+});
