Tell a router's heap, and measure control up to 27 routers

Cause: the control scenario read a heap metric that no router gave, and told nothing of the part that steps take. Change: a gauge of the heap in use, under the name that Prometheus' clients for Node.js share; the scenario adds the steps' part of the processor time and a fleet of 27.

--- a/packages/bench/src/scenarios/control.ts
+++ b/packages/bench/src/scenarios/control.ts
@@ -13,7 +13,7 @@
 import {metricSum} from '../measure/prometheus.ts';
 import {withDeployment, type Scenario} from './scenario.ts';
 
-const fleetSizes = [3, 6, 9, 18];
+const fleetSizes = [3, 6, 9, 18, 27];
 
 /** Routers in the users' letter. */
 const letterRouters = 410;
@@ -25,23 +25,26 @@
 /** Names in the router's metrics. */
 const controlBytes = 'shallotloom_control_bytes_total';
 const heapUsed = 'nodejs_heap_size_used_bytes';
+const stepSeconds = 'shallotloom_step_duration_seconds_sum';
 
 /** What one router of a fleet spends, as the mean over its routers. */
 type ControlCost = {
 	routers: number;
 	bytesPerSecond: number;
 	coreFraction: number;
+	/** Part of it that steps of the core take. */
+	stepFraction: number;
 	heapBytes: number;
 	residentBytes: number;
 	/** Object API calls of the whole fleet. */
 	storeCallsPerSecond: number;
 };
 
-type Reading = {atMs: number; storeCalls: number; routers: Array<{bytes: number; cpuMs: number; heapBytes: number; residentBytes: number}>};
+type Reading = {atMs: number; storeCalls: number; routers: Array<{bytes: number; stepMs: number; cpuMs: number; heapBytes: number; residentBytes: number}>};
 
 export const control: Scenario = {
 	summary: 'bytes, CPU and memory that routers spend on control, by the size of the fleet',
-	seconds: 24,
+	seconds: 40,
 	async run({seconds, progress}) {
 		const costs: ControlCost[] = [];
 		for (const routers of fleetSizes) {
@@ -52,6 +55,8 @@
 		const atLetter = {
 			bytesPerSecond: extrapolated(costs, 'bytesPerSecond'),
 			coreFraction: extrapolated(costs, 'coreFraction'),
+			stepFraction: extrapolated(costs, 'stepFraction'),
+			storeCallsPerSecond: extrapolated(costs, 'storeCallsPerSecond'),
 			heapBytes: extrapolated(costs, 'heapBytes'),
 		};
 		return {
@@ -59,10 +64,12 @@
 			slopes: mapValues({
 				bytesPerSecond: slopeOf(costs, 'bytesPerSecond').slope,
 				coreFraction: slopeOf(costs, 'coreFraction').slope,
+				stepFraction: slopeOf(costs, 'stepFraction').slope,
 				heapBytes: slopeOf(costs, 'heapBytes').slope,
 				storeCallsPerSecond: slopeOf(costs, 'storeCallsPerSecond').slope,
 			}, value => Number(value.toPrecision(4))),
 			atRouters: letterRouters,
+			atLetter: mapValues(atLetter, rounded),
 			bounds: {
 				bytesPerSecond: atMost(atLetter.bytesPerSecond, allowedBytesPerSecond),
 				coreFraction: atMost(atLetter.coreFraction, allowedCoreFraction),
@@ -82,11 +89,13 @@
 	const perRouter = after.routers.map((router, index) => ({
 		bytes: router.bytes - (before.routers[index]?.bytes ?? 0),
 		cpuMs: router.cpuMs - (before.routers[index]?.cpuMs ?? 0),
+		stepMs: router.stepMs - (before.routers[index]?.stepMs ?? 0),
 	}));
 	return {
 		routers: after.routers.length,
 		bytesPerSecond: mean(perRouter.map(({bytes}) => bytes)) * 1000 / elapsedMs,
 		coreFraction: mean(perRouter.map(({cpuMs}) => cpuMs)) / elapsedMs,
+		stepFraction: mean(perRouter.map(({stepMs}) => stepMs)) / elapsedMs,
 		heapBytes: mean(after.routers.map(({heapBytes}) => heapBytes)),
 		residentBytes: mean(after.routers.map(({residentBytes}) => residentBytes)),
 		storeCallsPerSecond: (after.storeCalls - before.storeCalls) * 1000 / elapsedMs,
@@ -97,7 +106,9 @@
 	const storeCalls = await platformCalls(platformUrl);
 	const readings = await Promise.all(routers.map(async ({operatorsUrl, child}) => {
 		const [text, usage] = await Promise.all([metricsText(operatorsUrl), processUsage(child.pid)]);
-		return {...usage, bytes: metricSum(text, controlBytes), heapBytes: metricSum(text, heapUsed)};
+		return {
+			...usage, bytes: metricSum(text, controlBytes), stepMs: metricSum(text, stepSeconds) * 1000, heapBytes: metricSum(text, heapUsed),
+		};
 	}));
 	return {atMs: performance.now(), storeCalls, routers: readings};
 }
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -54,6 +54,8 @@
 	revision: number;
 	/** Durations of the steps since the reading before, in milliseconds. */
 	stepsMs: number[];
+	/** Heap in use by the process. */
+	heapBytes: number;
 };
 
 export type Metrics = {
@@ -88,6 +90,7 @@
 		refusalMetrics(registry),
 		controlMetrics(registry),
 		stepMetrics(registry),
+		processMetrics(registry),
 	];
 	return {
 		set(reading) {
@@ -180,6 +183,14 @@
 	};
 }
 
+/** Under the name that Prometheus' clients for Node.js share. */
+function processMetrics(registry: Registry): Setter {
+	const heap = new Gauge({name: 'nodejs_heap_size_used_bytes', help: 'Heap in use', registers: [registry]});
+	return ({heapBytes}) => {
+		heap.set(heapBytes);
+	};
+}
+
 function counter(registry: Registry, name: string, help: string, labelNames: string[]): Counter {
 	return new Counter({
 		name: `shallotloom_${name}`, help, labelNames, registers: [registry],
--- a/packages/router/src/reading.ts
+++ b/packages/router/src/reading.ts
@@ -1,6 +1,7 @@
 /*
 Takes the reading that the metrics are set from.
 */
+import process from 'node:process';
 import type {RefusalKind, Outcome, Refusal} from '@shallotloom/core/refusal.ts';
 import {virtualTimeOf, weightOf} from '@shallotloom/core/systems/services.ts';
 import type {World} from '@shallotloom/core/world.ts';
@@ -56,6 +57,7 @@
 				leaseAgeMs: Math.max(0, world.limits.leaseDurationMs - (world.lease.validUntil - world.now)),
 				revision: world.configuration.revision,
 				stepsMs: taken,
+				heapBytes: process.memoryUsage().heapUsed,
 			};
 		},
 	};
--- a/packages/router/test/metrics.test.ts
+++ b/packages/router/test/metrics.test.ts
@@ -26,6 +26,7 @@
 	leaseAgeMs: 1500,
 	revision: 42,
 	stepsMs: [0.7, 3],
+	heapBytes: 5000,
 };
 
 async function lines(metrics: ReturnType<typeof createMetrics>): Promise<string[]> {
@@ -37,6 +38,7 @@
 	const metrics = createMetrics();
 	metrics.set(reading);
 	expect(await lines(metrics)).toEqual(expect.arrayContaining([
+		'nodejs_heap_size_used_bytes 5000',
 		'shallotloom_service_weighted_tokens_total{workspace="ba"} 100',
 		'shallotloom_fairness_gap_weighted_tokens{workspace="nadi"} 30',
 		'shallotloom_queue_requests{workspace="nadi"} 4',
