Send service entries by column, encoded once for all receivers

Change: the entries of a pool travel as packed columns in one encoded field. Ruled out: interning by the place in the configuration, since sender and receiver may have different revisions in force.

--- a/packages/router/src/peers/codec.ts
+++ b/packages/router/src/peers/codec.ts
@@ -1,15 +1,17 @@
 /*
-Translates peer messages of the core to and from their wire form. Both have the same fields, so each kind of message is
-one case of the proto's `oneof`.
+Translates peer messages of the core to and from their wire form. Both have the same fields, but for a digest's service
+entries, so each kind of message is one case of the proto's `oneof`.
 */
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import type {PeerMessage} from '@shallotloom/core/messages.ts';
 import {
 	EnvelopeSchema, type Envelope, type Message, type MessageSchema,
 } from '@shallotloom/protocol/gen/peer_pb.ts';
+import {decodeServices, encodeServices} from './service-table.ts';
 
 function encodeMessage(message: PeerMessage): MessageInitShape<typeof MessageSchema> {
-	const body: unknown = {case: message.kind, value: message};
+	const value = message.kind === 'digest' ? {...message, services: encodeServices(message.services)} : message;
+	const body: unknown = {case: message.kind, value};
 	return {body: body as MessageInitShape<typeof MessageSchema>['body']};
 }
 
@@ -18,7 +20,12 @@
 	return create(EnvelopeSchema, {sender, incarnation, messages: messages.map(message => encodeMessage(message))});
 }
 
-/** Core form of one message; undefined for a kind that this version doesn't know. */
+/** Core form of one message; undefined for a kind that this version doesn't know. Throws on a malformed digest. */
 export function decodeMessage({body}: Message): PeerMessage | undefined {
-	return body.case === undefined ? undefined : {...body.value, kind: body.case} as unknown as PeerMessage;
+	if (body.case === undefined) {
+		return undefined;
+	}
+
+	const services = body.case === 'digest' ? {services: decodeServices(body.value.services)} : {};
+	return {...body.value, ...services, kind: body.case} as unknown as PeerMessage;
 }
--- /dev/null
+++ b/packages/router/src/peers/service-table.ts
@@ -0,0 +1,47 @@
+/*
+Wire form of a digest's service entries: columns by pool, which are smaller and faster to read than a message an entry.
+A digest goes to every member, and its entries are the same for all, so they are encoded once.
+*/
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+import type {ServiceEntry} from '@shallotloom/core/messages.ts';
+import {PoolServicesSchema, ServiceTableSchema, type PoolServices} from '@shallotloom/protocol/gen/peer_pb.ts';
+
+const encoded = new WeakMap<readonly ServiceEntry[], Uint8Array>();
+
+/** Encodes service entries; the same list, which must not change, is encoded once. */
+export function encodeServices(entries: readonly ServiceEntry[]): Uint8Array {
+	const known = encoded.get(entries);
+	if (known) {
+		return known;
+	}
+
+	const bytes = toBinary(ServiceTableSchema, create(ServiceTableSchema, {pools: columnsOf(entries)}));
+	encoded.set(entries, bytes);
+	return bytes;
+}
+
+/** Decodes service entries; throws when the bytes are no service table. */
+export function decodeServices(bytes: Uint8Array): ServiceEntry[] {
+	return fromBinary(ServiceTableSchema, bytes).pools.flatMap(({pool, workspaces, services, waiting, virtualTimes}) =>
+		workspaces.map((workspace, index) => ({
+			workspace,
+			pool,
+			service: services[index] ?? 0,
+			waiting: waiting[index] ?? 0,
+			virtualTime: virtualTimes[index] ?? 0,
+		})));
+}
+
+function columnsOf(entries: readonly ServiceEntry[]): PoolServices[] {
+	const pools = new Map<string, PoolServices>();
+	for (const {pool, workspace, service, waiting, virtualTime} of entries) {
+		const columns = pools.get(pool) ?? create(PoolServicesSchema, {pool});
+		pools.set(pool, columns);
+		columns.workspaces.push(workspace);
+		columns.services.push(service);
+		columns.waiting.push(waiting);
+		columns.virtualTimes.push(virtualTime);
+	}
+
+	return [...pools.values()];
+}
--- /dev/null
+++ b/packages/router/test/codec.test.ts
@@ -0,0 +1,41 @@
+import {fromBinary, toBinary} from '@bufbuild/protobuf';
+import fc from 'fast-check';
+import {MemberState, type PeerMessage, type ServiceEntry} from '@shallotloom/core/messages.ts';
+import {EnvelopeSchema} from '@shallotloom/protocol/gen/peer_pb.ts';
+import {decodeMessage, encodeEnvelope} from '../src/peers/codec.ts';
+
+function throughWire(message: PeerMessage): PeerMessage | undefined {
+	const bytes = toBinary(EnvelopeSchema, encodeEnvelope('r1', 'i1', [message]));
+	return decodeMessage(fromBinary(EnvelopeSchema, bytes).messages[0]!);
+}
+
+function digestOf(services: ServiceEntry[]): PeerMessage {
+	return {
+		kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: 'http://a', peerUrl: 'http://b', revision: 3, leaseSequence: 4, storeAgeMs: -1, services, pools: [], heard: [],
+	};
+}
+
+const amount = fc.double({min: -1e12, max: 1e12, noNaN: true});
+const entries = fc.uniqueArray(fc.record({
+	workspace: fc.string(), pool: fc.string(), service: amount, waiting: fc.nat(), virtualTime: amount,
+}), {selector: ({workspace, pool}) => `${pool} ${workspace}`});
+
+function sorted(services: ServiceEntry[]): ServiceEntry[] {
+	return services.toSorted((a, b) => JSON.stringify([a.pool, a.workspace]) < JSON.stringify([b.pool, b.workspace]) ? -1 : 1);
+}
+
+test('a digest arrives as it was sent, its service entries in any order', () => {
+	fc.assert(fc.property(entries, services => {
+		const sent = digestOf(services);
+		const arrived = throughWire(sent);
+		expect(arrived).toMatchObject({...sent, services: expect.any(Array)});
+		expect(arrived?.kind === 'digest' && sorted(arrived.services)).toEqual(sorted(services));
+	}), {seed: 5, numRuns: 100});
+});
+
+test('other messages arrive as they were sent', () => {
+	const offer: PeerMessage = {
+		kind: 'ticketOffer', ticket: 't', workspace: 'w', pool: 'm', inputTokens: 3, prefixHash: 9, remainingMs: 100, waitedMs: 5, excluded: ['engine-1'],
+	};
+	expect(throughWire(offer)).toMatchObject(offer);
+});
