Rebuild the routes only when owners or the configuration change

Change: tables count their changes, and the routes are rebuilt when the configuration or the ownerships differ from those that they were built from. A route's failure domain was read by nobody and is gone.

--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -242,7 +242,6 @@
 /** What an owner can do for a pool. */
 export type Route = {
 	owner: string;
-	failureDomain: string;
 	/** Fitting targets. */
 	targets: string[];
 };
--- a/packages/core/src/systems/routes.ts
+++ b/packages/core/src/systems/routes.ts
@@ -28,7 +28,7 @@
 		return;
 	}
 
-	poolRoutes.set(owner, {owner, failureDomain: world.members.get(owner)?.failureDomain ?? '', targets: [target.id]});
+	poolRoutes.set(owner, {owner, targets: [target.id]});
 }
 
 /** Rebuilds the routes. */
@@ -42,12 +42,15 @@
 		}
 	}
 
+	world.routesSource = {configuration: world.configuration, ownerships: world.ownerships.version};
 	world.routes = new Map([...routes].map(([pool, poolRoutes]) => [pool, [...poolRoutes.values()]]));
 }
 
-/** Rebuilds the routes when they are due. */
+/** Rebuilds the routes when they are due and what they follow from has changed. */
 export function routesSystem(world: World) {
-	if (due(world, 'routes', routesMs)) {
+	const {routesSource, configuration, ownerships} = world;
+	const isChanged = routesSource?.configuration !== configuration || routesSource.ownerships !== ownerships.version;
+	if (isChanged && due(world, 'routes', routesMs)) {
 		rebuildRoutes(world);
 	}
 }
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -5,6 +5,8 @@
 
 export type Table<Row> = {
 	readonly size: number;
+	/** Grows whenever a row is added, replaced or deleted; not when a row changes in place. */
+	readonly version: number;
 	get(key: string): Row | undefined;
 	has(key: string): boolean;
 	/** Adds the row, or replaces the row of the same key. */
@@ -36,6 +38,7 @@
 export function createTable<Row>({key, index}: TableOptions<Row>): Table<Row> {
 	const byKey = new Map<string, Row>();
 	const byIndex = new Map<string, Map<string, Row>>();
+	let version = 0;
 
 	function unlink(rowKey: string, row: Row) {
 		if (!index) {
@@ -71,6 +74,7 @@
 				unlink(rowKey, before);
 			}
 
+			version += 1;
 			byKey.set(rowKey, row);
 			link(rowKey, row);
 		},
@@ -80,6 +84,7 @@
 				return false;
 			}
 
+			version += 1;
 			unlink(rowKey, row);
 			return byKey.delete(rowKey);
 		},
@@ -87,6 +92,9 @@
 		group: value => byIndex.get(value)?.values() ?? [],
 		count: value => byIndex.get(value)?.size ?? 0,
 		groups: () => byIndex.keys(),
+		get version() {
+			return version;
+		},
 		get size() {
 			return byKey.size;
 		},
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -122,6 +122,8 @@
 	demands: Table<Demand>;
 	/** Owners of each pool's targets, rebuilt by `routesSystem`. */
 	routes: Map<string, Route[]>;
+	/** What the routes were built from: the configuration and the version of the ownerships. */
+	routesSource: {configuration: Configuration; ownerships: number} | undefined;
 	/** Continuations of store operations in flight, by operation. */
 	operations: Map<number, (reply: StoreReply) => void>;
 	nextOperation: number;
@@ -176,6 +178,7 @@
 		services: createTable<Service>({key: service => serviceKey(service), index: service => service.pool}),
 		demands: createTable<Demand>({key: demand => serviceKey(demand)}),
 		routes: new Map(),
+		routesSource: undefined,
 		operations: new Map(),
 		nextOperation: 1,
 		ranAt: new Map(),
--- a/packages/core/test/table.test.ts
+++ b/packages/core/test/table.test.ts
@@ -20,3 +20,29 @@
 	expect([...table.group('x')].map(row => row.id)).toEqual(['c', 'b']);
 	expect(table.size).toBe(2);
 });
+
+test('the version grows with each row that comes, is replaced or goes, and with nothing else', () => {
+	const table = createTable<Row>({key: row => row.id});
+	const row = {id: 'a', group: 'x'};
+	const versions = [
+		() => {
+			table.set(row);
+		},
+		() => {
+			table.set({...row});
+		},
+		() => {
+			table.get('a')!.group = 'y';
+		},
+		() => {
+			table.delete('b');
+		},
+		() => {
+			table.delete('a');
+		},
+	].map(change => {
+		change();
+		return table.version;
+	});
+	expect(versions).toEqual([1, 2, 2, 2, 3]);
+});
