--- a/packages/bench/src/scenarios/core-size.ts
+++ b/packages/bench/src/scenarios/core-size.ts
@@ -12,6 +12,7 @@
 import {decodeMessage, encodeEnvelope} from '@shallotloom/router/peers/codec.ts';
 import {createFleet, letter, type Fleet} from '../core-size/fleet.ts';
 import {drive, StepKind} from '../core-size/drive.ts';
+import {messageSizes} from '../core-size/message-sizes.ts';
 import {atMost, fittedLine, rounded} from '../measure/figures.ts';
 import type {Scenario, ScenarioResult, ScenarioRun} from './scenario.ts';
 
@@ -120,6 +121,7 @@
 	return {
 		sizes: sizes.map(size => Object.fromEntries(Object.entries(size).map(([key, value]) => [key, rounded(value)]))),
 		slopes: Object.fromEntries(figures.map(figure => [figure, Number(fitted(figure).slope.toPrecision(4))])),
+		messageBytes: messageSizes(),
 		atMembers: letter.members,
 		bounds: {
 			coreFraction: atMost(last.coreFractionWithWire, allowedCoreFraction),
