--- a/packages/bench/src/load/closed-loop.ts
+++ b/packages/bench/src/load/closed-loop.ts
@@ -21,6 +21,8 @@
 
 export type ClosedLoopResult = {
 	requestsPerSecond: number;
+	/** Output tokens that arrived, those of unfinished answers included. */
+	tokensPerSecond: number;
 	/** Requests that got no whole answer. */
 	failed: number;
 };
@@ -38,7 +40,8 @@
 	await callers.close();
 	const whole = counts.reduce((sum, count) => sum + count.whole, 0);
 	const failed = counts.reduce((sum, count) => sum + count.failed, 0);
-	return {requestsPerSecond: whole * 1000 / options.durationMs, failed};
+	const tokens = counts.reduce((sum, count) => sum + count.tokens, 0);
+	return {requestsPerSecond: whole * 1000 / options.durationMs, tokensPerSecond: tokens * 1000 / options.durationMs, failed};
 }
 
 async function caller(options: ClosedLoopOptions, index: number, callers: Callers, signal: AbortSignal) {
@@ -50,6 +53,11 @@
 	};
 	let whole = 0;
 	let failed = 0;
+	let tokens = 0;
+	const onTokens = (count: number) => {
+		tokens += count;
+	};
+
 	while (!signal.aborted) {
 		const {ending} = await attempt({
 			dispatcher: callers.of(arrival.workspace),
@@ -58,10 +66,11 @@
 			key: workspace?.key ?? '',
 			pool: enginePool,
 			signal,
+			onTokens,
 		});
 		whole += Number(ending === Ending.Whole);
 		failed += Number(ending !== Ending.Whole && ending !== Ending.Unfinished);
 	}
 
-	return {whole, failed};
+	return {whole, failed, tokens};
 }
--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -8,6 +8,7 @@
 import {fairness} from './fairness.ts';
 import {overhead} from './overhead.ts';
 import type {Scenario} from './scenario.ts';
+import {streaming} from './streaming.ts';
 import {starvation} from './starvation.ts';
 import {utilisation} from './utilisation.ts';
 
@@ -20,4 +21,5 @@
 	control,
 	'core-size': coreSize,
 	overhead,
+	streaming,
 };
