--- a/packages/bench/src/scenarios/streaming.ts
+++ b/packages/bench/src/scenarios/streaming.ts
@@ -3,7 +3,9 @@
 node of the users' letter. The answers have that letter's mean length; their tokens come faster than its engines give
 them, so that fewer streams make as many tokens.
 */
+import {request} from 'undici';
 import type {Deployment} from '../deployment/deployment.ts';
+import {enginePool} from '../deployment/plan.ts';
 import {processUsage} from '../deployment/process-usage.ts';
 import {runClosedLoop, type ClosedLoopOptions, type ClosedLoopResult} from '../load/closed-loop.ts';
 import {
@@ -48,6 +50,7 @@
 	const line = fittedLine(costs.map(({tokensPerSecond: x, coreFraction: y}): Point => ({x, y})));
 	return {
 		levels: costs.map(cost => Object.fromEntries(Object.entries(cost).map(([key, value]) => [key, rounded(value)]))),
+		bytesPerToken: rounded(await bytesPerToken(deployment)),
 		coreFractionPerThousandTokens: rounded(line.slope * 1000),
 		atTokensPerSecond: letterTokensPerSecond,
 		coreFraction: rounded(line.intercept + (line.slope * letterTokensPerSecond)),
@@ -62,6 +65,19 @@
 	return {...result, callers: loop.callers, coreFraction: spent / loop.durationMs};
 }
 
+/** Length of a whole streamed answer by its tokens, without the framing of HTTP. */
+async function bytesPerToken(deployment: Deployment): Promise<number> {
+	const {body} = await request(`${routerUrls(deployment)[0]}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${deployment.workspaces[0]?.key}`, 'content-type': 'application/json'},
+		body: JSON.stringify({
+			model: enginePool, stream: true, messages: [{role: 'user', content: 'straw'}], max_tokens: outputTokens, standin_output_tokens: outputTokens,
+		}),
+	});
+	const answer = await body.arrayBuffer();
+	return answer.byteLength / outputTokens;
+}
+
 /** Mean processor time that the routers have used, in milliseconds. */
 async function cpuOf(routers: Deployment['routers']): Promise<number> {
 	const usages = await Promise.all(routers.map(async ({child}) => processUsage(child.pid)));
