--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -4,11 +4,13 @@
 import {atMostOnce} from './at-most-once.ts';
 import {coldStart} from './cold-start.ts';
 import {control} from './control.ts';
+import {coreSize} from './core-size.ts';
 import {failureDomain} from './failure-domain.ts';
 import {domainCrash} from './domain-crash.ts';
 import {fairness} from './fairness.ts';
 import {overhead} from './overhead.ts';
 import type {Scenario} from './scenario.ts';
+import {streaming} from './streaming.ts';
 import {starvation} from './starvation.ts';
 import {utilisation} from './utilisation.ts';
 
@@ -20,6 +22,8 @@
 	'domain-crash': domainCrash,
 	'cold-start': coldStart,
 	control,
+	'core-size': coreSize,
 	overhead,
 	'at-most-once': atMostOnce,
+	streaming,
 };
--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -295,7 +295,6 @@
 /** What an owner can do for a pool. */
 export type Route = {
 	owner: string;
-	failureDomain: string;
 	/** Fitting targets. */
 	targets: string[];
 };
