Audit what operators did, list failure domains, and test start without a platform

Ruled out: learning phase and permits of targets from other owners, since digests would have to carry them; the table now says whom to ask.

Change: AuditAction, GET /operator/v1/domains and domain list, failureDomainStanding of targets, the platform's own error text in the log. Settings use the core's Discipline; the faults that both target stand-ins share stand once.

--- a/packages/cli/src/cli/commands.ts
+++ b/packages/cli/src/cli/commands.ts
@@ -3,7 +3,7 @@
 */
 import type {Command} from './command.ts';
 import {audit} from './commands/audit.ts';
-import {domainIn, domainOut} from './commands/domain.ts';
+import {domainIn, domainList, domainOut} from './commands/domain.ts';
 import {releaseApply} from './commands/release-apply.ts';
 import {releaseCheck} from './commands/release-check.ts';
 import {releaseHistory} from './commands/release-history.ts';
@@ -18,6 +18,7 @@
 	releaseApply,
 	releaseStatus,
 	releaseHistory,
+	domainList,
 	domainOut,
 	domainIn,
 	targetList,
--- a/packages/cli/src/cli/commands/release-apply.ts
+++ b/packages/cli/src/cli/commands/release-apply.ts
@@ -2,6 +2,7 @@
 `release apply`: makes a note the next release. It is checked first and applied only on the revision that it was checked
 against, so that a release of another operator in between is noticed.
 */
+import {AuditAction} from '@shallotloom/core/release.ts';
 import {describeNote} from '../../describe.ts';
 import {failed} from '../../errors.ts';
 import {readNoteFile} from '../../note-file.ts';
@@ -38,7 +39,7 @@
 		const result = await client.apply({
 			note: note.value,
 			reason: options.reason ?? '',
-			action: 'release apply',
+			action: AuditAction.ReleaseApply,
 			ifRevision: ifRevision === undefined ? check.value.revision : Number(ifRevision),
 		});
 		return result.kind === 'failed'
--- a/packages/cli/src/cli/commands/release-history.ts
+++ b/packages/cli/src/cli/commands/release-history.ts
@@ -20,8 +20,8 @@
 		}
 
 		return reportOf(await client.releases(limit), releases => tableText(
-			['REVISION', 'AT', 'OPERATOR', 'NOTE', 'REASON'],
-			releases.map(({revision, note, audit}) => [revision, audit.at, audit.operator, describeNote(note), audit.reason]),
+			['REVISION', 'AT', 'OPERATOR', 'REASON', 'NOTE'],
+			releases.map(({revision, note, audit}) => [revision, audit.at, audit.operator, audit.reason, describeNote(note)]),
 			terminal.colour,
 		));
 	},
--- a/packages/cli/src/cli/commands/target.ts
+++ b/packages/cli/src/cli/commands/target.ts
@@ -3,9 +3,11 @@
 */
 import {Standing} from '@shallotloom/core/configuration.ts';
 import {PhaseName, type TargetReply} from '@shallotloom/core/operator-api.ts';
+import {AuditAction} from '@shallotloom/core/release.ts';
 import {fieldsText, findNamed} from '../../find.ts';
 import {tableText, type Cell} from '../../table-text.ts';
 import {report, reportOf, type Command} from '../command.ts';
+import {standingCell} from '../standing-cell.ts';
 
 const phaseColours = {
 	[PhaseName.Cold]: 'yellow',
@@ -43,7 +45,7 @@
 		const result = await client.apply({
 			note: {changed: {targets: [{id, standing: Standing.Out}]}},
 			reason: options.reason ?? '',
-			action: 'target drain',
+			action: AuditAction.TargetDrain,
 		});
 		return result.kind === 'failed'
 			? result
@@ -57,12 +59,13 @@
 		target.id,
 		target.kind,
 		target.failureDomain,
-		target.standing === Standing.In ? target.standing : {text: target.standing, colour: 'red'},
+		standingCell(target.standing, target.failureDomainStanding),
 		target.phase === undefined ? unknown : {text: target.phase, colour: phaseColours[target.phase]},
 		target.running === undefined || target.budget === undefined ? unknown : `${target.running}/${target.budget}`,
 		target.owner === '' ? {text: 'none', colour: 'red'} : target.owner,
 		target.epoch,
 		target.pools.join(','),
 	]);
-	return tableText(['TARGET', 'KIND', 'DOMAIN', 'STANDING', 'PHASE', 'PERMITS', 'OWNER', 'EPOCH', 'POOLS'], rows, colour);
+	const table = tableText(['TARGET', 'KIND', 'DOMAIN', 'STANDING', 'PHASE', 'PERMITS', 'OWNER', 'EPOCH', 'POOLS'], rows, colour);
+	return targets.some(({phase}) => phase === undefined) ? `${table}\n${unknown}: ask the owner, with --router` : table;
 }
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -3,7 +3,7 @@
 back as a tagged error. A question may be asked again; a release that got no answer may have been accepted.
 */
 import type {
-	ApplyReply, ApplyRequest, CheckReply, ErrorReply, MemberReply, ReleaseReply, StatusReply, TargetReply, WorkspaceReply,
+	ApplyReply, ApplyRequest, CheckReply, DomainReply, ErrorReply, MemberReply, ReleaseReply, StatusReply, TargetReply, WorkspaceReply,
 } from '@shallotloom/core/operator-api.ts';
 import {isRecord} from '@shallotloom/core/entity-rules.ts';
 import type {ReleaseNote} from '@shallotloom/core/release-note.ts';
@@ -14,6 +14,7 @@
 export type Client = {
 	status(): Promise<Result<StatusReply>>;
 	members(): Promise<Result<MemberReply[]>>;
+	domains(): Promise<Result<DomainReply[]>>;
 	targets(): Promise<Result<TargetReply[]>>;
 	workspaces(): Promise<Result<WorkspaceReply[]>>;
 	/** Newest first. */
@@ -68,6 +69,7 @@
 	return {
 		status: async () => call({method: 'GET', path: 'status', shape: 'object'}),
 		members: async () => call({method: 'GET', path: 'members', shape: 'list'}),
+		domains: async () => call({method: 'GET', path: 'domains', shape: 'list'}),
 		targets: async () => call({method: 'GET', path: 'targets', shape: 'list'}),
 		workspaces: async () => call({method: 'GET', path: 'workspaces', shape: 'list'}),
 		releases: async limit => call({method: 'GET', path: `releases?limit=${limit}`, shape: 'list'}),
--- a/packages/cli/src/find.ts
+++ b/packages/cli/src/find.ts
@@ -23,5 +23,12 @@
 export function fieldsText(entity: object): string {
 	const fields = Object.entries(entity);
 	const width = Math.max(...fields.map(([name]) => name.length));
-	return fields.map(([name, value]) => `${name.padEnd(width)}  ${String(value)}`).join('\n');
+	return fields.map(([name, value]) => `${name.padEnd(width)}  ${valueText(value)}`).join('\n');
+}
+
+/** Digits after the point of a number. */
+const shownDigits = 3;
+
+function valueText(value: unknown): string {
+	return typeof value === 'number' ? String(Number(value.toFixed(shownDigits))) : String(value);
 }
--- a/packages/core/src/operator-api.ts
+++ b/packages/core/src/operator-api.ts
@@ -4,7 +4,7 @@
 */
 import type {Standing, TargetKind} from './configuration.ts';
 import type {NoteProblem, ReleaseNote} from './release-note.ts';
-import type {AuditEntry} from './release.ts';
+import type {AuditAction, AuditEntry} from './release.ts';
 
 export enum RouterState {
 	Active = 'active',
@@ -44,12 +44,25 @@
 	targets: number;
 };
 
+/** A failure domain with what stands in it. */
+export type DomainReply = {
+	name: string;
+	standing: Standing;
+	/** Number of routers that the asked router knows of. */
+	routers: number;
+	targets: number;
+	/** Targets that an owner is known of. */
+	owned: number;
+};
+
 export type TargetReply = {
 	id: string;
 	kind: TargetKind;
 	failureDomain: string;
 	pools: string[];
 	standing: Standing;
+	/** Standing of its failure domain: it gets new work only while both are in. */
+	failureDomainStanding: Standing;
 	/** Id of the owning router; '' when none is known. */
 	owner: string;
 	epoch: number;
@@ -94,8 +107,8 @@
 export type ApplyRequest = {
 	note: ReleaseNote;
 	reason: string;
-	/** For the audit trail; `release apply` when absent. */
-	action?: string;
+	/** For the audit trail; `release apply` when absent or unknown. */
+	action?: AuditAction;
 	/** Refuse the note when another revision is in force. */
 	ifRevision?: number;
 };
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -4,6 +4,7 @@
 */
 import type {AttemptEnd, PeerMessage} from './messages.ts';
 import type {Refusal} from './refusal.ts';
+import type {AuditAction} from './release.ts';
 
 /** One request of a caller, after validation and authentication at the edge. */
 export type CallerRequest = {
@@ -75,7 +76,7 @@
 		/** Load of a target as it was `ageMs` ago. `cold` is undefined when the target doesn't report it. */
 		| {kind: 'loadReport'; target: string; startId: string; running: number; ageMs: number; reachable: boolean; cold?: boolean}
 	/** An operator's release note, validated at the edge; `note` is its JSON form. */
-		| {kind: 'releaseProposed'; proposal: string; note: unknown; operator: string; reason: string; at: string; ifRevision?: number}
+		| {kind: 'releaseProposed'; proposal: string; note: unknown; operator: string; action: AuditAction; reason: string; at: string; ifRevision?: number}
 		| {kind: 'instanceList'; instances: Array<{id: string; state: 'live' | 'leaving'}>}
 		| {kind: 'stopRequested'};
 
--- a/packages/core/src/release.ts
+++ b/packages/core/src/release.ts
@@ -21,13 +21,21 @@
 	failureDomains: FailureDomain[];
 };
 
+/** What an operator did, in the words of the operators' client. */
+export enum AuditAction {
+	ReleaseApply = 'release apply',
+	DomainOut = 'domain out',
+	DomainIn = 'domain in',
+	TargetDrain = 'target drain',
+}
+
 /** Who changed what, when and why. Workspace keys appear only as hashes. */
 export type AuditEntry = {
 	/** Wall-clock time in ISO 8601 form, UTC. */
 	at: string;
 	/** Name of the operator, from the router's settings. */
 	operator: string;
-	/** For example `release apply` or `domain out`. */
+	/** An `AuditAction`; text, since a later version may have written it. */
 	action: string;
 	/** Entities that the note touches, as they were. */
 	before: ConfigurationPart;
--- a/packages/core/src/systems/proposals.ts
+++ b/packages/core/src/systems/proposals.ts
@@ -53,14 +53,16 @@
 }
 
 function releaseOf(world: World, proposal: Proposal, note: ReleaseNote, after: Configuration): Release {
-	const {at, operator, reason} = proposal;
+	const {
+		at, operator, action, reason,
+	} = proposal;
 	return {
 		revision: after.revision,
 		note,
 		audit: {
 			at,
 			operator,
-			action: 'release apply',
+			action,
 			before: partTouched(world.configuration, note),
 			after: partTouched(after, note),
 			reason,
--- a/packages/router/src/cli/main.ts
+++ b/packages/router/src/cli/main.ts
@@ -12,7 +12,7 @@
 
 declare const SHALLOTLOOM_VERSION: string | undefined;
 
-type Options = {settings?: string; 'check-settings'?: boolean};
+type Options = {settings?: string | boolean; 'check-settings'?: boolean};
 
 const version = typeof SHALLOTLOOM_VERSION === 'string' ? SHALLOTLOOM_VERSION : 'development';
 
@@ -60,9 +60,22 @@
 	console.log(`listening callers=${settings.advertise.callers} peers=${settings.advertise.peers} operators=http://${settings.listen.operators}`);
 }
 
+/** Options and what sade adds to them. */
+const knownOptions = new Set(['_', 'settings', 'check-settings']);
+
+function usageProblem(options: Options): string | undefined {
+	const unknown = Object.keys(options).find(name => !knownOptions.has(name));
+	if (unknown !== undefined) {
+		return `no option is named --${unknown}`;
+	}
+
+	return typeof options.settings === 'string' ? undefined : '--settings FILE is missing';
+}
+
 async function run(options: Options) {
-	if (options.settings === undefined) {
-		console.error('--settings FILE is missing; see --help');
+	const problem = usageProblem(options);
+	if (problem !== undefined || typeof options.settings !== 'string') {
+		console.error(`${problem}; see --help`);
 		process.exitCode = 2;
 		return;
 	}
@@ -76,7 +89,7 @@
 		.describe('Routes callers\' requests to model engines and application services.')
 		.option('--settings', 'Settings file, in YAML')
 		.option('--check-settings', 'Check the settings file and exit')
-		.example('--settings examples/council/suva-1.yaml')
+		.example('--settings examples/council/routers/suva-1.yaml')
 		.action((options: Options) => {
 			run(options).catch((error: unknown) => {
 				console.error(`error [router] ${error instanceof Error ? error.message : String(error)}`);
--- a/packages/router/src/operators/app.ts
+++ b/packages/router/src/operators/app.ts
@@ -3,10 +3,11 @@
 */
 import {Hono, type Context} from 'hono';
 import type {InboundOf, ReleaseAnswer} from '@shallotloom/core/ports.ts';
+import {AuditAction} from '@shallotloom/core/release.ts';
 import type {World} from '@shallotloom/core/world.ts';
 import {bearerKey, hasHash} from '../callers/keys.ts';
 import {
-	membersView, statusView, targetsView, workspacesView,
+	domainsView, membersView, statusView, targetsView, workspacesView,
 } from './views.ts';
 
 export type Operator = {name: string; keyHash: string};
@@ -44,7 +45,7 @@
 	}, 503),
 };
 
-type ReleaseBody = {note?: unknown; reason?: unknown; ifRevision?: unknown};
+type ReleaseBody = {note?: unknown; action?: unknown; reason?: unknown; ifRevision?: unknown};
 
 async function readRelease(context: Context<Environment>): Promise<ReleaseBody | undefined> {
 	try {
@@ -55,6 +56,8 @@
 	}
 }
 
+const auditActions = Object.values(AuditAction);
+
 const malformed = {error: {kind: 'malformed', message: 'the body is not a JSON object with a note', hint: 'Send {"note": …, "reason": "…"}.'}};
 
 /** Creates the app. */
@@ -80,6 +83,7 @@
 	});
 	app.get('/operator/v1/status', context => context.json(statusView(world)));
 	app.get('/operator/v1/members', context => context.json(membersView(world)));
+	app.get('/operator/v1/domains', context => context.json(domainsView(world)));
 	app.get('/operator/v1/targets', context => context.json(targetsView(world)));
 	app.get('/operator/v1/workspaces', context => context.json(workspacesView(world)));
 	app.get('/operator/v1/releases', async context => {
@@ -99,6 +103,7 @@
 		const answer = await options.propose({
 			note: body.note,
 			operator: context.get('operator'),
+			action: auditActions.find(action => action === body.action) ?? AuditAction.ReleaseApply,
 			reason: typeof body.reason === 'string' ? body.reason : '',
 			at: new Date().toISOString(),
 			...(typeof body.ifRevision === 'number' && {ifRevision: body.ifRevision}),
--- a/packages/router/src/operators/views.ts
+++ b/packages/router/src/operators/views.ts
@@ -1,7 +1,9 @@
 /*
 What operators see of a router: plain views of the world's tables.
 */
+import {Standing} from '@shallotloom/core/configuration.ts';
 import {Phase, MemberState} from '@shallotloom/core/messages.ts';
+import type {DomainReply} from '@shallotloom/core/operator-api.ts';
 import {virtualTimeOf} from '@shallotloom/core/systems/services.ts';
 import type {World} from '@shallotloom/core/world.ts';
 
@@ -41,6 +43,22 @@
 	}));
 }
 
+/** Failure domains with the number of their routers and targets. */
+export function domainsView(world: World): DomainReply[] {
+	const members = [...world.members.rows()];
+	const targets = [...world.configuration.targets.values()];
+	return [...world.configuration.failureDomains.values()].map(({name, standing}) => {
+		const own = targets.filter(({failureDomain}) => failureDomain === name);
+		return {
+			name,
+			standing,
+			routers: members.filter(({failureDomain}) => failureDomain === name).length,
+			targets: own.length,
+			owned: own.filter(({id}) => Boolean(world.ownerships.get(id)?.owner)).length,
+		};
+	});
+}
+
 /** Targets; budget and phase are known of this router's own. */
 export function targetsView(world: World) {
 	return [...world.configuration.targets.values()].map(target => {
@@ -52,6 +70,7 @@
 			failureDomain: target.failureDomain,
 			pools: target.pools,
 			standing: target.standing,
+			failureDomainStanding: world.configuration.failureDomains.get(target.failureDomain)?.standing ?? Standing.In,
 			owner: ownership?.owner ?? '',
 			epoch: ownership?.epoch ?? 0,
 			phase: budget ? phaseNames[budget.phase] : undefined,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,7 @@
 import {applyNote} from '@shallotloom/core/release.ts';
 import {watchedPrefixes} from '@shallotloom/core/step.ts';
 import {createWorld, type World} from '@shallotloom/core/world.ts';
+import {describePlatformError} from '@shallotloom/platform/errors.ts';
 import {pollInstanceList} from '@shallotloom/platform/instance-list.ts';
 import {createObjectStore, type ObjectStore} from '@shallotloom/platform/object-store.ts';
 import type {RouterSettings} from '@shallotloom/settings/router-settings.ts';
@@ -211,7 +212,7 @@
 			loop.push({kind: 'instanceList', instances});
 		},
 		onError(error) {
-			log.write({part: EdgePart.Platform, level: 'debug', text: `instance list could not be read: ${error.kind}`});
+			log.write({part: EdgePart.Platform, level: 'debug', text: `instance list could not be read: ${describePlatformError(error)}`});
 		},
 	});
 }
@@ -223,7 +224,7 @@
 			loop.push({kind: 'storeEvent', object});
 		},
 		onError(error) {
-			log.write({part: EdgePart.Platform, level: 'warn', text: `watch broke: ${error.kind}`});
+			log.write({part: EdgePart.Platform, level: 'warn', text: `watch broke and is tried again: ${describePlatformError(error)}`});
 		},
 	});
 }
--- /dev/null
+++ b/packages/router/test/platform-absent.test.ts
@@ -0,0 +1,52 @@
+import {createServer} from 'node:http';
+import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	bundleRouter, host, minimalSettings, type Program, type Running,
+} from './support/program.ts';
+
+let program: Program;
+let running: Running;
+
+beforeAll(async () => {
+	program = await bundleRouter();
+});
+
+afterEach(async () => running.end());
+
+afterAll(async () => program.remove());
+
+async function waitFor(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await delay(20);
+	}
+}
+
+test('a router without its platform says so, goes on trying and serves nothing', async () => {
+	running = await program.start('--settings', await program.settings(`${minimalSettings}log: {format: text}\n`));
+	await waitFor(() => running.output().includes('[platform]'));
+	expect(running.output()).toContain('warn [platform] watch broke and is tried again: Object API refused the connection');
+
+	const base = `http://${host}:8080`;
+	const refused = await fetch(`${base}/v1/address`, {headers: {authorization: 'Bearer key-of-a-workspace'}});
+	expect(refused.status).toBe(503);
+	expect(refused.headers.get('retry-after')).toBe('1');
+	expect(await refused.json()).toMatchObject({error: {kind: 'not-ready', outcome: 'not-run', retryAfter: 1}});
+	const ready = await fetch(`${base}/readyz`);
+	expect(ready.status).toBe(503);
+	const alive = await fetch(`${base}/healthz`);
+	expect(alive.status).toBe(200);
+
+	const asked = new Set<string>();
+	const late = createServer((req, res) => {
+		asked.add(new URL(req.url!, base).pathname);
+		res.writeHead(503).end();
+	});
+	late.listen(9000, host);
+	await once(late, 'listening');
+	await waitFor(() => asked.size > 0);
+	late.closeAllConnections();
+	late.close();
+	expect(running.output()).not.toContain('key-of-a-workspace');
+	expect(running.output()).not.toMatch(/\n\s+at /v);
+});
--- a/packages/settings/src/problems.ts
+++ b/packages/settings/src/problems.ts
@@ -20,7 +20,7 @@
 
 type Issue = z.core.$ZodIssue;
 
-/** Edits up to which a known name is offered for an unknown one. */
+/** Edits up to which a known name is offered for an unknown one; half of its length for a short one. */
 const nearestNameEdits = 3;
 
 const secretName = /key|token|secret|password/iv;
@@ -63,7 +63,8 @@
 /** The known name that is meant by an unknown one; undefined when none is near. */
 export function nearestName(name: string, known: readonly string[]): string | undefined {
 	const candidate = known.length === 0 ? undefined : closest(name, known);
-	return candidate !== undefined && distance(name, candidate) <= nearestNameEdits ? candidate : undefined;
+	const edits = Math.min(nearestNameEdits, Math.floor(name.length / 2));
+	return candidate !== undefined && distance(name, candidate) <= edits ? candidate : undefined;
 }
 
 const limitWords = {
--- a/packages/settings/src/router-settings.ts
+++ b/packages/settings/src/router-settings.ts
@@ -2,6 +2,7 @@
 Settings of a router. Each option has its default beside it and its unit in its name; `docs/SETTINGS.md` is written from
 this schema.
 */
+import {Discipline} from '@shallotloom/core/limits.ts';
 import {z} from 'zod';
 import {
 	baseUrl, count, entityName, ipNumber, milliseconds, sha256Hex, socketAddress,
@@ -9,15 +10,6 @@
 import {loadSettings, type SettingsResult} from './load.ts';
 import {describeProblems} from './problems.ts';
 
-/** Rule by which an owner picks the next ticket. */
-export enum Discipline {
-	Fair = 'fair',
-	/** First come, first served; a baseline of the bench. */
-	Fifo = 'fifo',
-	/** Each workspace bound to a fixed part of the slots; a baseline of the bench. */
-	Bound = 'bound',
-}
-
 export enum LogFormat {
 	Json = 'json',
 	Text = 'text',
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -1,8 +1,9 @@
 import {Standing} from '@shallotloom/core/configuration.ts';
+import {Discipline} from '@shallotloom/core/limits.ts';
 import {loadSettings, parseSettings} from '../src/load.ts';
 import {describeProblems} from '../src/problems.ts';
 import {releaseNoteSchema, sha256} from '../src/release-note.ts';
-import {checkRouterSettings, Discipline, routerSettingsSchema} from '../src/router-settings.ts';
+import {checkRouterSettings, routerSettingsSchema} from '../src/router-settings.ts';
 
 const minimal = `
 router: {id: suva-1, failureDomain: suva}
@@ -42,6 +43,11 @@
 	expect(result.kind === 'ok' ? '' : describeProblems(result.problems)).toContain(message);
 });
 
+test('a short unknown key is not taken for any other short one', () => {
+	const result = parseSettings(routerSettingsSchema, 'bogus: {}');
+	expect(result.kind === 'ok' ? [] : result.problems.at(-1)).toEqual({path: 'bogus', value: undefined, expected: 'a known key'});
+});
+
 test('cross checks name the option to change', () => {
 	const result = parseSettings(routerSettingsSchema, `${minimal}lease: {renewMs: 3000}\n`);
 	expect(result).toMatchObject({kind: 'invalid', problems: [{path: 'lease.renewMs', value: 3000, expected: 'less than half of lease.durationMs'}]});
--- a/packages/standin/src/target-faults.ts
+++ b/packages/standin/src/target-faults.ts
@@ -6,11 +6,30 @@
 	addFaultRoutes, breakConnection, clearFaults, isControl, type StandinApp,
 } from './standin-server.ts';
 
+/** Faults that every target has. */
+export type TargetFaults = {
+	/** Connections break without an answer. */
+	down: boolean;
+	/** Nothing listens for this time: connections are refused. */
+	refuseMs: number;
+	/** Factor on all service times. */
+	slowFactor: number;
+	/** What runs is cut and the target is cold with a new start id; happens once. */
+	restart: boolean;
+	/** Time that an answer is held back while the target already ran or runs it. */
+	answerLateMs: number;
+	/** Number of next answers that carry the id and content of another request. */
+	crossAnswers: number;
+	loadLagMs: number;
+	/** Requests are accepted and never answered. */
+	hang: boolean;
+};
+
 /** Faults under which a target answers nothing but control. */
-export type OutageFaults = {down?: boolean; hang?: boolean};
+export type OutageFaults = Partial<Pick<TargetFaults, 'down' | 'hang'>>;
 
 /** Faults that lose what runs; `restart` and `refuseMs` happen once. */
-export type RestartFaults = {down?: boolean; restart?: boolean; refuseMs?: number};
+export type RestartFaults = Partial<Pick<TargetFaults, 'down' | 'restart' | 'refuseMs'>>;
 
 /** Sets and clears the faults of a stand-in from a test in the same process. */
 export type FaultControl<Faults> = {
