--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -241,6 +241,8 @@
 	drainRate: number;
 	/** Retries that it may still spend. */
 	retries: number;
+	/** Retries that it has spent. */
+	retried: number;
 };
 
 /** What an owner can do for a pool. */
--- a/packages/core/src/systems/demands.ts
+++ b/packages/core/src/systems/demands.ts
@@ -32,6 +32,7 @@
 		drained: 0,
 		drainRate: 0,
 		retries: world.limits.retryReserve,
+		retried: 0,
 	};
 	world.demands.set(demand);
 	return demand;
@@ -81,13 +82,14 @@
 }
 
 /** Takes one retry out of the workspace's budget; false when there is none left. */
-export function spendRetry(world: World, request: Request): boolean {
+export function spendRetry(world: World, request: {pool: string; workspace: string}): boolean {
 	const demand = demandOf(world, request);
 	if (demand.retries < 1) {
 		return false;
 	}
 
 	demand.retries -= 1;
+	demand.retried += 1;
 	return true;
 }
 
--- a/packages/platform/src/object-watch.ts
+++ b/packages/platform/src/object-watch.ts
@@ -15,6 +15,8 @@
 	/** A new or changed object, or a deleted one with value ''. */
 	onObject: (object: StoredObject) => void;
 	onError: (error: PlatformError) => void;
+	/** Called before each listing of a prefix and each long poll. */
+	onCall?: (call: 'list' | 'watch') => void;
 };
 
 type WatchSettings = {
@@ -33,7 +35,9 @@
 const longestBackoffMs = 3000;
 
 /** Starts the watch; it runs until `stop`. */
-export function watchObjects({prefixes, onObject, onError, caller, settings}: WatchOptions): {stop(): void} {
+export function watchObjects({
+	prefixes, onObject, onError, onCall, caller, settings,
+}: WatchOptions): {stop(): void} {
 	const stopped = new AbortController();
 	const known = new Map<string, number>();
 	const listedAt = new Map<string, number>();
@@ -58,6 +62,7 @@
 		const listed = new Set<string>();
 		let oldest: number | undefined;
 		for (const prefix of prefixes) {
+			onCall?.('list');
 			const listing = await listObjects({
 				...settings, caller, prefix, after: '',
 			});
@@ -99,6 +104,7 @@
 			query.append('prefix', prefix);
 		}
 
+		onCall?.('watch');
 		const reply = await caller.call({
 			method: 'GET',
 			path: `/watch?${query.toString()}`,
--- a/packages/router/src/reading.ts
+++ b/packages/router/src/reading.ts
@@ -66,20 +66,29 @@
 	const rows = new Map<string, WorkspaceReading>();
 	const ahead = mostServed(world);
 	for (const service of world.services.rows()) {
-		const row = rows.get(service.workspace) ?? {
-			id: service.workspace, service: 0, waiting: 0, gap: 0, retries: 0,
-		};
+		const row = rowOf(rows, service.workspace);
 		const isBacklogged = service.waiting + service.remoteWaiting > 0;
 		const lead = (ahead.get(service.pool) ?? 0) - virtualTimeOf(world, service);
 		row.service += Math.max(0, service.own);
 		row.waiting += service.waiting;
 		row.gap = isBacklogged ? Math.max(row.gap, lead * weightOf(world, service.workspace)) : row.gap;
-		rows.set(service.workspace, row);
+	}
+
+	for (const {workspace, retried} of world.demands.rows()) {
+		rowOf(rows, workspace).retries += retried;
 	}
 
 	return [...rows.values()];
 }
 
+function rowOf(rows: Map<string, WorkspaceReading>, id: string): WorkspaceReading {
+	const row = rows.get(id) ?? {
+		id, service: 0, waiting: 0, gap: 0, retries: 0,
+	};
+	rows.set(id, row);
+	return row;
+}
+
 function mostServed(world: World): Map<string, number> {
 	const most = new Map<string, number>();
 	for (const service of world.services.rows()) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -153,7 +153,9 @@
 		agents,
 		onReport: loop.push,
 	});
-	const watch = watchStore(store, loop, log);
+	const watch = watchStore({
+		store, loop, log, onCall: counts.countStoreCall,
+	});
 	const instances = watchInstances(settings, loop, log);
 	const peerServer = await startPeerServer({
 		...parsePlace(settings.listen.peers),
@@ -217,8 +219,18 @@
 	});
 }
 
-function watchStore(store: ObjectStore, loop: CoreLoop, log: Log) {
+type StoreWatch = {
+	store: ObjectStore;
+	loop: CoreLoop;
+	log: Log;
+	onCall: (call: 'list' | 'watch') => void;
+};
+
+function watchStore({
+	store, loop, log, onCall,
+}: StoreWatch) {
 	return store.watch({
+		onCall,
 		prefixes: Object.keys(watchedPrefixes),
 		onObject(object) {
 			loop.push({kind: 'storeEvent', object});
--- a/packages/router/test/support/program.ts
+++ b/packages/router/test/support/program.ts
@@ -9,8 +9,7 @@
 import process from 'node:process';
 
 /** Loopback address of this process alone, so that fixed ports are free on it. */
-// eslint-disable-next-line no-bitwise
-export const host = `127.${64 + ((process.pid >> 8) & 63)}.${process.pid & 255}.1`;
+export const host = `127.${64 + (Math.floor(process.pid / 256) % 64)}.${process.pid % 256}.1`;
 
 /** Settings of a router on that address. */
 export const minimalSettings = `
