Expect of other owners what one owner does, until their counters come

Cause: between two digests all owners see the same counters, so all pick the same workspace: up to one request too many at each owner. Ruled out: more frequent digests (control traffic), a random choice among near equals (it adds the noise that it removes). Change: a grant is expected of every other owner at which the workspace waits too, for one to two digest periods, in the order only; what is charged, told to others and lifted to stays what is known.

--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -266,6 +266,11 @@
 	remote: number;
 	/** Lift on return from idleness. */
 	offset: number;
+	/** Expected charges of other owners that this one hasn't heard of yet: of this digest period, and of the one before. */
+	expected: number;
+	expectedBefore: number;
+	/** Other owners at which its tickets wait, by their last digests. */
+	remoteOwners: number;
 	/** Tickets that wait here. */
 	waiting: number;
 	/** Tickets that wait at other owners, by their last digests. */
--- a/packages/core/src/systems/digests.ts
+++ b/packages/core/src/systems/digests.ts
@@ -11,7 +11,7 @@
 import {hearDigest, storeAge} from './membership.ts';
 import {loadOf} from './placement.ts';
 import {
-	serviceOf, setWaiting, virtualTimeOf, waitingServices, weightOf,
+	serviceOf, setWaiting, shiftExpected, virtualTimeOf, waitingServices, weightOf,
 } from './services.ts';
 
 /** Digests for which a counter that has changed is sent, so that a lost digest doesn't hide the change. */
@@ -87,6 +87,7 @@
 		return;
 	}
 
+	shiftExpected(world);
 	const digest = createDigest(world);
 	const heardBy = nextHeard(world);
 	for (const member of world.members.rows()) {
@@ -114,6 +115,12 @@
 	member.services.set(key, entry.service);
 }
 
+/** Changes how many tickets of a workspace wait at one other owner. */
+function setRemoteWaiting(world: World, service: Service, before: number, after: number) {
+	service.remoteOwners += Math.sign(after) - Math.sign(before);
+	setWaiting(world, service, service.waiting, service.remoteWaiting + after - before);
+}
+
 function absorbWaiting(world: World, member: Member, entries: KeyedEntry[]) {
 	const waiting = new Map<string, ServiceEntry>();
 	for (const {key, entry} of entries) {
@@ -125,15 +132,14 @@
 	for (const [key, before] of member.waiting) {
 		const service = world.services.get(key);
 		if (service && !waiting.has(key)) {
-			setWaiting(world, service, service.waiting, service.remoteWaiting - before);
+			setRemoteWaiting(world, service, before, 0);
 		}
 	}
 
 	for (const [key, entry] of waiting) {
-		const change = entry.waiting - (member.waiting.get(key) ?? 0);
-		if (change !== 0) {
-			const service = serviceOf(world, entry);
-			setWaiting(world, service, service.waiting, service.remoteWaiting + change);
+		const before = member.waiting.get(key) ?? 0;
+		if (before !== entry.waiting) {
+			setRemoteWaiting(world, serviceOf(world, entry), before, entry.waiting);
 		}
 	}
 
@@ -169,7 +175,7 @@
 	for (const [key, waiting] of member.waiting) {
 		const service = world.services.get(key);
 		if (service) {
-			setWaiting(world, service, service.waiting, service.remoteWaiting - waiting);
+			setRemoteWaiting(world, service, waiting, 0);
 		}
 	}
 
--- a/packages/core/src/systems/permits.ts
+++ b/packages/core/src/systems/permits.ts
@@ -5,7 +5,7 @@
 import type {Permit, Ticket} from '../rows.ts';
 import {send, type World} from '../world.ts';
 import {
-	charge, costOf, learnOutput, serviceOf,
+	charge, costOf, expectOthers, learnOutput, serviceOf,
 } from './services.ts';
 import {onAttemptEnd} from './evidence.ts';
 
@@ -33,6 +33,7 @@
 	world.permits.set(permit);
 	service.running += 1;
 	charge(world, service, permit.charged);
+	expectOthers(world, service, permit.charged);
 	return permit;
 }
 
--- a/packages/core/src/systems/services.ts
+++ b/packages/core/src/systems/services.ts
@@ -26,6 +26,9 @@
 		own: 0,
 		remote: 0,
 		offset: 0,
+		expected: 0,
+		expectedBefore: 0,
+		remoteOwners: 0,
 		waiting: 0,
 		remoteWaiting: 0,
 		running: 0,
@@ -46,6 +49,30 @@
 	return (service.own + service.remote + service.offset) / weightOf(world, service.workspace);
 }
 
+/** Virtual time with the charges that are expected of other owners. */
+function expectedTimeOf(world: World, service: Service): number {
+	const expected = service.expected + service.expectedBefore;
+	return virtualTimeOf(world, service) + (expected / weightOf(world, service.workspace));
+}
+
+/**
+Expects that every other owner at which the workspace waits gives it as much as this one has just done. All owners see
+the same counters, so until the next digests all of them would pick the same workspace.
+*/
+export function expectOthers(world: World, service: Service, amount: number) {
+	if (world.limits.exchange) {
+		service.expected += amount * service.remoteOwners;
+	}
+}
+
+/** Starts a digest period: what was expected two periods ago has been heard of by now. */
+export function shiftExpected(world: World) {
+	for (const service of world.services.rows()) {
+		service.expectedBefore = service.expected;
+		service.expected = 0;
+	}
+}
+
 /** Charges an amount of weighted tokens, negative to correct an earlier charge. */
 export function charge(world: World, service: Service, amount: number) {
 	service.own += amount;
@@ -122,7 +149,7 @@
 
 /** Key by which the next workspace is picked, least first. */
 export const order: Record<Discipline, (world: World, service: Service) => number> = {
-	[Discipline.Fair]: virtualTimeOf,
+	[Discipline.Fair]: expectedTimeOf,
 	[Discipline.Fifo]: (world, service) => headTicket(world, service)?.arrivedAt ?? 0,
 	[Discipline.Bound]: (world, service) => headTicket(world, service)?.arrivedAt ?? 0,
 };
--- a/packages/core/test/support/engines.ts
+++ b/packages/core/test/support/engines.ts
@@ -14,6 +14,8 @@
 	coldCompletions: 4,
 	reportLagMs: 500,
 	reportEveryMs: 500,
+	/** Output tokens of the answer to a request. */
+	outputTokens: (_request: string): number => 10,
 	/** How long a request goes on whose router is gone. */
 	orphanMs: 2000,
 	/** Whether a router gets the report that it asks for. */
@@ -34,6 +36,8 @@
 	/** Times that a cold engine was given more than it carries. */
 	overruns: number;
 	running: Running[];
+	/** Whole answers, with their output tokens. */
+	answers: Array<{at: number; request: string; outputTokens: number}>;
 	/** When each request was admitted. */
 	admissions: Array<{at: number; request: string}>;
 	snapshots: Snapshot[];
@@ -58,7 +62,7 @@
 	function end(engine: Engine, {request, router, startedAt}: Running, attemptEnd: AttemptEnd) {
 		const tookMs = fleet.now - startedAt;
 		give(router, {
-			kind: 'answerEnded', request, target: engine.id, end: attemptEnd, outputTokens: attemptEnd === AttemptEnd.Whole ? 10 : 0,
+			kind: 'answerEnded', request, target: engine.id, end: attemptEnd, outputTokens: attemptEnd === AttemptEnd.Whole ? settings.outputTokens(request) : 0,
 			delivered: false, firstByteMs: tookMs / 2, betweenTokensMs: tookMs / 20,
 		});
 	}
@@ -106,6 +110,7 @@
 		engine.running = engine.running.filter(running => !isDone(running));
 		for (const running of done) {
 			engine.completions += 1;
+			engine.answers.push({at: fleet.now, request: running.request, outputTokens: settings.outputTokens(running.request)});
 			end(engine, running, AttemptEnd.Whole);
 		}
 
@@ -165,7 +170,7 @@
 
 function createEngine(id: string): Engine {
 	return {
-		id, restarts: 0, cold: true, completions: 0, slowFactor: 1, overruns: 0, running: [], admissions: [], snapshots: [],
+		id, restarts: 0, cold: true, completions: 0, slowFactor: 1, overruns: 0, running: [], answers: [], admissions: [], snapshots: [],
 	};
 }
 
--- a/packages/core/test/support/fleet.ts
+++ b/packages/core/test/support/fleet.ts
@@ -178,7 +178,7 @@
 	configuration.workspaces.set('w', {
 		id: 'w', weight: 1, keyHash: '0'.repeat(64), queueLimit: 10_000,
 	});
-	for (const id of ['w1', 'w2']) {
+	for (const id of ['w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8']) {
 		configuration.workspaces.set(id, {
 			id, weight: 1, keyHash: '0'.repeat(64), queueLimit: 100_000,
 		});
