Test that a once stream whose slow caller leaves is recorded

Without the wait that ends with the caller's connection, the run never ends and its permit stays out (seen by taking the wait out: the test fails after 10 s).

--- a/packages/router/test/support/deployment.ts
+++ b/packages/router/test/support/deployment.ts
@@ -84,13 +84,14 @@
 			platform.clearFaults();
 			engine.clearFaults();
 			service.clearFaults();
-			scripted.clear();
 			for (const budget of router.world.budgets.rows()) {
 				budget.setAsideUntil = 0;
 				budget.failuresInRow = 0;
 			}
 
 			await until('the release of all permits', async () => router.world.permits.size === 0 && router.world.requests.size === 0);
+			// Cancellations of the test before may arrive until here.
+			scripted.clear();
 		},
 		async stop() {
 			await router.close();
--- a/packages/router/test/whole-answers.test.ts
+++ b/packages/router/test/whole-answers.test.ts
@@ -223,28 +223,60 @@
 	await expectCancelled(before);
 });
 
+/** Writes 40 MB of events and, if asked to, the end of the stream. */
+function flood({socket, id}: ScriptedCall, isWhole: boolean) {
+	socket.write(`HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-request-id: ${id}\r\ntransfer-encoding: chunked\r\n\r\n`);
+	const padding = 'x'.repeat(100_000);
+	const write = (text: string) => socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+	for (let offset = 0; offset < 400; offset++) {
+		write(`id: ${offset}\ndata: {"choices":[{"delta":{"content":"${padding}"}}]}\n\n`);
+	}
+
+	if (isWhole) {
+		write(event(400, true) + done);
+		socket.write('0\r\n\r\n');
+	}
+}
+
+async function openSlow(options: Call) {
+	const leaving = new AbortController();
+	const reply = stream({
+		pool: Pool.ScriptedEngine, signal: leaving.signal, isSlow: true, ...options,
+	});
+	await until('the stream', async () => deployment.scripted.calls.length > 0);
+	return {
+		async leave() {
+			leaving.abort();
+			await reply;
+		},
+	};
+}
+
 test('a slow caller holds back only its own stream', async () => {
 	const {scripted} = deployment;
-	scripted.script(({socket, id}) => {
-		socket.write(`HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-request-id: ${id}\r\ntransfer-encoding: chunked\r\n\r\n`);
-		const padding = 'x'.repeat(100_000);
-		for (let offset = 0; offset < 400; offset++) {
-			const text = `id: ${offset}\ndata: {"choices":[{"delta":{"content":"${padding}"}}]}\n\n`;
-			socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
-		}
+	scripted.script(scriptedCall => {
+		flood(scriptedCall, false);
 	});
-	const leaving = new AbortController();
-	const slow = ask({
-		streams: true, pool: Pool.ScriptedEngine, signal: leaving.signal, isSlow: true,
-	});
-	await until('the stream', async () => scripted.calls.length > 0);
+	const slow = await openSlow({});
 	const fast = await Promise.all(offsetsTo(5).map(async () => stream({tokens: 20})));
 	expect(fast.every(reply => looksWhole(reply))).toBe(true);
 	await sleep(300);
 	const {socket} = scripted.calls[0]!;
 	// The router stopped reading: the target still holds most of the 40 MB.
 	expect(socket.writableLength).toBeGreaterThan(10_000_000);
-	leaving.abort();
-	await slow;
+	await slow.leave();
 	socket.destroy();
 });
+
+test('a once stream whose slow caller leaves runs to its end and is recorded', async () => {
+	deployment.scripted.script(scriptedCall => {
+		flood(scriptedCall, true);
+	});
+	const slow = await openSlow({once: 'slow'});
+	await sleep(300);
+	await slow.leave();
+	await until('the end of the run', async () => deployment.router.world.requests.size === 0);
+	const again = await stream({pool: Pool.ScriptedEngine, once: 'slow'});
+	expect(again).toMatchObject({status: 410, error: {kind: 'answer-not-kept', outcome: 'ran'}});
+	expect(deployment.scripted.calls).toHaveLength(1);
+});
