--- a/packages/bench/src/scenarios/at-most-once.ts
+++ b/packages/bench/src/scenarios/at-most-once.ts
@@ -41,14 +41,13 @@
 	const agent = new Agent({connect: {localAddress: clientAddress(0)}});
 	const stopAt = performance.now() + (seconds * 1000);
 	const kills: Kill[] = [];
-	const faults = [
+	const [calls] = await Promise.all([
+		startCalls(deployment, {random: createRandom(seed, 3), stopAt, agent}),
 		killRouters(deployment, {
 			random: createRandom(seed, 1), stopAt, kills, progress,
 		}),
 		failPlatform(deployment, {random: createRandom(seed, 2), stopAt, progress}),
-	];
-	const calls = await startCalls(deployment, {random: createRandom(seed, 3), stopAt, agent});
-	await Promise.all(faults);
+	]);
 	const results = await Promise.all(calls);
 	await agent.destroy();
 	return figures(results, kills, await serviceLogs(deployment));
