--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -4,6 +4,7 @@
 */
 import type {AttemptEnd, PeerMessage} from './messages.ts';
 import type {Refusal} from './refusal.ts';
+import type {AuditAction} from './release.ts';
 
 /** One request of a caller, after validation and authentication at the edge. */
 export type CallerRequest = {
@@ -72,10 +73,15 @@
 		| {kind: 'storeReply'; operation: number; result: StoreResult; objects?: StoredObject[]}
 	/** An object under a watched prefix changed; `value` is '' when it was deleted. */
 		| {kind: 'storeEvent'; object: StoredObject}
-		/** Load of a target as it was `ageMs` ago. `cold` is undefined when the target doesn't report it. */
-		| {kind: 'loadReport'; target: string; startId: string; running: number; ageMs: number; reachable: boolean; cold?: boolean}
+		/**
+		Load of a target as it was `ageMs` ago, or up to `roundTripMs` earlier, the time that asking for it took; 0 by default.
+		`cold` is undefined when the target doesn't report it.
+		*/
+		| {
+			kind: 'loadReport'; target: string; startId: string; running: number; ageMs: number; roundTripMs?: number; reachable: boolean; cold?: boolean;
+		}
 	/** An operator's release note, validated at the edge; `note` is its JSON form. */
-		| {kind: 'releaseProposed'; proposal: string; note: unknown; operator: string; reason: string; at: string; ifRevision?: number}
+		| {kind: 'releaseProposed'; proposal: string; note: unknown; operator: string; action: AuditAction; reason: string; at: string; ifRevision?: number}
 		| {kind: 'instanceList'; instances: Array<{id: string; state: 'live' | 'leaving'}>}
 		| {kind: 'stopRequested'};
 
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -15,7 +15,7 @@
 } from './demands.ts';
 import {canHold, place, placeAt} from './placement.ts';
 import {
-	hasTarget, isPool, rebuildRoutes, routesOf,
+	hasTarget, isIn, isPool, rebuildRoutes, routesOf,
 } from './routes.ts';
 import {dropRun} from './run-records.ts';
 import {checkRun, claimRun, refuseRunning} from './runs.ts';
@@ -31,6 +31,7 @@
 		attempts: 0,
 		resumes: 0,
 		holder: '',
+		offeredAt: world.now,
 		queueCost: queueCostOf(world, arrived),
 		excluded: [],
 		target: '',
@@ -89,11 +90,7 @@
 
 /** Puts a request into its workspace's queue, or refuses it at once. */
 export function enqueue(world: World, request: Request) {
-	const refusal = hasTarget(world, request.pool)
-		? queueRefusal(world, request)
-		: {
-			kind: RefusalKind.NoCapacity, outcome: Outcome.NotRun, detail: request.pool, retryAfterMs: 5 * second,
-		};
+	const refusal = hasTarget(world, request.pool) ? queueRefusal(world, request) : noCapacity(request);
 	if (refusal) {
 		refuse(world, request, refusal);
 		return;
@@ -108,6 +105,12 @@
 	place(world, request);
 }
 
+function noCapacity({pool}: Request): Refusal {
+	return {
+		kind: RefusalKind.NoCapacity, outcome: Outcome.NotRun, detail: pool, retryAfterMs: 5 * second,
+	};
+}
+
 /** Gives a request its final answer and forgets it. "not-run" becomes "unknown" where an earlier attempt may have left. */
 export function refuse(world: World, request: Request, refusal: Refusal) {
 	if (!request.isClosed) {
@@ -185,6 +188,7 @@
 	request.epoch = message.epoch;
 	request.startBy = world.now + message.startWithinMs;
 	request.attempts += 1;
+	request.startedAt = world.now;
 	if (request.once) {
 		claimRun(world, request);
 		return;
@@ -196,9 +200,15 @@
 /** Lets the edge connect to the target that the request has a permit for; one whose permit is void queues again. */
 export function startAnswer(world: World, request: Request) {
 	const target = world.configuration.targets.get(request.target);
-	if (!target || world.now > request.startBy) {
-		giveBack(world, request);
-		queueAgain(world, request);
+	if (!target || !isIn(world.configuration, target)) {
+		// The owner may not have heard yet that the target was taken out; it is not to give it again.
+		request.excluded.push(request.target);
+		leaveUnused(world, request);
+		return;
+	}
+
+	if (world.now > request.startBy) {
+		leaveUnused(world, request);
 		return;
 	}
 
@@ -209,6 +219,13 @@
 	});
 }
 
+/** Queues a request again whose permit can't be used. */
+function leaveUnused(world: World, request: Request) {
+	request.attempts -= 1;
+	giveBack(world, request);
+	queueAgain(world, request);
+}
+
 function returnPermit(world: World, owner: string, {ticket, target, epoch}: {ticket: string; target: string; epoch: number}) {
 	send(world, owner, {
 		kind: 'permitReturn', ticket, target, epoch, end: AttemptEnd.Unused, outputTokens: 0, firstByteMs: 0, betweenTokensMs: 0,
@@ -276,12 +293,6 @@
 	request.target = '';
 	request.holder = '';
 	request.outputTokens = 0;
-	const targets = routesOf(world, request.pool).flatMap(route => route.targets);
-	if (targets.every(target => request.excluded.includes(target))) {
-		// With a single target there is no other to try.
-		request.excluded = targets.length > 1 ? request.excluded.slice(-1) : [];
-	}
-
 	const mayRetry = !request.isClosed
 		&& request.attempts < world.limits.maxAttempts
 		&& request.deadline > world.now
@@ -332,6 +343,8 @@
 	for (const request of world.requests.rows()) {
 		if (request.deadline <= world.now) {
 			overdue[request.state](world, request);
+		} else if (request.state === RequestState.Queued && !hasTarget(world, request.pool)) {
+			refuse(world, request, noCapacity(request));
 		}
 	}
 }
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -5,7 +5,7 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {emptyConfiguration, type Configuration} from './configuration.ts';
 import {completeLimits, type Limits} from './limits.ts';
-import {MemberState, type PeerMessage} from './messages.ts';
+import {MemberState, type PeerMessage, type TargetHandover} from './messages.ts';
 import type {
 	LogPart, Outbound, StoreOperation, StoreResult, StoredObject,
 } from './ports.ts';
@@ -112,6 +112,8 @@
 	holdings: Map<string, number>;
 	/** Claims and handovers in progress. */
 	moves: Table<Move>;
+	/** Handovers to this router whose record it hasn't seen yet, by target. */
+	handovers: Map<string, {message: TargetHandover; toldAt: number}>;
 	preferences: Table<Preference>;
 	/** Preferred owners as last computed, by target, and the view that they follow from. */
 	preferred: {view: string; owners: Map<string, string>};
@@ -131,6 +133,8 @@
 	demands: Table<Demand>;
 	/** Owners of each pool's targets, rebuilt by `routesSystem`. */
 	routes: Map<string, Route[]>;
+	/** What the routes were built from: the configuration and the version of the ownerships. */
+	routesSource: {configuration: Configuration; ownerships: number} | undefined;
 	/** Continuations of store operations in flight, by operation. */
 	operations: Map<number, (reply: StoreReply) => void>;
 	nextOperation: number;
@@ -177,6 +181,7 @@
 		ownerships: createTable<Ownership>({key: ownership => ownership.target}),
 		holdings: new Map(),
 		moves: createTable<Move>({key: move => move.target}),
+		handovers: new Map(),
 		preferences: createTable<Preference>({key: preference => preference.target}),
 		preferred: {view: '', owners: new Map()},
 		budgets: createTable<Budget>({key: budget => budget.target}),
@@ -188,6 +193,7 @@
 		services: createTable<Service>({key: service => serviceKey(service), index: service => service.pool}),
 		demands: createTable<Demand>({key: demand => serviceKey(demand)}),
 		routes: new Map(),
+		routesSource: undefined,
 		operations: new Map(),
 		nextOperation: 1,
 		ranAt: new Map(),
--- a/packages/router/src/targets/attempt.ts
+++ b/packages/router/src/targets/attempt.ts
@@ -72,6 +72,11 @@
 	}
 }
 
+/** Whether an engine answers the request: not with its own failure, nor with an error in place of the rest of a stream. */
+function isAnswer(exchange: Exchange, {statusCode}: Answer): boolean {
+	return statusCode === 200 || (statusCode < 500 && !exchange.response.headersSent);
+}
+
 /** Runs attempts and resumptions of exchanges. */
 export function createAttempts({agents, now, onStarted, onEnded}: AttemptOptions) {
 	function markFirstByte(exchange: Exchange) {
@@ -161,8 +166,9 @@
 		}
 
 		const isStream = exchange.wantsStream && answer.statusCode === 200 && isEventStream(answer);
-		if (exchange.delivered && !isStream) {
-			// The rest of a stream isn't there any more.
+		const isLost = exchange.delivered && !isStream;
+		if (isLost || (exchange.kind === TargetKind.Engine && !isAnswer(exchange, answer))) {
+			// The engine failed by itself, or the rest of a stream isn't there any more.
 			await answer.body.dump();
 			onEnded(end(exchange, place, AttemptEnd.Broken));
 			return;
