--- a/packages/core/test/runs.test.ts
+++ b/packages/core/test/runs.test.ts
@@ -59,6 +59,20 @@
 	expect(permitsOut(fleet)).toBe(0);
 });
 
+test('a caller that goes while a lost claim is read again: nothing leaves, and the record is removed', () => {
+	const fleet = createRunningFleet();
+	setRunFault(fleet, StoreFault.AnswerLost);
+	const request = askOnce(fleet, 'a', 'k');
+	fleet.until(() => runRecords(fleet).length > 0, 5000);
+	fleet.run(50);
+	fleet.give('a', {kind: 'callerGone', request});
+	setRunFault(fleet, StoreFault.None);
+	fleet.run(2000);
+	expect(starts(fleet, request)).toHaveLength(0);
+	expect(runRecords(fleet)).toHaveLength(0);
+	expect(permitsOut(fleet)).toBe(0);
+});
+
 type Moment = 'record and dispatch' | 'dispatch and answer' | 'answer and the end of its record';
 
 function killAt(fleet: Fleet, moment: Moment) {
