--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -17,7 +17,8 @@
 import {
 	hasTarget, isIn, isPool, rebuildRoutes, routesOf,
 } from './routes.ts';
-import {checkRun, claimRun, dropRun} from './runs.ts';
+import {dropRun} from './run-records.ts';
+import {checkRun, claimRun, refuseRunning} from './runs.ts';
 
 /** Period at which deadlines are looked at, in milliseconds. */
 const deadlineMs = 100;
@@ -40,6 +41,9 @@
 		delivered: false,
 		runNonce: '',
 		runVersion: 0,
+		startBy: 0,
+		mayHaveRun: false,
+		isClosed: false,
 	};
 }
 
@@ -88,7 +92,7 @@
 export function enqueue(world: World, request: Request) {
 	const refusal = hasTarget(world, request.pool) ? queueRefusal(world, request) : noCapacity(request);
 	if (refusal) {
-		refuseUnrun(world, request, refusal);
+		refuse(world, request, refusal);
 		return;
 	}
 
@@ -107,45 +111,60 @@
 	};
 }
 
-/** Refuses a request that is in no target's hands; its key can be used again. */
-function refuseUnrun(world: World, request: Request, refusal: Refusal) {
-	dropRun(world, request);
-	refuse(world, request, refusal);
+/** Gives a request its final answer and forgets it. "not-run" becomes "unknown" where an earlier attempt may have left. */
+export function refuse(world: World, request: Request, refusal: Refusal) {
+	if (!request.isClosed) {
+		tell(world, request, refusal);
+	}
+
+	release(world, request);
+	forget(world, request);
 }
 
-/** Gives a request its final answer and forgets it. */
-export function refuse(world: World, request: Request, refusal: Refusal) {
-	leave(world, request);
-	world.requests.delete(request.id);
-	world.outbox.push({kind: 'refuse', request: request.id, refusal});
+function tell(world: World, request: Request, refusal: Refusal) {
+	const outcome = request.mayHaveRun && refusal.outcome === Outcome.NotRun ? Outcome.Unknown : refusal.outcome;
+	world.outbox.push({kind: 'refuse', request: request.id, refusal: {...refusal, outcome}});
 }
 
-/** Takes a request out of the queue that it waits in, if it does. */
-function leave(world: World, request: Request) {
-	if (request.state !== RequestState.Queued) {
-		return;
-	}
+/** Forgets a request of which nothing more is to be said. */
+export function forget(world: World, request: Request) {
+	world.requests.delete(request.id);
+	world.outbox.push({kind: 'closed', request: request.id});
+}
 
-	leaveQueue(world, request, false);
-	if (request.holder !== '') {
-		send(world, request.holder, {kind: 'ticketCancel', ticket: request.id});
+/** Gives up what a request holds: its place in a queue, its permit, and its run record if nothing has left. */
+function release(world: World, request: Request) {
+	releases[request.state]?.(world, request);
+	if (request.runNonce !== '' && !request.mayHaveRun) {
+		dropRun(world, request);
 	}
 }
 
+const releases: Partial<Record<RequestState, (world: World, request: Request) => void>> = {
+	[RequestState.Queued](world, request) {
+		leaveQueue(world, request, false);
+		if (request.holder !== '') {
+			send(world, request.holder, {kind: 'ticketCancel', ticket: request.id});
+		}
+	},
+	[RequestState.Claiming]: giveBack,
+};
+
 export function onCallerGone(world: World, {request: id}: InboundOf<'callerGone'>) {
 	const request = world.requests.get(id);
-	if (!request) {
+	if (!request || request.isClosed) {
 		return;
 	}
 
-	if (request.state === RequestState.Queued || request.state === RequestState.Checking || request.state === RequestState.Following) {
-		leave(world, request);
-		world.requests.delete(id);
+	if (request.state !== RequestState.Running) {
+		release(world, request);
+		forget(world, request);
 		return;
 	}
 
 	// A `once` request that may have left runs to its end, so that its caller finds the answer on return.
-	if (request.state === RequestState.Running && !request.once) {
+	request.isClosed = true;
+	if (!request.once) {
 		world.outbox.push({kind: 'abortAnswer', request: id});
 	}
 }
@@ -153,13 +172,21 @@
 export function onPermitGrant(world: World, from: string, message: PeerMessageOf<'permitGrant'>) {
 	const request = world.requests.get(message.ticket);
 	if (request?.state !== RequestState.Queued || request.holder !== from) {
-		returnPermit(world, from, message, AttemptEnd.Unused);
+		returnPermit(world, from, message);
+		return;
+	}
+
+	if (from !== world.self.id && world.now - world.resumedAt < message.startWithinMs) {
+		// The grant may have waited here while this router was paused.
+		returnPermit(world, from, message);
+		place(world, request);
 		return;
 	}
 
 	leaveQueue(world, request, true);
 	request.target = message.target;
 	request.epoch = message.epoch;
+	request.startBy = world.now + message.startWithinMs;
 	request.attempts += 1;
 	request.startedAt = world.now;
 	if (request.once) {
@@ -170,7 +197,7 @@
 	startAnswer(world, request);
 }
 
-/** Lets the edge connect to the target that the request has a permit for. */
+/** Lets the edge connect to the target that the request has a permit for; one whose permit is void queues again. */
 export function startAnswer(world: World, request: Request) {
 	const target = world.configuration.targets.get(request.target);
 	if (!target || !isIn(world.configuration, target)) {
@@ -180,7 +207,7 @@
 		return;
 	}
 
-	if (world.now - request.startedAt > world.limits.startWithinMs) {
+	if (world.now > request.startBy) {
 		leaveUnused(world, request);
 		return;
 	}
@@ -195,22 +222,30 @@
 /** Queues a request again whose permit can't be used. */
 function leaveUnused(world: World, request: Request) {
 	request.attempts -= 1;
-	giveBack(world, request, AttemptEnd.Unused);
-	enqueue(world, request);
+	giveBack(world, request);
+	queueAgain(world, request);
 }
 
-function returnPermit(world: World, owner: string, {ticket, target, epoch}: {ticket: string; target: string; epoch: number}, end: AttemptEnd) {
+function returnPermit(world: World, owner: string, {ticket, target, epoch}: {ticket: string; target: string; epoch: number}) {
 	send(world, owner, {
-		kind: 'permitReturn', ticket, target, epoch, end, outputTokens: 0, firstByteMs: 0, betweenTokensMs: 0,
+		kind: 'permitReturn', ticket, target, epoch, end: AttemptEnd.Unused, outputTokens: 0, firstByteMs: 0, betweenTokensMs: 0,
 	});
 }
 
 /** Returns a permit that no request has left for its target with. */
-export function giveBack(world: World, request: Request, end: AttemptEnd) {
+export function giveBack(world: World, request: Request) {
 	const owner = world.ownerships.get(request.target)?.owner ?? request.holder;
-	returnPermit(world, owner, {ticket: request.id, target: request.target, epoch: request.epoch}, end);
+	returnPermit(world, owner, {ticket: request.id, target: request.target, epoch: request.epoch});
 	request.target = '';
 	request.holder = '';
+	request.attempts -= 1;
+}
+
+/** Puts a request that had a permit back into its queue. */
+function queueAgain(world: World, request: Request) {
+	request.state = RequestState.Queued;
+	enterQueue(world, request);
+	place(world, request);
 }
 
 type ReturnHandler = (world: World, request: Request, message: PeerMessageOf<'ticketReturn'>) => void;
@@ -229,9 +264,7 @@
 	[TicketReturnReason.Leaving]: placeAnew,
 	[TicketReturnReason.Rebalance]: placeAnew,
 	[TicketReturnReason.QueueFull]: placeAnew,
-	[TicketReturnReason.Late](world, request) {
-		refuseUnrun(world, request, lateRefusal(world, request));
-	},
+	[TicketReturnReason.Late]: refuseLate,
 };
 
 export function onTicketReturn(world: World, from: string, message: PeerMessageOf<'ticketReturn'>) {
@@ -241,6 +274,10 @@
 	}
 }
 
+function refuseLate(world: World, request: Request) {
+	refuse(world, request, lateRefusal(world, request));
+}
+
 function lateRefusal(world: World, request: Request): Refusal {
 	return {
 		kind: RefusalKind.DeadlinePassed,
@@ -251,42 +288,63 @@
 }
 
 /** Queues a request again after an attempt of which no byte reached the caller, if its budget and deadline allow. */
-export function retry(world: World, request: Request, detail: string, outcome: Outcome) {
+export function retry(world: World, request: Request, detail: string) {
 	request.excluded.push(request.target);
 	request.target = '';
 	request.holder = '';
 	request.outputTokens = 0;
-	const mayRetry = request.attempts < world.limits.maxAttempts
+	const mayRetry = !request.isClosed
+		&& request.attempts < world.limits.maxAttempts
 		&& request.deadline > world.now
 		&& spendRetry(world, request);
 	if (mayRetry) {
-		request.state = RequestState.Queued;
-		enterQueue(world, request);
-		place(world, request);
+		queueAgain(world, request);
 		return;
 	}
 
-	dropRun(world, request);
 	refuse(world, request, {
-		kind: RefusalKind.TargetFailed, outcome, detail, retryAfterMs: retryAfter(world, demandOf(world, request)),
+		kind: RefusalKind.TargetFailed, outcome: Outcome.NotRun, detail, retryAfterMs: retryAfter(world, demandOf(world, request)),
 	});
 }
 
-/** Gives up requests whose deadline passed while they waited, and hears of the loss of every target. */
+/** What becomes of a request whose deadline passes, by its state. */
+const overdue: Record<RequestState, (world: World, request: Request) => void> = {
+	[RequestState.Checking]: refuseLate,
+	[RequestState.Queued]: refuseLate,
+	[RequestState.Claiming]: refuseLate,
+	[RequestState.Following]: refuseRunning,
+	[RequestState.Running](world, request) {
+		if (!request.delivered && !request.isClosed) {
+			giveUpRunning(world, request);
+		}
+	},
+};
+
+/** Tells the caller at once; what the attempt holds is released when it has ended. */
+function giveUpRunning(world: World, request: Request) {
+	if (!request.once) {
+		world.outbox.push({kind: 'abortAnswer', request: request.id});
+	}
+
+	tell(world, request, request.once
+		? {
+			kind: RefusalKind.RunInProgress, outcome: Outcome.Unknown, detail: '', retryAfterMs: second,
+		}
+		: {...lateRefusal(world, request), outcome: Outcome.Unknown});
+	request.isClosed = true;
+}
+
+/** Gives up requests whose deadline passed without a byte of an answer. */
 export function deadlinesSystem(world: World) {
 	if (!due(world, 'deadlines', deadlineMs)) {
 		return;
 	}
 
 	for (const request of world.requests.rows()) {
-		if (request.state !== RequestState.Queued) {
-			continue;
-		}
-
 		if (request.deadline <= world.now) {
-			refuseUnrun(world, request, lateRefusal(world, request));
-		} else if (!hasTarget(world, request.pool)) {
-			refuseUnrun(world, request, noCapacity(request));
+			overdue[request.state](world, request);
+		} else if (request.state === RequestState.Queued && !hasTarget(world, request.pool)) {
+			refuse(world, request, noCapacity(request));
 		}
 	}
 }
--- a/packages/core/test/support/fleet.ts
+++ b/packages/core/test/support/fleet.ts
@@ -175,6 +175,9 @@
 	}
 
 	const configuration = {...emptyConfiguration(), revision: 1};
+	configuration.workspaces.set('w', {
+		id: 'w', weight: 1, keyHash: '0'.repeat(64), queueLimit: 10_000,
+	});
 	for (const id of ['w1', 'w2']) {
 		configuration.workspaces.set(id, {
 			id, weight: 1, keyHash: '0'.repeat(64), queueLimit: 100_000,
--- a/packages/router/src/targets/attempt.ts
+++ b/packages/router/src/targets/attempt.ts
@@ -57,6 +57,21 @@
 	return echoed === undefined || echoed === exchange.request;
 }
 
+function isEventStream({headers}: Answer): boolean {
+	return String(headers['content-type']).startsWith('text/event-stream');
+}
+
+/** Waits until a slow caller has taken what was written, or is gone. */
+async function drained({response, abort}: Exchange) {
+	const settled = new AbortController();
+	const signal = AbortSignal.any([settled.signal, abort.signal]);
+	try {
+		await Promise.race([once(response, 'drain', {signal}), once(response, 'close', {signal})]);
+	} finally {
+		settled.abort();
+	}
+}
+
 /** Whether an engine answers the request: not with its own failure, nor with an error in place of the rest of a stream. */
 function isAnswer(exchange: Exchange, {statusCode}: Answer): boolean {
 	return statusCode === 200 || (statusCode < 500 && !exchange.response.headersSent);
@@ -72,7 +87,7 @@
 	}
 
 	async function forward(exchange: Exchange, text: string) {
-		if (text === '' || exchange.isAborted) {
+		if (text === '' || exchange.isAborted || exchange.response.destroyed) {
 			return;
 		}
 
@@ -83,16 +98,17 @@
 		}
 
 		exchange.delivered = true;
-		if (!exchange.response.write(text)) {
-			await once(exchange.response, 'drain', {signal: exchange.abort.signal});
+		if (!exchange.response.write(text) && !exchange.response.destroyed) {
+			await drained(exchange);
 		}
 	}
 
 	async function pipe(exchange: Exchange, answer: Answer): Promise<AttemptEnd> {
-		const check = createStreamCheck(exchange.offset);
+		const check = createStreamCheck(exchange.offset, exchange.hasFinish);
 		const decoder = new StringDecoder('utf8');
 		for await (const chunk of answer.body) {
 			const text = check.feed(decoder.write(chunk as Buffer));
+			exchange.hasFinish = check.state.hasFinish;
 			if (check.state.next > exchange.offset) {
 				markFirstByte(exchange);
 				exchange.lastTokenAt = now();
@@ -142,19 +158,22 @@
 			return;
 		}
 
-		if (exchange.kind === TargetKind.Engine && refusedStatuses.has(answer.statusCode)) {
+		// A request that may run only once isn't tried elsewhere, so its caller gets the refusal itself.
+		if (exchange.kind === TargetKind.Engine && !exchange.once && refusedStatuses.has(answer.statusCode)) {
 			await answer.body.dump();
 			onEnded(end(exchange, place, AttemptEnd.Refused));
 			return;
 		}
 
-		if (exchange.kind === TargetKind.Engine && !isAnswer(exchange, answer)) {
+		const isStream = exchange.wantsStream && answer.statusCode === 200 && isEventStream(answer);
+		const isLost = exchange.delivered && !isStream;
+		if (isLost || (exchange.kind === TargetKind.Engine && !isAnswer(exchange, answer))) {
+			// The engine failed by itself, or the rest of a stream isn't there any more.
 			await answer.body.dump();
 			onEnded(end(exchange, place, AttemptEnd.Broken));
 			return;
 		}
 
-		const isStream = exchange.wantsStream && answer.statusCode === 200;
 		await (isStream ? stream(exchange, place, answer) : collect(exchange, place, answer));
 	}
 
@@ -180,6 +199,7 @@
 			exchange.attemptStartedAt = now();
 			exchange.firstByteAt = 0;
 			exchange.offset = 0;
+			exchange.hasFinish = false;
 			void run(exchange, place, exchange.path, {
 				method: exchange.method, body: exchange.body, headers: headersOf(exchange),
 			});
--- a/packages/router/test/attempt.test.ts
+++ b/packages/router/test/attempt.test.ts
@@ -73,7 +73,7 @@
 	return {
 		request: 'a/1', kind: TargetKind.Engine, path: '/v1/chat/completions', method: 'POST', body: Buffer.from('{}').toString(),
 		contentType: 'application/json', idempotencyKey: '', prefixHash: 0, wantsStream: true, once: false,
-		response: response as unknown as ServerResponse, abort: new AbortController(), isAborted: false, offset: headersSent ? 3 : 0,
+		response: response as unknown as ServerResponse, abort: new AbortController(), isAborted: false, offset: headersSent ? 3 : 0, hasFinish: false,
 		isFinished: false, delivered: headersSent, reported: 0, attemptStartedAt: 0, firstByteAt: 0, lastTokenAt: 0,
 	};
 }
