--- a/packages/bench/src/core-size/fleet.ts
+++ b/packages/bench/src/core-size/fleet.ts
@@ -96,7 +96,9 @@
 	targets: string[];
 	pools: string[];
 	workspaces: string[];
-	backlogged: string[];
+	users: Users;
+	/** Workspaces that always have tickets waiting. */
+	backlogged: Users;
 };
 
 function names(prefix: string, count: number, digits: number): string[] {
@@ -106,13 +108,16 @@
 function shapeOf(members: number): Shape {
 	const part = members / letter.members;
 	const workspaces = names('workspace', Math.max(16, Math.round(letter.workspaces * part)), 4);
+	const pools = names('model', letter.pools, 1);
+	const backlogged = workspaces.slice(0, Math.max(2, Math.round(workspaces.length * backloggedFraction)));
 	return {
 		ids: names('router', members, 3),
 		domains: names('domain', Math.min(letter.failureDomains, Math.max(3, Math.round(letter.failureDomains * part))), 2),
 		targets: names('engine', Math.round(letter.targets * part), 4),
-		pools: names('model', letter.pools, 1),
+		pools,
 		workspaces,
-		backlogged: workspaces.slice(0, Math.max(2, Math.round(workspaces.length * backloggedFraction))),
+		users: usersByPool(pools, workspaces),
+		backlogged: usersByPool(pools, backlogged),
 	};
 }
 
@@ -191,18 +196,25 @@
 	return [...new Set(targets.flatMap(target => world.configuration.targets.get(target)?.pools ?? []))].toSorted();
 }
 
+/** Workspaces that use each pool. */
+type Users = Map<string, string[]>;
+
+function usersByPool(pools: string[], from: string[]): Users {
+	return new Map(pools.map(pool => [pool, usersOf(pools, pool, from)]));
+}
+
 /** Workspaces of a list that use a pool; the whole list when none does. */
-function usersOf(shape: Shape, pool: string, from: string[]): string[] {
-	const poolIndex = shape.pools.indexOf(pool);
+function usersOf(pools: string[], pool: string, from: string[]): string[] {
+	const poolIndex = pools.indexOf(pool);
 	const users = from.filter(id => {
-		const distance = (poolIndex + shape.pools.length - (Number(id.slice(-4)) % shape.pools.length)) % shape.pools.length;
+		const distance = (poolIndex + pools.length - (Number(id.slice(-4)) % pools.length)) % pools.length;
 		return distance < poolsPerWorkspace;
 	});
 	return users.length === 0 ? from : users;
 }
 
 function pickWorkspace(shape: Shape, pool: string, random: Random): string {
-	const users = usersOf(shape, pool, random.uniform() < backloggedPermits ? shape.backlogged : shape.workspaces);
+	const users = (random.uniform() < backloggedPermits ? shape.backlogged : shape.users).get(pool) ?? [];
 	return users[Math.trunc(random.uniform() * users.length)]!;
 }
 
@@ -225,7 +237,7 @@
 	}
 
 	for (const pool of poolsOf(world, [...world.holdings.keys()])) {
-		for (const workspace of usersOf(shape, pool, shape.backlogged)) {
+		for (const workspace of shape.backlogged.get(pool) ?? []) {
 			for (let ticket = 0; ticket < ticketsPerBacklog; ticket += 1) {
 				add(pool, workspace);
 			}
@@ -249,7 +261,7 @@
 	}
 
 	for (const pool of pools) {
-		for (const workspace of usersOf(shape, pool, shape.backlogged)) {
+		for (const workspace of shape.backlogged.get(pool) ?? []) {
 			add(pool, workspace, ticketsPerBacklog);
 		}
 	}
@@ -273,7 +285,7 @@
 		// Each round charges what a permit streams in one period, once or twice a second as holders report it.
 		services: services.map(entry => ({...entry, service: entry.service + (round * 4)})),
 		pools: pools.map(pool => ({
-			pool, free: 0, budget: permitsPerTarget, waiting: usersOf(shape, pool, shape.backlogged).length * ticketsPerBacklog, frontier: 0,
+			pool, free: 0, budget: permitsPerTarget, waiting: (shape.backlogged.get(pool)?.length ?? 0) * ticketsPerBacklog, frontier: 0,
 		})),
 		heard: heardBy(world, shape, peer, round),
 	};
