--- a/packages/core/src/systems/placement.ts
+++ b/packages/core/src/systems/placement.ts
@@ -12,12 +12,16 @@
 	due, pick, random, send, type World,
 } from '../world.ts';
 import {rendezvous} from '../hash.ts';
+import {second} from '../units.ts';
 import {budgetOf, slotsOf} from './dispatch.ts';
 import {routesOf} from './routes.ts';
 
 /** Period at which requests whose ticket is lost are placed anew, in milliseconds. */
 const replaceMs = 100;
 
+/** A ticket is offered anew after this time, in case that its holder lost it; one that it has is left as it is. */
+const reofferMs = 5 * second;
+
 type Candidate = {
 	owner: string;
 	isNear: boolean;
@@ -134,6 +138,7 @@
 /** Puts the ticket of a request at a given owner. */
 export function placeAt(world: World, request: Request, owner: string) {
 	request.holder = owner;
+	request.offeredAt = world.now;
 	const load = world.members.get(owner)?.pools.get(request.pool);
 	if (load && owner !== world.self.id) {
 		// Until the next digest, later placements see what was sent.
@@ -144,8 +149,17 @@
 	send(world, owner, offer(world, request));
 }
 
+/** Lets a request that has failed everywhere try again, the last target last. */
+function readmit(world: World, request: Request) {
+	const targets = routesOf(world, request.pool).flatMap(route => route.targets);
+	if (targets.length > 0 && targets.every(target => request.excluded.includes(target))) {
+		request.excluded = targets.length > 1 ? request.excluded.slice(-1) : [];
+	}
+}
+
 /** Places the ticket of a request; it stays unplaced while no owner is known. */
 export function place(world: World, request: Request) {
+	readmit(world, request);
 	const owner = world.limits.discipline === Discipline.Bound ? bind(world, request) : chooseOwner(world, request);
 	request.holder = '';
 	if (owner !== undefined) {
@@ -160,12 +174,19 @@
 	}
 
 	for (const request of world.requests.rows()) {
-		if (request.state === RequestState.Queued && !canHold(world, world.members.get(request.holder))) {
+		if (request.state !== RequestState.Queued) {
+			continue;
+		}
+
+		if (!canHold(world, world.members.get(request.holder))) {
 			if (request.holder !== '') {
 				send(world, request.holder, {kind: 'ticketCancel', ticket: request.id});
 			}
 
 			place(world, request);
+		} else if (world.now - request.offeredAt >= reofferMs) {
+			request.offeredAt = world.now;
+			send(world, request.holder, offer(world, request));
 		}
 	}
 }
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -5,13 +5,13 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {emptyConfiguration, type Configuration} from './configuration.ts';
 import {completeLimits, type Limits} from './limits.ts';
-import {MemberState, type PeerMessage} from './messages.ts';
+import {MemberState, type PeerMessage, type TargetHandover} from './messages.ts';
 import type {
 	LogPart, Outbound, StoreOperation, StoreResult, StoredObject,
 } from './ports.ts';
 import type {LeaseRecord} from './records.ts';
 import type {
-	Budget, Contact, Demand, Member, Move, Ownership, Permit, Preference, Request, Route, Service, Ticket,
+	Budget, Contact, Demand, Member, Move, Ownership, Permit, Preference, Request, Route, RunWrite, Service, Ticket,
 } from './rows.ts';
 import {createTable, type Table} from './table.ts';
 
@@ -86,6 +86,8 @@
 	readonly limits: Limits;
 	/** Monotonic time of the current step. */
 	now: number;
+	/** When steps last went on after a pause longer than a permit lasts; -Infinity before. */
+	resumedAt: number;
 	state: MemberState;
 	/** When the stop was requested; undefined while none was. */
 	stopAt: number | undefined;
@@ -110,11 +112,17 @@
 	holdings: Map<string, number>;
 	/** Claims and handovers in progress. */
 	moves: Table<Move>;
+	/** Handovers to this router whose record it hasn't seen yet, by target. */
+	handovers: Map<string, {message: TargetHandover; toldAt: number}>;
 	preferences: Table<Preference>;
 	/** Preferred owners as last computed, by target, and the view that they follow from. */
 	preferred: {view: string; owners: Map<string, string>};
 	budgets: Table<Budget>;
 	requests: Table<Request>;
+	/** Writes to run records that are still to be done, by the record's nonce. */
+	runWrites: Table<RunWrite>;
+	/** When a record of each router incarnation that isn't heard was first looked at. */
+	lostRunners: Map<string, number>;
 	/** By pool and workspace, see `serviceKey`. */
 	tickets: Table<Ticket>;
 	/** By target. */
@@ -153,6 +161,7 @@
 		self,
 		limits: completeLimits(limits),
 		now,
+		resumedAt: Number.NEGATIVE_INFINITY,
 		state: MemberState.Active,
 		stopAt: undefined,
 		configuration: emptyConfiguration(),
@@ -172,10 +181,13 @@
 		ownerships: createTable<Ownership>({key: ownership => ownership.target}),
 		holdings: new Map(),
 		moves: createTable<Move>({key: move => move.target}),
+		handovers: new Map(),
 		preferences: createTable<Preference>({key: preference => preference.target}),
 		preferred: {view: '', owners: new Map()},
 		budgets: createTable<Budget>({key: budget => budget.target}),
 		requests: createTable<Request>({key: request => request.id}),
+		runWrites: createTable<RunWrite>({key: write => write.nonce}),
+		lostRunners: new Map(),
 		tickets: createTable<Ticket>({key: ticket => ticket.ticket, index: ticket => serviceKey(ticket)}),
 		permits: createTable<Permit>({key: permit => permit.ticket, index: permit => permit.target}),
 		services: createTable<Service>({key: service => serviceKey(service), index: service => service.pool}),
