Tell others at once of slots that become free while nothing is known to wait

Cause: an owner that ran dry asked nobody while all digests said that nothing waits, so new tickets queued elsewhere for up to a digest. Change: an owner tells up to eight members, the nearest first, of its first free slot and of each doubling; who has no ticket to give keeps the offer until the next digest, and places new tickets there. Ruled out: standing subscriptions with a life time of their own (the load entry already is that). Cost: at most 8 messages of about 25 bytes each 50 ms, only when slots were all taken before.

--- a/packages/core/src/systems/addresses.ts
+++ b/packages/core/src/systems/addresses.ts
@@ -5,7 +5,7 @@
 import {Standing} from '../configuration.ts';
 import {MemberState} from '../messages.ts';
 import type {Member} from '../rows.ts';
-import {random, type World} from '../world.ts';
+import {shuffled, type World} from '../world.ts';
 import {canHold} from './placement.ts';
 
 export type Address = {
@@ -21,13 +21,6 @@
 	return member.state === MemberState.Active && domain?.standing !== Standing.Out && canHold(world, member);
 }
 
-function shuffled(world: World, members: Member[]): Member[] {
-	return members
-		.map(member => ({member, key: random(world)}))
-		.toSorted((a, b) => a.key - b.key)
-		.map(({member}) => member);
-}
-
 /**
 Addresses for a caller, best first.
 
--- a/packages/core/src/systems/rebalance.ts
+++ b/packages/core/src/systems/rebalance.ts
@@ -6,7 +6,7 @@
 import {TicketReturnReason, type PeerMessageOf} from '../messages.ts';
 import type {Member, Service, Ticket} from '../rows.ts';
 import {
-	due, random, send, serviceKey, type World,
+	due, random, send, serviceKey, shuffled, type World,
 } from '../world.ts';
 import {mayDispatch} from './lease.ts';
 import {canHold, placeAt} from './placement.ts';
@@ -16,6 +16,9 @@
 	removeTicket, virtualTimeOf, waitingPools, waitingServices,
 } from './services.ts';
 
+/** Most members that are told of a slot that has become free. */
+const slotFanOut = 8;
+
 /** Share of an owner's budget that one other owner moves to it in one period. */
 const moveShare = 0.25;
 
@@ -54,9 +57,17 @@
 		return;
 	}
 
-	for (const ticket of ticketsToMove(world, waitingServices(world, message.pool), message.slots)) {
+	const tickets = ticketsToMove(world, waitingServices(world, message.pool), message.slots);
+	for (const ticket of tickets) {
 		moveTicket(world, ticket, from);
 	}
+
+	// What is left stands until the sender's next digest: tickets that find no free slot here go there.
+	const load = world.members.get(from)?.pools.get(message.pool);
+	if (load && tickets.length < message.slots) {
+		load.free = message.slots - tickets.length;
+		load.waiting = 0;
+	}
 }
 
 function busiest(world: World, pool: string): Member | undefined {
@@ -91,9 +102,19 @@
 		free += slot.free;
 	}
 
-	const member = free > 0 ? busiest(world, pool) : undefined;
+	if (free === 0) {
+		world.offered.delete(pool);
+		return;
+	}
+
+	const member = busiest(world, pool);
 	const load = member?.pools.get(pool);
-	if (!member || !load || !due(world, `work/${pool}/${member.id}`, world.limits.workRequestMs)) {
+	if (!member || !load) {
+		offerSlots(world, pool, free);
+		return;
+	}
+
+	if (!due(world, `work/${pool}/${member.id}`, world.limits.workRequestMs)) {
 		return;
 	}
 
@@ -102,6 +123,21 @@
 	send(world, member.id, {kind: 'workRequest', pool, slots});
 }
 
+/** Tells some members, the nearest first, of free slots while no ticket is known to wait: of the first, then of each doubling. */
+function offerSlots(world: World, pool: string, slots: number) {
+	if (slots < 2 * (world.offered.get(pool) ?? 0) || !due(world, `slots/${pool}`, world.limits.workRequestMs)) {
+		return;
+	}
+
+	world.offered.set(pool, slots);
+	const others = [...world.members.rows()].filter(member => member.id !== world.self.id && canHold(world, member));
+	const near = others.filter(member => member.failureDomain === world.self.failureDomain);
+	const far = others.filter(member => member.failureDomain !== world.self.failureDomain);
+	for (const member of [...shuffled(world, near), ...shuffled(world, far)].slice(0, slotFanOut)) {
+		send(world, member.id, {kind: 'workRequest', pool, slots});
+	}
+}
+
 /** Asks for work for free slots that no ticket here fits; runs after dispatch. */
 export function workRequestSystem(world: World) {
 	if (world.limits.discipline === Discipline.Bound || !mayDispatch(world)) {
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -140,6 +140,8 @@
 	nextOperation: number;
 	/** When each periodic system last ran, by its name. */
 	ranAt: Map<string, number>;
+	/** Free slots of which others were last told, by pool; none since the slots were last all taken. */
+	offered: Map<string, number>;
 	/** Virtual time at which a workspace was last served. */
 	virtualTime: number;
 	generator: RandomGenerator;
@@ -197,6 +199,7 @@
 		operations: new Map(),
 		nextOperation: 1,
 		ranAt: new Map(),
+		offered: new Map(),
 		virtualTime: 0,
 		generator: xoroshiro128plus(seed),
 		loopback: [],
@@ -214,6 +217,14 @@
 	return items[Math.floor(random(world) * items.length)];
 }
 
+/** The items in random order. */
+export function shuffled<Item>(world: World, items: Item[]): Item[] {
+	return items
+		.map(item => ({item, key: random(world)}))
+		.toSorted((a, b) => a.key - b.key)
+		.map(({item}) => item);
+}
+
 /** Random text of `length` letters and digits, for nonces. */
 export function nonce(world: World, length = 12): string {
 	let text = '';
