--- a/packages/core/test/at-most-once.test.ts
+++ b/packages/core/test/at-most-once.test.ts
@@ -61,10 +61,8 @@
 		fleet.start(router);
 	}
 
-	if (chance(20)) {
-		if (!fleet.paused.delete(router)) {
-			fleet.paused.add(router);
-		}
+	if (chance(20) && !fleet.paused.delete(router)) {
+		fleet.paused.add(router);
 	}
 
 	const fault = pick([StoreFault.None, StoreFault.None, StoreFault.Down, StoreFault.AnswerLost, StoreFault.Cut]);
@@ -135,7 +133,7 @@
 		run.asked.set(request, key);
 		fleet.run(8000);
 		const refused = seen(fleet, request, 'refuse')[0]?.item.refusal.outcome;
-		expect(refused === undefined ? starts(fleet, request).length : refused).toBe(refused === undefined ? 1 : Outcome.Unknown);
+		expect(refused ?? starts(fleet, request).length).toBe(refused === undefined ? 1 : Outcome.Unknown);
 		for (const running of runningOf(run)) {
 			end(run, running, AttemptEnd.Whole);
 		}
