Bench: keep the core's world busy as a router is

Change: digests of all peers come first, load reports and progress come twice a second, and each request that ends is followed by another of its workspace. Ruled out: a weaker test of the world.

--- a/packages/bench/src/core-size/drive.ts
+++ b/packages/bench/src/core-size/drive.ts
@@ -6,13 +6,18 @@
 import type {
 	CallerRequest, Inbound, Outbound, OutboundOf, StoreResult,
 } from '@shallotloom/core/ports.ts';
+import type {Permit} from '@shallotloom/core/rows.ts';
 import {step} from '@shallotloom/core/step.ts';
+import type {World} from '@shallotloom/core/world.ts';
 import {createRandom} from '../load/random.ts';
-import type {Fleet} from './fleet.ts';
+import {loadReports, type Fleet} from './fleet.ts';
 
 /** Period of the router's tick, in milliseconds. */
 const tickMs = 50;
 
+/** Ticks between two load polls, and between two progress reports. */
+const ticksPerReport = 10;
+
 /** Requests a second that one node takes at the size of the letter. */
 const requestsPerSecond = 46;
 
@@ -22,6 +27,8 @@
 export enum StepKind {
 	Tick = 'tick',
 	Digest = 'digest',
+	/** A load report, or holders' progress of permits, arrives. */
+	Report = 'report',
 	/** A ticket, a grant or a permit's end arrives from another router, or a step follows one of them. */
 	Request = 'request',
 }
@@ -43,7 +50,7 @@
 export function drive(fleet: Fleet, {seconds, seed}: DriveOptions): Drive {
 	const {world} = fleet;
 	const times: Drive['times'] = {
-		[StepKind.Tick]: {count: 0, ms: 0}, [StepKind.Digest]: {count: 0, ms: 0}, [StepKind.Request]: {count: 0, ms: 0},
+		[StepKind.Tick]: {count: 0, ms: 0}, [StepKind.Digest]: {count: 0, ms: 0}, [StepKind.Report]: {count: 0, ms: 0}, [StepKind.Request]: {count: 0, ms: 0},
 	};
 	const random = createRandom(seed, 1);
 	let {now} = world;
@@ -77,9 +84,17 @@
 		round += tick % ticksPerDigest === 0 ? 1 : 0;
 		take(StepKind.Tick, []);
 		takeDigests((tick % ticksPerDigest) * perTick, perTick);
+		if (tick % ticksPerReport === 0) {
+			for (const inbound of [...loadReports(world), ...progressOf(world)]) {
+				take(StepKind.Report, [inbound]);
+			}
+		}
+
 		for (; requests < (tick + 1) * requestsPerSecond * tickMs / 1000; requests += 1) {
-			const [permit] = world.permits.rows();
+			const permits = [...world.permits.rows()];
+			const permit = permits[Math.trunc(random.uniform() * permits.length)];
 			if (permit) {
+				take(StepKind.Request, [offerLike(permit, requests)]);
 				take(StepKind.Request, [endOf(permit)]);
 			}
 
@@ -94,12 +109,36 @@
 	return {times, now};
 }
 
+/** One message from each holder, with all its permits. */
+function progressOf({permits}: World): Inbound[] {
+	const entries = new Map<string, Array<{ticket: string; outputTokens: number}>>();
+	for (const {ticket, origin, outputTokens} of permits.rows()) {
+		entries.set(origin, [...entries.get(origin) ?? [], {ticket, outputTokens: outputTokens + 8}]);
+	}
+
+	return [...entries].map(([from, told]) => ({
+		kind: 'peerMessage', from, incarnation: '', message: {kind: 'permitProgress', entries: told},
+	}));
+}
+
 function requestOf(id: string, workspace: string, pool: string, deadline: number): CallerRequest {
 	return {
 		id, workspace, pool, deadline, inputTokens: 100, costHint: 200, prefixHash: 0, once: false, idempotencyKey: '',
 	};
 }
 
+/** Another request of the same workspace and holder, which takes the place of one that ends. */
+function offerLike({origin, workspace, pool}: Permit, number: number): Inbound {
+	return {
+		kind: 'peerMessage',
+		from: origin,
+		incarnation: '',
+		message: {
+			kind: 'ticketOffer', ticket: `${origin}-n${number}`, workspace, pool, inputTokens: 100, prefixHash: 0, remainingMs: deadlineMs, waitedMs: 0, excluded: [],
+		},
+	};
+}
+
 function endOf({ticket, target, origin}: {ticket: string; target: string; origin: string}): Inbound {
 	return {
 		kind: 'peerMessage',
--- a/packages/bench/src/core-size/fleet.ts
+++ b/packages/bench/src/core-size/fleet.ts
@@ -6,7 +6,9 @@
 import {
 	MemberState, Phase, type Digest, type HeardEntry, type ServiceEntry,
 } from '@shallotloom/core/messages.ts';
+import type {Inbound} from '@shallotloom/core/ports.ts';
 import type {Member} from '@shallotloom/core/rows.ts';
+import {step} from '@shallotloom/core/step.ts';
 import {noteLease} from '@shallotloom/core/systems/contacts.ts';
 import {heardWindow} from '@shallotloom/core/systems/heard.ts';
 import {preferredOwners} from '@shallotloom/core/systems/preferences.ts';
@@ -76,9 +78,8 @@
 	});
 	joinMembers(world, shape);
 	const owned = assignTargets(world, shape);
-	fillQueues(world, shape, random);
 	const activity = new Map(shape.ids.map(id => [id, activeServices(shape, poolsOf(world, owned.get(id) ?? []), random)]));
-	return {
+	const fleet: Fleet = {
 		world,
 		peers: shape.ids.slice(1),
 		owned,
@@ -88,6 +89,25 @@
 			peer, round, services: activity.get(peer)!, pools: poolsOf(world, owned.get(peer) ?? []),
 		}),
 	};
+	hearPeers(fleet);
+	step(world, world.now + 1, loadReports(world));
+	fillQueues(world, shape, random);
+	return fleet;
+}
+
+/** Sends this router's first digest and takes one of every peer that echoes it, since tickets of unheard peers go back. */
+function hearPeers({world, peers, digestOf: nextDigest}: Fleet) {
+	step(world, world.now, []);
+	step(world, world.now + 1, peers.map(peer => ({
+		kind: 'peerMessage', from: peer, incarnation: incarnationOf(peer), message: nextDigest(peer, 1),
+	})));
+}
+
+/** What the load polls of this router's targets find. */
+export function loadReports({budgets, permits}: World): Inbound[] {
+	return [...budgets.rows()].map(({target}) => ({
+		kind: 'loadReport', target, startId: 'start-1', running: permits.count(target), ageMs: 0, roundTripMs: 0, reachable: true, cold: false,
+	}));
 }
 
 type Shape = {
@@ -220,9 +240,10 @@
 
 /** Puts more tickets into this router's queues than its targets take, so that the first steps fill every permit. */
 function fillQueues(world: World, shape: Shape, random: Random) {
+	const holders = shape.ids.filter((id, index) => id !== world.self.id && domainOf(shape, index) === world.self.failureDomain);
 	let number = 0;
 	const add = (pool: string, workspace: string) => {
-		const origin = shape.ids[number % shape.ids.length]!;
+		const origin = holders[number % holders.length]!;
 		number += 1;
 		addTicket(world, {
 			ticket: `${origin}-${number}`, origin, workspace, pool, inputTokens: 100, prefixHash: 0, deadline: Number.MAX_SAFE_INTEGER, arrivedAt: world.now, excluded: [],
--- /dev/null
+++ b/packages/bench/test/core-size.test.ts
@@ -0,0 +1,26 @@
+import {isHeard} from '@shallotloom/core/systems/quorum.ts';
+import {createFleet} from '../src/core-size/fleet.ts';
+import {drive, StepKind} from '../src/core-size/drive.ts';
+
+test.each([9, 50])('a world among %d members is in steady use after two seconds', members => {
+	const fleet = createFleet({members, seed: 3});
+	const {times} = drive(fleet, {seconds: 2, seed: 3});
+	const {world} = fleet;
+	expect(world.members.size).toBe(members);
+	for (const member of world.members.rows()) {
+		expect(isHeard(world, member)).toBe(true);
+	}
+
+	for (const budget of world.budgets.rows()) {
+		expect(world.permits.count(budget.target)).toBeGreaterThan(budget.budget / 2);
+	}
+
+	expect(times[StepKind.Tick].count).toBe(40);
+	expect(times[StepKind.Digest].count).toBe((members - 1) * 8);
+	expect(times[StepKind.Request].count).toBeGreaterThanOrEqual(92);
+});
+
+test('the same seed gives the same digests', () => {
+	const [one, other] = [1, 2].map(() => createFleet({members: 20, seed: 5}));
+	expect(one!.peers.map(peer => one!.digestOf(peer, 1))).toEqual(other!.peers.map(peer => other!.digestOf(peer, 1)));
+});
