Say truthfully that a release is not confirmed, and log faults of the listeners

An operator was told 'nothing was changed' while the Object API was down; after five writes without an answer the last may still take effect, so the message now says that the release is not confirmed and where to look. Faults inside a listener were answered with the error's message and logged nowhere; they are logged, and who asked is told only that. The audit text names a changed key in place of two hashes.

--- a/packages/cli/src/describe.ts
+++ b/packages/cli/src/describe.ts
@@ -57,7 +57,7 @@
 	const fields = Object.keys(after).filter(field => JSON.stringify(before[field]) !== JSON.stringify(after[field]));
 	return fields.length === 0
 		? 'unchanged'
-		: fields.map(field => `${field} ${shown(before[field])} -> ${shown(after[field])}`).join(', ');
+		: fields.map(field => field === 'keyHash' ? 'key changed' : `${field} ${shown(before[field])} -> ${shown(after[field])}`).join(', ');
 }
 
 function byName(entities: ReadonlyArray<{id: string} | {name: string}>): Map<string, Fields> {
--- a/packages/platform/test/object-store.test.ts
+++ b/packages/platform/test/object-store.test.ts
@@ -45,6 +45,7 @@
 function watch(prefixes: string[]) {
 	const seen: StoredObject[] = [];
 	const errors: string[] = [];
+	const calls: string[] = [];
 	const handle = store.watch({
 		prefixes,
 		onObject(object) {
@@ -53,8 +54,13 @@
 		onError(error) {
 			errors.push(error.kind);
 		},
+		onCall(call) {
+			calls.push(call);
+		},
 	});
-	return {seen, errors, handle};
+	return {
+		seen, errors, calls, handle,
+	};
 }
 
 test('writes only when the condition holds', async () => {
@@ -112,7 +118,9 @@
 test('watches from a listing through changes, deletions and an outage', async () => {
 	await open();
 	await put('a/1', 'one', 0);
-	const {seen, errors, handle} = watch(['a/', 'c/']);
+	const {
+		seen, errors, calls, handle,
+	} = watch(['a/', 'c/']);
 	await until(() => seen.length === 1);
 	await put('b/1', 'other', 0);
 	await put('c/1', 'two', 0);
@@ -125,6 +133,7 @@
 	await until(() => seen.length === 4);
 	handle.stop();
 	expect(seen.map(({key, value}) => [key, value])).toEqual([['a/1', 'one'], ['c/1', 'two'], ['a/1', ''], ['a/2', 'three']]);
+	expect(calls.slice(0, 3)).toEqual(['list', 'list', 'watch']);
 });
 
 test('delivers as deleted what went while the platform kept no history', async () => {
--- a/packages/router/src/callers/app.ts
+++ b/packages/router/src/callers/app.ts
@@ -29,6 +29,8 @@
 	/** Opens an exchange and hands its request to the core. */
 	open: (exchange: Exchange, request: CallerRequest) => void;
 	onRefused: (refusal: Refusal) => void;
+	/** A fault of the router itself; its caller is told no more than that. */
+	onFault: (error: Error) => void;
 };
 
 type Call = {
@@ -149,7 +151,10 @@
 		? context.text('ready')
 		: context.text('not ready', 503));
 	app.notFound(context => context.json({error: {kind: 'not-found', message: `no such path: ${context.req.path}`, outcome: Outcome.NotRun}}, 404));
-	app.onError((error, context) => context.json({error: {kind: 'internal', message: error.message, outcome: Outcome.Unknown}}, 500));
+	app.onError((error, context) => {
+		options.onFault(error);
+		return context.json({error: {kind: 'internal', message: 'a fault of the router', outcome: Outcome.Unknown}}, 500);
+	});
 	return app;
 }
 
--- a/packages/router/src/operators/app.ts
+++ b/packages/router/src/operators/app.ts
@@ -20,6 +20,8 @@
 	check: (note: unknown) => {revision: number; problems: unknown[]};
 	releases: (limit: number) => Promise<unknown[]>;
 	metrics: () => Promise<{contentType: string; text: string}>;
+	/** A fault of the router itself; its caller is told no more than that. */
+	onFault: (error: Error) => void;
 };
 
 type Environment = {Variables: {operator: string}};
@@ -40,7 +42,9 @@
 	}, 422),
 	unavailable: context => context.json({
 		error: {
-			kind: 'unavailable', message: 'the Object API can\'t be reached; nothing was changed', hint: 'Apply the note again when the platform is back.',
+			kind: 'unavailable',
+			message: 'the Object API can\'t be reached; the release is not confirmed',
+			hint: 'Look at the release history when the platform is back, before the note is sent again.',
 		},
 	}, 503),
 };
@@ -112,5 +116,9 @@
 		return handler(context, answer);
 	});
 	app.notFound(context => context.json({error: {kind: 'not-found', message: `no such path: ${context.req.path}`, hint: 'See docs/OPERATORS-API.md.'}}, 404));
+	app.onError((error, context) => {
+		options.onFault(error);
+		return context.json({error: {kind: 'internal', message: 'a fault of the router; its log says more', hint: 'Ask another router.'}}, 500);
+	});
 	return app;
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -167,11 +167,12 @@
 		},
 	});
 	const callerServer = await listen(createCallerApp({
-		world, now: timer.now, open: exchanges.open, onRefused: counts.countRefusal, ...settings.limits,
+		world, now: timer.now, open: exchanges.open, onRefused: counts.countRefusal, onFault: faultLog(log, EdgePart.Callers), ...settings.limits,
 	}), parsePlace(settings.listen.callers), settings.limits);
 	const operatorServer = await listen(createOperatorApp({
 		world,
 		operators: settings.operators,
+		onFault: faultLog(log, EdgePart.Operators),
 		propose: proposals.propose,
 		check: note => checkNote(world, note),
 		releases: async limit => readReleases(world, store, limit),
@@ -219,6 +220,13 @@
 	});
 }
 
+/** Writes faults of the router itself to the log. */
+function faultLog(log: Log, part: EdgePart) {
+	return (error: Error) => {
+		log.write({part, level: 'error', text: `fault: ${error.stack ?? error.message}`});
+	};
+}
+
 type StoreWatch = {
 	store: ObjectStore;
 	loop: CoreLoop;
--- a/packages/router/test/operator-app.test.ts
+++ b/packages/router/test/operator-app.test.ts
@@ -14,6 +14,7 @@
 });
 let proposed: Parameters<OperatorAppOptions['propose']>[0] | undefined;
 let answer: ReleaseAnswer;
+const faults: string[] = [];
 
 const app = createOperatorApp({
 	world,
@@ -24,7 +25,12 @@
 	},
 	check: () => ({revision: 0, problems: []}),
 	releases: async () => [],
-	metrics: async () => ({contentType: 'text/plain', text: ''}),
+	async metrics() {
+		throw new Error('disk on fire, key: s3cret-value');
+	},
+	onFault(error) {
+		faults.push(error.message);
+	},
 });
 
 beforeEach(() => {
@@ -69,6 +75,13 @@
 	expect(await response.json()).toMatchObject({error: {kind: given.kind, hint: expect.any(String)}});
 });
 
+test('a fault is reported to the log, not to who asked', async () => {
+	const response = await app.request('/metrics');
+	expect(response.status).toBe(500);
+	expect(await response.text()).not.toContain('fire');
+	expect(faults).toEqual([expect.stringContaining('fire')]);
+});
+
 test('failure domains are listed with their standing', async () => {
 	world.configuration.failureDomains.set('suva', {name: 'suva', standing: Standing.Out});
 	const response = await app.request('/operator/v1/domains', {headers: {authorization: `Bearer ${key}`}});
