--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -105,6 +105,8 @@
 	version: number;
 	/** When this was learnt. */
 	learntAt: number;
+	/** Whether the owner before may tell of the target in a message that follows the record. */
+	awaitsHandover: boolean;
 	/** When the Object API last refused a handover. */
 	refusedAt?: number;
 	/** What the owner before told of the target, when it handed it to this router. */
@@ -114,6 +116,8 @@
 /** Budget of a target that this router owns. */
 export type Budget = {
 	target: string;
+	/** Where it is by the configuration in force. */
+	url: string;
 	epoch: number;
 	phase: Phase;
 	/** Most permits at once. */
@@ -126,15 +130,26 @@
 	startId: string;
 	/** Requests that ran at the target by its last report. */
 	reportedRunning: number;
-	/** Time of which the last report tells; -Infinity before the first. */
+	/** Time of which the last report tells at the earliest; -Infinity before the first. */
 	reportedAt: number;
-	reportedCold: boolean;
+	/** Time of which it tells at the latest. */
+	reportedUntil: number;
+	/** Undefined when the target doesn't tell. */
+	reportedCold: boolean | undefined;
 	/** When the target last fell back to its cold budget. */
 	coldAt: number;
-	/** While greater than now, permits of the owner before may still be unknown. */
-	reconcileUntil: number;
+	/** Since when it has had permits out without a break that a restart would fit into; the present time while it has none. */
+	busySince: number;
+	/** When it last had a permit out. */
+	busyAt: number;
+	/** When this router took it over from an owner that told nothing; -Infinity after a planned handover. */
+	takenAt: number;
 	/** Members whose announcement is still missing. */
 	awaiting: Set<string>;
+	/** Permits that ended since the time of the last report. */
+	ended: Array<Pick<Permit, 'grantedAt' | 'isAdopted'> & {endedAt: number}>;
+	/** When a whole answer of it was last heard of. */
+	answeredAt: number;
 	/** Usual time to first byte and between tokens, exponentially weighted; 0 before the first sample. */
 	firstByteMs: number;
 	betweenTokensMs: number;
@@ -152,8 +167,6 @@
 	Running = 'running',
 	/** Waits for a duplicate that runs elsewhere. */
 	Following = 'following',
-	/** Writes the end of its run record. */
-	Recording = 'recording',
 }
 
 /** Request of a caller that is connected to this router. */
@@ -164,6 +177,8 @@
 	resumes: number;
 	/** Router that holds the ticket, '' while it is nowhere. */
 	holder: string;
+	/** When the ticket was last offered to it. */
+	offeredAt: number;
 	/** Weighted tokens that the request counts for in its workspace's queue. */
 	queueCost: number;
 	excluded: string[];
@@ -174,7 +189,39 @@
 	delivered: boolean;
 	/** Nonce of the run record that this request wrote, '' before. */
 	runNonce: string;
+	/** Version of that record; 0 while it isn't known to be there. */
 	runVersion: number;
+	/** The permit is void when the request hasn't left by then. */
+	startBy: number;
+	/** Whether a byte of the request may have left for a target. */
+	mayHaveRun: boolean;
+	/** Whether the caller has its final answer or is gone, while an attempt still has to end. */
+	isClosed: boolean;
+};
+
+export enum RunWriteKind {
+	/** Writes the end of a run. */
+	End = 'end',
+	/** Removes the record of a request that never left. */
+	Drop = 'drop',
+}
+
+/** Write to a run record that is still to be done. */
+export type RunWrite = {
+	/** Key of the record in the Object API. */
+	key: string;
+	/** Nonce of the record; names the write. */
+	nonce: string;
+	kind: RunWriteKind;
+	/** What an end writes; '' for a removal. */
+	value: string;
+	/** Version that the record has; 0 while it isn't known whether the record exists. */
+	version: number;
+	tries: number;
+	isUnderWay: boolean;
+	retryAt: number;
+	/** A record that hasn't appeared by then never will. */
+	giveUpAt: number;
 };
 
 /** Ticket that waits at this router for a permit of its targets. */
@@ -199,6 +246,8 @@
 	workspace: string;
 	pool: string;
 	grantedAt: number;
+	/** An owner before gave it; `grantedAt` then is when this router learnt of it. */
+	isAdopted: boolean;
 	inputTokens: number;
 	outputTokens: number;
 	/** When the holder last reported it. */
@@ -248,7 +297,6 @@
 /** What an owner can do for a pool. */
 export type Route = {
 	owner: string;
-	failureDomain: string;
 	/** Fitting targets. */
 	targets: string[];
 };
--- a/packages/router/src/exchanges.ts
+++ b/packages/router/src/exchanges.ts
@@ -22,7 +22,7 @@
 };
 
 export type Exchanges = {
-	edges: Pick<Edges, 'startAnswer' | 'resumeAnswer' | 'abortAnswer' | 'refuse' | 'replay'>;
+	edges: Pick<Edges, 'startAnswer' | 'resumeAnswer' | 'abortAnswer' | 'refuse' | 'closed' | 'replay'>;
 	/** Takes a caller's request and hands it to the core. */
 	open(exchange: Exchange, request: CallerRequest): void;
 };
@@ -93,7 +93,6 @@
 				const target = world.requests.get(request)?.target ?? '';
 				const url = world.configuration.targets.get(target)?.url;
 				if (exchange && url !== undefined) {
-					exchange.isFinished = true;
 					void attempts.cancel(exchange, {target, url});
 				}
 			},
@@ -104,6 +103,9 @@
 					endWithRefusal(exchange, refusal);
 				}
 			},
+			closed({request}) {
+				exchanges.delete(request);
+			},
 			replay({request, answer}) {
 				const exchange = take(request);
 				if (exchange) {
