--- a/packages/core/test/failure-domains.test.ts
+++ b/packages/core/test/failure-domains.test.ts
@@ -2,6 +2,7 @@
 import {Phase} from '../src/messages.ts';
 import type {ReleaseNote} from '../src/release-note.ts';
 import {RefusalKind} from '../src/refusal.ts';
+import {AuditAction} from '../src/release.ts';
 import {RequestState} from '../src/rows.ts';
 import {addresses} from '../src/systems/addresses.ts';
 import {
@@ -26,7 +27,7 @@
 
 function release(fleet: Fleet, note: ReleaseNote, to = 'a') {
 	fleet.give(to, {
-		kind: 'releaseProposed', proposal: `${to}-${fleet.now}`, note, operator: 'op', reason: 'drill', at: '2026-01-01T00:00:00Z',
+		kind: 'releaseProposed', proposal: `${to}-${fleet.now}`, note, operator: 'op', action: AuditAction.ReleaseApply, reason: 'drill', at: '2026-01-01T00:00:00Z',
 	});
 	const revision = Math.max(...[...fleet.worlds.values()].map(world => world.configuration.revision));
 	fleet.until(() => [...fleet.worlds.values()].every(world => world.configuration.revision === revision + 1), 3000);
@@ -78,7 +79,7 @@
 		: 1;
 	const revision = fleet.worlds.get('a')!.configuration.revision + 1;
 	fleet.give('a', {
-		kind: 'releaseProposed', proposal: 'p', note: domain('y', Standing.Out), operator: 'op', reason: 'drill', at: '2026-01-01T00:00:00Z',
+		kind: 'releaseProposed', proposal: 'p', note: domain('y', Standing.Out), operator: 'op', action: AuditAction.ReleaseApply, reason: 'drill', at: '2026-01-01T00:00:00Z',
 	});
 	const others = ['a', 'b', 'e', 'f'];
 	fleet.until(() => others.every(id => fleet.worlds.get(id)!.configuration.revision === revision), 3000);
--- a/packages/router/test/pages.test.ts
+++ b/packages/router/test/pages.test.ts
@@ -11,7 +11,7 @@
 
 test('the page of metrics lists every metric', async () => {
 	const page = await readFile('docs/operating/metrics-and-alerts.md', 'utf8');
-	const listed = [...page.matchAll(/^\| `(?<name>shallotloom_\w+)`/gmv)].map(({groups}) => groups!.name);
+	const listed = [...page.matchAll(/^\| `(?<name>(?:shallotloom|nodejs)_\w+)`/gmv)].map(({groups}) => groups!.name);
 	const {text} = await createMetrics().scrape();
 	const served = [...text.matchAll(/^# TYPE (?<name>\w+)/gmv)].map(({groups}) => groups!.name);
 	expect(listed).toEqual(served);
