Give the operators' views the types that the client reads, and drop an import that stood twice

The views wrote names of phases and states as plain strings beside the enums of operator-api.ts, so that router and client could drift apart without the type checker's notice. They now return its reply types; no field changed.

--- a/packages/core/test/failure-domains.test.ts
+++ b/packages/core/test/failure-domains.test.ts
@@ -1,6 +1,5 @@
 import {Standing} from '../src/configuration.ts';
 import {Phase} from '../src/messages.ts';
-import {AuditAction} from '../src/release.ts';
 import type {ReleaseNote} from '../src/release-note.ts';
 import {RefusalKind} from '../src/refusal.ts';
 import {AuditAction} from '../src/release.ts';
--- a/packages/router/src/operators/views.ts
+++ b/packages/router/src/operators/views.ts
@@ -3,20 +3,26 @@
 */
 import {Standing} from '@shallotloom/core/configuration.ts';
 import {Phase, MemberState} from '@shallotloom/core/messages.ts';
-import type {DomainReply} from '@shallotloom/core/operator-api.ts';
+import {
+	PhaseName, RouterState, type DomainReply, type MemberReply, type StatusReply, type TargetReply, type WorkspaceReply,
+} from '@shallotloom/core/operator-api.ts';
 import {virtualTimeOf} from '@shallotloom/core/systems/services.ts';
 import type {World} from '@shallotloom/core/world.ts';
 
-const phaseNames: Record<Phase, string> = {
-	[Phase.Cold]: 'cold', [Phase.Ramping]: 'ramping', [Phase.Warm]: 'warm', [Phase.SetAside]: 'set-aside',
+const phaseNames: Record<Phase, PhaseName> = {
+	[Phase.Cold]: PhaseName.Cold,
+	[Phase.Ramping]: PhaseName.Ramping,
+	[Phase.Warm]: PhaseName.Warm,
+	[Phase.SetAside]: PhaseName.SetAside,
 };
 
-const stateNames: Record<MemberState, string> = {
-	[MemberState.Active]: 'active', [MemberState.Leaving]: 'leaving',
+const stateNames: Record<MemberState, RouterState> = {
+	[MemberState.Active]: RouterState.Active,
+	[MemberState.Leaving]: RouterState.Leaving,
 };
 
 /** This router and the revision in force over the members that it knows. */
-export function statusView(world: World) {
+export function statusView(world: World): StatusReply {
 	const {revision} = world.configuration;
 	const members = [...world.members.rows()];
 	const inForce = members.filter(member => member.id === world.self.id || member.revision >= revision);
@@ -31,7 +37,7 @@
 }
 
 /** Members as this router knows them. */
-export function membersView(world: World) {
+export function membersView(world: World): MemberReply[] {
 	return [...world.members.rows()].map(member => ({
 		id: member.id,
 		failureDomain: member.failureDomain,
@@ -60,7 +66,7 @@
 }
 
 /** Targets; budget and phase are known of this router's own. */
-export function targetsView(world: World) {
+export function targetsView(world: World): TargetReply[] {
 	return [...world.configuration.targets.values()].map(target => {
 		const ownership = world.ownerships.get(target.id);
 		const budget = world.budgets.get(target.id);
@@ -73,15 +79,13 @@
 			failureDomainStanding: world.configuration.failureDomains.get(target.failureDomain)?.standing ?? Standing.In,
 			owner: ownership?.owner ?? '',
 			epoch: ownership?.epoch ?? 0,
-			phase: budget ? phaseNames[budget.phase] : undefined,
-			budget: budget?.budget,
-			running: budget ? world.permits.count(target.id) : undefined,
+			...(budget && {phase: phaseNames[budget.phase], budget: budget.budget, running: world.permits.count(target.id)}),
 		};
 	});
 }
 
 /** Workspaces with their service in all pools, and the distance to their share of it. */
-export function workspacesView(world: World) {
+export function workspacesView(world: World): WorkspaceReply[] {
 	const workspaces = [...world.configuration.workspaces.values()];
 	const weights = workspaces.reduce((sum, {weight}) => sum + weight, 0);
 	const rows = workspaces.map(({id, weight}) => {
