Stand-in network: say why a connection could not be made

The relay resets a caller whose connection it can't make, and dropped the reason. Ruled out by a trial: binding a source address by itself (3,000 connections from 127.0.0.1, none failed). It now writes the reason, which the demo prints when it fails; the cause isn't found yet.

--- a/packages/standin/src/relay.ts
+++ b/packages/standin/src/relay.ts
@@ -45,7 +45,8 @@
 		const from = caller.remoteAddress ?? '';
 		// Bound to the caller's own address, so that the target sees who connects.
 		const callee = connect({...target, localAddress: from});
-		const refuse = () => {
+		const refuse = (error: Error) => {
+			console.error(`relay ${listen} can't connect ${from} to ${to}: ${error.message}`);
 			caller.resetAndDestroy();
 		};
 
