Let a start at its predecessor's address succeed it at once

Cause: when all routers of a fleet were killed and restarted within a lease, none got a lease again: each waited for a majority to end its predecessor's, and nobody had a lease to count in one. Ruled out: counting routers without a lease (an old holder under the outage rule doesn't, so the two majorities would no longer share a member); the instance list (a process that restarts stays on its instance). Change: the lease names the address for peers that its process has bound; a start that has bound the same one takes over without a wait. The loop takes its first step once that address is bound. Conclusion: a fleet comes back after a power cut, and a restarted router needs no lease time.

--- a/packages/bench/src/core-size/fleet.ts
+++ b/packages/bench/src/core-size/fleet.ts
@@ -190,6 +190,7 @@
 				failureDomain: domainOf(shape, index),
 				callerUrl: urlOf(index),
 				peerUrl: urlOf(index),
+				boundAddress: '',
 				durationMs: world.limits.leaseDurationMs,
 			});
 		}
--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -17,6 +17,8 @@
 	failureDomain: string;
 	callerUrl: string;
 	peerUrl: string;
+	/** IP number and port that the process had bound when it wrote the lease; '' when that isn't sure. */
+	boundAddress: string;
 	durationMs: number;
 };
 
@@ -54,6 +56,7 @@
 		failureDomain: 'string',
 		callerUrl: 'string',
 		peerUrl: 'string',
+		boundAddress: 'string',
 		durationMs: 'number',
 	});
 }
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/lease.ts
@@ -150,6 +150,7 @@
 		failureDomain: self.failureDomain,
 		callerUrl: self.callerUrl,
 		peerUrl: self.peerUrl,
+		boundAddress: self.boundAddress ?? '',
 		durationMs: limits.leaseDurationMs,
 	};
 }
@@ -234,7 +235,9 @@
 
 	// A lease of this very start is one whose write got no answer in time; nothing was ever done under it.
 	const isOwn = current?.incarnation === self.incarnation;
-	if (current === undefined || isOwn || mayEndLease(world, self.id, lease.predecessor.seenAt)) {
+	// One process at a time binds an address: the earlier one has ended.
+	const isReplaced = self.boundAddress !== undefined && current?.boundAddress === self.boundAddress;
+	if (current === undefined || isOwn || isReplaced || mayEndLease(world, self.id, lease.predecessor.seenAt)) {
 		lease.version = version;
 		lease.sequence = current?.sequence ?? 0;
 		lease.predecessor = undefined;
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -22,6 +22,8 @@
 	failureDomain: string;
 	callerUrl: string;
 	peerUrl: string;
+	/** IP number and port for peers, bound before the first step; undefined when that isn't sure. */
+	boundAddress?: string;
 };
 
 export type StoreReply = {
--- a/packages/core/test/lease.test.ts
+++ b/packages/core/test/lease.test.ts
@@ -187,3 +187,22 @@
 		expect(fleet.servers(target)).toHaveLength(1);
 	}
 });
+
+test.each([3, 9])('a fleet of %d routers that all restart at once serves its targets again', count => {
+	const names = Array.from({length: count}, (_, index) => `r${index}`);
+	const fleet = createFleet({
+		routers: Object.fromEntries(names.map(name => [name, 'x'])), targets: {t1: 'x', t2: 'x'}, bindsAddress: true,
+	});
+	const isServed = () => ['t1', 't2'].every(target => fleet.servers(target).length === 1);
+	fleet.until(isServed, 6000);
+	for (const name of names) {
+		fleet.kill(name);
+	}
+
+	fleet.run(1000);
+	for (const name of names) {
+		fleet.start(name);
+	}
+
+	fleet.until(isServed, 10_000);
+});
--- a/packages/core/test/support/fleet.ts
+++ b/packages/core/test/support/fleet.ts
@@ -27,9 +27,11 @@
 	/** Failure domain of each target, by id. */
 	targets?: Record<string, string>;
 	limits?: Partial<Limits>;
+	/** Whether each start of a router has bound the address that its earlier starts had. */
+	bindsAddress?: boolean;
 };
 
-export function createFleet({routers, targets = {}, limits}: FleetOptions) {
+export function createFleet({routers, targets = {}, limits, bindsAddress = false}: FleetOptions) {
 	const worlds = new Map<string, World>();
 	const storeMap = createStoreMap();
 	let underway: Underway[] = [];
@@ -53,7 +55,7 @@
 			starts += 1;
 			worlds.set(id, createWorld({
 				self: {
-					id, incarnation: `${id}#${starts}`, failureDomain: routers[id]!, callerUrl: `http://${id}`, peerUrl: `http://${id}:1`,
+					id, incarnation: `${id}#${starts}`, failureDomain: routers[id]!, callerUrl: `http://${id}`, peerUrl: `http://${id}:1`, ...(bindsAddress && {boundAddress: `${id}:1`}),
 				}, seed: starts, now: fleet.now, limits,
 			}));
 		},
--- a/packages/router/src/core-loop.ts
+++ b/packages/router/src/core-loop.ts
@@ -15,6 +15,8 @@
 	push(inbound: Inbound): void;
 	/** Adds to the inbox without a step of its own, for what can wait until the next. */
 	note(inbound: Inbound): void;
+	/** Takes the first step; until then the inbox only fills. */
+	start(): void;
 	stop(): void;
 };
 
@@ -27,10 +29,11 @@
 	onStep: (ms: number) => void;
 };
 
-/** Starts the loop. */
+/** Creates the loop. */
 export function createCoreLoop({world, timer, tickMs, edges, onStep}: CoreLoopOptions): CoreLoop {
 	let inbox: Inbound[] = [];
 	let isScheduled = false;
+	let unsubscribe: (() => void) | undefined;
 
 	function run() {
 		isScheduled = false;
@@ -45,20 +48,30 @@
 		}
 	}
 
-	function push(inbound: Inbound) {
-		inbox.push(inbound);
-		if (!isScheduled) {
+	function schedule() {
+		if (!isScheduled && unsubscribe) {
 			isScheduled = true;
 			setImmediate(run);
 		}
 	}
 
-	const unsubscribe = timer.subscribe(tickMs, run);
+	function push(inbound: Inbound) {
+		inbox.push(inbound);
+		schedule();
+	}
+
 	return {
 		push,
 		note(inbound) {
 			inbox.push(inbound);
 		},
-		stop: unsubscribe,
+		start() {
+			unsubscribe = timer.subscribe(tickMs, run);
+			schedule();
+		},
+		stop() {
+			unsubscribe?.();
+			unsubscribe = undefined;
+		},
 	};
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -50,6 +50,7 @@
 			failureDomain: settings.router.failureDomain,
 			callerUrl: settings.advertise.callers,
 			peerUrl: settings.advertise.peers,
+			boundAddress: settings.listen.peers,
 		},
 		seed: randomBytes(4).readInt32LE(),
 		now: timer.now(),
@@ -166,6 +167,8 @@
 			});
 		},
 	});
+	// The lease names the address for peers, so the first step comes once that is bound.
+	loop.start();
 	const callerServer = await listen(createCallerApp({
 		world, now: timer.now, open: exchanges.open, onRefused: counts.countRefusal, onFault: faultLog(log, EdgePart.Callers), ...settings.limits,
 	}), parsePlace(settings.listen.callers), settings.limits);
