Let planned stops end: with the store out, for the last router, and all at once

Cause: the stop waited for 2 x the address's time to live, for no store operation in flight and for no held target. With the store out there is always an operation in flight, and without a valid lease no target was given up; the last router dropped its targets and took them again, since their records still named it. A leaving router also took no ticket of its own callers, so that those that kept the address waited until their deadline when all routers left.

Ruled out: the hand-over itself (its tests pass unchanged) and the closing of undici pools, which are destroyed.

Callers are served for the time to live plus the time until a member counts as silent (6.5 s instead of 10 s); the last routers serve their targets meanwhile and then release the records; an outage holds a stop for at most 10 s more. Requests that come later are refused as stopping, not-run, with Retry-After, by the core too. The callers' listener answers with connection: close while leaving, and drains instead of cutting.

--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -36,6 +36,8 @@
 	heardMs: number;
 	/** How long callers may keep an address. */
 	addressTtlMs: number;
+	/** Longest time for which a planned stop waits for targets that the Object API's outage keeps from being handed over. */
+	stopStoreWaitMs: number;
 	discipline: Discipline;
 	/** Whether owners charge what other owners served. False is a baseline for measurements. */
 	exchange: boolean;
@@ -83,6 +85,7 @@
 	progressMs: 500,
 	heardMs: 1.5 * second,
 	addressTtlMs: 5 * second,
+	stopStoreWaitMs: 10 * second,
 	discipline: Discipline.Fair,
 	exchange: true,
 	outputWeight: 1,
--- a/packages/core/src/systems/handovers.ts
+++ b/packages/core/src/systems/handovers.ts
@@ -19,26 +19,15 @@
 
 /** Hands a target over to a member whose lease is known. */
 export function handOver(world: World, ownership: Ownership, to: string) {
-	const {target, epoch, version} = ownership;
 	const tenure = world.contacts.get(to)?.tenure ?? '';
-	if (tenure === '') {
-		return;
+	if (tenure !== '') {
+		startMove(world, ownership, {owner: to, tenure});
 	}
+}
 
-	const record: OwnerRecord = {
-		owner: to, incarnation: tenure, epoch: epoch + 1, nonce: nonce(world),
-	};
-	const move: Move = {
-		target,
-		kind: MoveKind.Handover,
-		retryAt: world.now + lookupMs,
-		record,
-		handover: {
-			kind: 'targetHandover', target, epoch, tenure, version, ...coldBudget, ...drop(world, target),
-		},
-	};
-	world.moves.set(move);
-	write(world, move, record, version);
+/** Gives a target up with no new owner, so that any router may claim it at once. */
+export function giveUp(world: World, ownership: Ownership) {
+	startMove(world, ownership, {owner: '', tenure: ''});
 }
 
 /** Whether this router serves a target and nothing speaks against handing it over now. */
@@ -67,6 +56,24 @@
 
 const coldBudget: Pick<TargetHandover, 'phase' | 'budget' | 'entries'> = {phase: Phase.Cold, budget: 0, entries: []};
 
+/** Stops to serve a target, and writes its next record. */
+function startMove(world: World, {target, epoch, version}: Ownership, {owner, tenure}: {owner: string; tenure: string}) {
+	const record: OwnerRecord = {
+		owner, incarnation: tenure, epoch: epoch + 1, nonce: nonce(world),
+	};
+	const move: Move = {
+		target,
+		kind: MoveKind.Handover,
+		retryAt: world.now + lookupMs,
+		record,
+		handover: {
+			kind: 'targetHandover', target, epoch, tenure, version, ...coldBudget, ...drop(world, target),
+		},
+	};
+	world.moves.set(move);
+	write(world, move, record, version);
+}
+
 function write(world: World, move: Move, record: OwnerRecord, ifVersion: number) {
 	store(world, {
 		kind: 'put', key: ownerKey(move.target), value: JSON.stringify(record), ifVersion,
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/lease.ts
@@ -11,6 +11,7 @@
 	log, nonce, pick, send, store, type LeaseRenewal, type StoreReply, type World,
 } from '../world.ts';
 import {dropHoldings} from './holdings.ts';
+import {isFinished} from './leaving.ts';
 import {
 	hearsMajority, isHeard, mayEndLease, voters,
 } from './quorum.ts';
@@ -27,7 +28,7 @@
 		return;
 	}
 
-	if (isStopped(world)) {
+	if (isFinished(world)) {
 		releaseLease(world);
 		return;
 	}
@@ -123,16 +124,11 @@
 	return !lease.outranked && world.storeReachedAt <= lease.validUntil && hearsMajority(world);
 }
 
-/** A stopping router gives its lease up once it owns nothing, serves no caller and no caller keeps its address. */
-function isStopped(world: World): boolean {
-	const {stopAt, limits, now} = world;
-	return stopAt !== undefined && now - stopAt >= 2 * limits.addressTtlMs
-		&& world.holdings.size === 0 && world.moves.size === 0 && world.requests.size === 0;
-}
-
 function releaseLease(world: World) {
 	const {lease} = world;
 	lease.released = true;
+	lease.releasedAt = world.now;
+	dropHoldings(world);
 	if (lease.version > 0) {
 		// A lost answer or an outage leaves the lease to lapse.
 		store(world, {kind: 'delete', key: leaseKey(world.self.id), ifVersion: lease.version}, () => undefined);
--- a/packages/core/src/systems/owner-records.ts
+++ b/packages/core/src/systems/owner-records.ts
@@ -38,7 +38,7 @@
 /** Whether a record names this router under its present lease. */
 export function isOwn(world: World, ownership: Ownership): boolean {
 	const {lease, self} = world;
-	return ownership.owner === self.id && lease.tenure !== '' && ownership.incarnation === lease.tenure;
+	return ownership.owner === self.id && lease.tenure !== '' && !lease.released && ownership.incarnation === lease.tenure;
 }
 
 /** Starts or stops to serve a target as its record says. */
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -10,9 +10,12 @@
 import {second} from '../units.ts';
 import {due, type World} from '../world.ts';
 import {claim} from './claims.ts';
-import {canHandOver, handOver, lookUp} from './handovers.ts';
+import {
+	canHandOver, giveUp, handOver, lookUp,
+} from './handovers.ts';
 import {drop} from './holdings.ts';
 import {hasValidLease} from './lease.ts';
+import {hasWork} from './leaving.ts';
 import {listAll} from './listing.ts';
 import {liveMembers} from './membership.ts';
 import {applyOwner, settle} from './owner-records.ts';
@@ -109,13 +112,13 @@
 	}
 }
 
-/** Hands over all targets of a router that stops; with no other live member they are given up. */
+/** Hands over all targets of a router that stops; the last router serves them while it has work, and gives them up. */
 function leave(world: World) {
 	const live = liveMembers(world);
 	const receivers = live.filter(member => canReceive(world, member.id));
 	for (const target of world.holdings.keys()) {
 		if (live.length === 0) {
-			drop(world, target);
+			giveUpUnused(world, target);
 		} else if (canHandOver(world, target)) {
 			giveTo(world, target, receiverOf(world, target, receivers));
 		}
@@ -128,6 +131,13 @@
 	}
 }
 
+function giveUpUnused(world: World, target: string) {
+	const ownership = world.ownerships.get(target);
+	if (ownership !== undefined && canHandOver(world, target) && !hasWork(world)) {
+		giveUp(world, ownership);
+	}
+}
+
 function isSettled(world: World, preference: Preference): boolean {
 	return world.now - preference.since >= world.limits.preferenceMs;
 }
--- a/packages/core/src/systems/placement.ts
+++ b/packages/core/src/systems/placement.ts
@@ -13,6 +13,7 @@
 } from '../world.ts';
 import {rendezvous} from '../hash.ts';
 import {budgetOf, slotsOf} from './dispatch.ts';
+import {leavesLast} from './leaving.ts';
 import {routesOf} from './routes.ts';
 
 /** Period at which requests whose ticket is lost are placed anew, in milliseconds. */
@@ -26,9 +27,9 @@
 	waiting: number;
 };
 
-/** Whether a member can take tickets now. */
+/** Whether a member can take tickets now; while all are leaving, leaving ones serve what their callers still send. */
 export function canHold(world: World, member: Member | undefined): member is Member {
-	return member?.state === MemberState.Active
+	return (member?.state === MemberState.Active || (member !== undefined && leavesLast(world)))
 		&& (member.id === world.self.id || world.now - member.heardAt < world.limits.heardMs);
 }
 
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -2,9 +2,7 @@
 Requests of this router's callers, from arrival to the final answer. A request that is given up gets its final answer at
 once; "not-run" is only said where no byte of it left for a target.
 */
-import {
-	MemberState, TicketReturnReason, type PeerMessageOf, AttemptEnd,
-} from '../messages.ts';
+import {TicketReturnReason, type PeerMessageOf, AttemptEnd} from '../messages.ts';
 import type {InboundOf, CallerRequest} from '../ports.ts';
 import {Outcome, RefusalKind, type Refusal} from '../refusal.ts';
 import {RequestState, type Request} from '../rows.ts';
@@ -13,6 +11,7 @@
 import {
 	demandOf, enterQueue, leaveQueue, queueCostOf, queueRefusal, retryAfter, spendRetry,
 } from './demands.ts';
+import {stoppingRefusal, takesRequests} from './leaving.ts';
 import {canHold, place, placeAt} from './placement.ts';
 import {
 	hasTarget, isPool, rebuildRoutes, routesOf,
@@ -45,6 +44,10 @@
 /** Refusal of a request at its arrival; undefined when it may go on. */
 function arrivalRefusal(world: World, request: Request): Refusal | undefined {
 	const detail = request.pool;
+	if (!takesRequests(world)) {
+		return stoppingRefusal();
+	}
+
 	if (world.configuration.revision === 0) {
 		return {
 			kind: RefusalKind.NotReady, outcome: Outcome.NotRun, detail, retryAfterMs: second,
@@ -266,9 +269,3 @@
 		}
 	}
 }
-
-/** Whether this router still takes requests: a leaving one does while callers may keep its address. */
-export function takesRequests(world: World): boolean {
-	return world.state === MemberState.Active
-		|| (world.stopAt !== undefined && world.now - world.stopAt < 2 * world.limits.addressTtlMs);
-}
--- a/packages/core/src/systems/stop.ts
+++ b/packages/core/src/systems/stop.ts
@@ -1,10 +1,22 @@
 /*
 Planned stop: the address is withdrawn, tickets are given back, targets are handed over, and running answers finish;
-then the process may exit. Callers that still keep the address are served until its time to live has passed.
+then the lease is given up and the process may exit. Callers that still keep the address are served until no answer that
+named it is valid any more. See docs/design/stops.md.
 */
 import {MemberState} from '../messages.ts';
 import {LogPart} from '../ports.ts';
+import {RequestState} from '../rows.ts';
+import {second} from '../units.ts';
 import {due, log, type World} from '../world.ts';
+import {leavesLast, stoppingRefusal} from './leaving.ts';
+import {refuse} from './requests.ts';
+import {routesOf} from './routes.ts';
+
+/** Longest wait for replies of the Object API once the lease was given up. */
+const repliesMs = 2 * second;
+
+/** Period at which requests are looked at that no owner is left for. */
+const unservedMs = 250;
 
 /** Starts the stop; a second request changes nothing. */
 export function onStopRequested(world: World) {
@@ -19,18 +31,28 @@
 	log(world, LogPart.Stop, 'leaving: address withdrawn, targets are handed over');
 }
 
-/** Tells the edge when nothing is left to finish. */
+/** Refuses what nobody is left to serve, and tells the edge when nothing is left to finish. */
 export function stopSystem(world: World) {
 	if (world.stopAt === undefined) {
 		return;
 	}
 
-	const keptMs = 2 * world.limits.addressTtlMs;
-	const isDone = world.now - world.stopAt >= keptMs
-		&& world.requests.size === 0
-		&& world.budgets.size === 0
-		&& world.operations.size === 0;
+	if (leavesLast(world) && due(world, 'stop.unserved', unservedMs)) {
+		refuseUnserved(world);
+	}
+
+	const {lease, operations, now} = world;
+	const isDone = lease.released && (operations.size === 0 || now - lease.releasedAt >= repliesMs);
 	if (isDone && due(world, 'stopped', Number.POSITIVE_INFINITY)) {
 		world.outbox.push({kind: 'stopped'});
 	}
 }
+
+/** With no active member left, a pool that has no owner gets none before this router has stopped. */
+function refuseUnserved(world: World) {
+	for (const request of world.requests.rows()) {
+		if (request.state === RequestState.Queued && request.holder === '' && routesOf(world, request.pool).length === 0) {
+			refuse(world, request, stoppingRefusal());
+		}
+	}
+}
--- a/packages/core/src/systems/tickets.ts
+++ b/packages/core/src/systems/tickets.ts
@@ -6,6 +6,7 @@
 } from '../messages.ts';
 import type {Ticket} from '../rows.ts';
 import {due, send, type World} from '../world.ts';
+import {leavesLast} from './leaving.ts';
 import {originOf} from './permits.ts';
 import {addTicket, removeTicket} from './services.ts';
 
@@ -18,6 +19,11 @@
 	});
 }
 
+/** Whether tickets belong elsewhere because this router is leaving; the last ones to leave serve them. */
+function mustHandOn(world: World): boolean {
+	return world.state === MemberState.Leaving && !leavesLast(world);
+}
+
 /** Whether this router owns a target of the pool. */
 export function ownsPool(world: World, pool: string): boolean {
 	for (const budget of world.budgets.rows()) {
@@ -41,7 +47,7 @@
 		arrivedAt: world.now - offer.waitedMs,
 		excluded: offer.excluded,
 	};
-	if (world.state === MemberState.Leaving) {
+	if (mustHandOn(world)) {
 		giveTicketBack(world, ticket, TicketReturnReason.Leaving);
 		return;
 	}
@@ -64,8 +70,9 @@
 		return;
 	}
 
+	const isHandingOn = mustHandOn(world);
 	for (const ticket of world.tickets.rows()) {
-		if (world.state === MemberState.Leaving) {
+		if (isHandingOn) {
 			removeTicket(world, ticket.ticket);
 			giveTicketBack(world, ticket, TicketReturnReason.Leaving);
 		} else if (!ownsPool(world, ticket.pool)) {
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -64,6 +64,8 @@
 	predecessor: {nonce: string; seenAt: number} | undefined;
 	/** Deleted for good, at the end of a planned stop. */
 	released: boolean;
+	/** When it was deleted; -Infinity before. */
+	releasedAt: number;
 };
 
 /** Numbers this router's digests, so that echoes of them bound how old an answer is. */
@@ -158,7 +160,7 @@
 		lease: {
 			sequence: 0, attempted: 0, version: 0, validUntil: Number.NEGATIVE_INFINITY, renewal: undefined, nextRenewalAt: now,
 			tenure: '', renewedAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY, startedAt: Number.POSITIVE_INFINITY,
-			outranked: false, predecessor: undefined, released: false,
+			outranked: false, predecessor: undefined, released: false, releasedAt: Number.NEGATIVE_INFINITY,
 		},
 		storeReachedAt: Number.NEGATIVE_INFINITY,
 		members: createTable<Member>({key: member => member.id, index: member => member.failureDomain}),
--- /dev/null
+++ b/packages/core/test/stop.test.ts
@@ -0,0 +1,172 @@
+import {AttemptEnd, MemberState} from '../src/messages.ts';
+import {Outcome, RefusalKind} from '../src/refusal.ts';
+import {withdrawalMs} from '../src/systems/leaving.ts';
+import {createFleet, type Fleet} from './support/fleet.ts';
+import {StoreFault} from './support/store-map.ts';
+
+const targets = {t1: 'x', t2: 'x', t3: 'y'};
+const targetIds = Object.keys(targets);
+
+function fleetOf(...ids: string[]): Fleet {
+	const fleet = createFleet({routers: Object.fromEntries(ids.map((id, index) => [id, index < 2 ? 'x' : 'y'])), targets});
+	fleet.run(9000);
+	expect(targetIds.map(target => fleet.servers(target).length)).toEqual([1, 1, 1]);
+	return fleet;
+}
+
+function hasStopped(fleet: Fleet, id: string): boolean {
+	return fleet.outbox.some(({from, item}) => from === id && item.kind === 'stopped');
+}
+
+/** Runs until routers have stopped and takes each away as its process exits; returns the time that the last took. */
+function exit(fleet: Fleet, ids: string[], limitMs: number): number {
+	const left = new Set(ids);
+	return fleet.until(() => {
+		for (const id of left) {
+			if (hasStopped(fleet, id)) {
+				fleet.kill(id);
+				left.delete(id);
+			}
+		}
+
+		return left.size === 0;
+	}, limitMs);
+}
+
+function ask(fleet: Fleet, router: string, id: string) {
+	fleet.give(router, {
+		kind: 'callerRequest', request: {
+			id: `${router}/${id}`, workspace: 'w', pool: 'm', inputTokens: 10, costHint: 10, prefixHash: 0,
+			deadline: fleet.now + 30_000, once: false, idempotencyKey: '',
+		},
+	});
+}
+
+/** What became of a request at its router: the last that the core ordered for it. */
+function fateOf(fleet: Fleet, request: string) {
+	return fleet.outbox.map(({item}) => item).findLast(item => 'request' in item && item.request === request && (item.kind === 'refuse' || item.kind === 'startAnswer'));
+}
+
+function endAnswer(fleet: Fleet, router: string, id: string) {
+	const {target} = fleet.worlds.get(router)!.requests.get(`${router}/${id}`)!;
+	fleet.give(router, {
+		kind: 'answerEnded', request: `${router}/${id}`, target, end: AttemptEnd.Whole, outputTokens: 5, delivered: true, firstByteMs: 10, betweenTokensMs: 5,
+	});
+}
+
+const down = () => StoreFault.Down;
+const cut = () => StoreFault.Cut;
+
+const stops: Array<{name: string; stopped: string[]; fault?: (fleet: Fleet) => void; extraMs: number}> = [
+	{name: 'one of three', stopped: ['a'], extraMs: 500},
+	{name: 'two of three at once', stopped: ['a', 'b'], extraMs: 500},
+	{name: 'all at once', stopped: ['a', 'b', 'c'], extraMs: 1500},
+	{
+		name: 'one while another is killed', stopped: ['a'], extraMs: 3000, fault(fleet) {
+			fleet.kill('b');
+		},
+	},
+	{
+		name: 'one while both others are killed', stopped: ['a'], extraMs: 10_500, fault(fleet) {
+			fleet.kill('b');
+			fleet.kill('c');
+		},
+	},
+	{
+		name: 'one while the store is down', stopped: ['a'], extraMs: 12_500, fault(fleet) {
+			fleet.storeFault = down;
+		},
+	},
+	{
+		name: 'one while the store does not answer', stopped: ['a'], extraMs: 14_500, fault(fleet) {
+			fleet.storeFault = cut;
+		},
+	},
+	{
+		name: 'all while the store is down', stopped: ['a', 'b', 'c'], extraMs: 12_500, fault(fleet) {
+			fleet.storeFault = down;
+		},
+	},
+	{
+		name: 'all while store answers are lost', stopped: ['a', 'b', 'c'], extraMs: 14_500, fault(fleet) {
+			fleet.storeFault = () => StoreFault.AnswerLost;
+		},
+	},
+	{
+		name: 'one that is cut from its peers', stopped: ['a'], extraMs: 12_500, fault(fleet) {
+			fleet.delay = (from, to, item) => item.kind === 'send' && (from === 'a' || to === 'a') ? undefined : 1;
+		},
+	},
+];
+
+test.each(stops)('a planned stop ends, though not before callers have dropped the address: $name', ({stopped, fault, extraMs}) => {
+	const fleet = fleetOf('a', 'b', 'c');
+	const window = withdrawalMs(fleet.worlds.get('a')!);
+	fault?.(fleet);
+	for (const id of stopped) {
+		fleet.stop(id);
+	}
+
+	const took = exit(fleet, stopped, window + extraMs);
+	expect(took).toBeGreaterThanOrEqual(window);
+});
+
+test('routers that stop one after the other end, and the last releases its targets for the next start', () => {
+	const fleet = fleetOf('a', 'b');
+	const window = withdrawalMs(fleet.worlds.get('a')!);
+	for (const id of ['a', 'b']) {
+		fleet.stop(id);
+		exit(fleet, [id], window + 1500);
+	}
+
+	for (const target of targetIds) {
+		expect(JSON.parse(fleet.storeMap.objects.get(`owner/${target}`)!.value)).toMatchObject({owner: ''});
+	}
+
+	fleet.start('b');
+	const took = fleet.until(() => targetIds.every(target => fleet.servers(target).length === 1), 5000);
+	expect(took).toBeLessThanOrEqual(2000);
+});
+
+test.each([{stopped: ['a']}, {stopped: ['a', 'b', 'c']}])('callers that keep the address are served, later ones refused: stopping $stopped', ({stopped}) => {
+	const fleet = fleetOf('a', 'b', 'c');
+	const window = withdrawalMs(fleet.worlds.get('a')!);
+	for (const id of stopped) {
+		fleet.stop(id);
+	}
+
+	fleet.run(window - 1000);
+	ask(fleet, 'a', 'r1');
+	fleet.run(900);
+	expect(fateOf(fleet, 'a/r1')).toMatchObject({kind: 'startAnswer'});
+	fleet.run(1000);
+	ask(fleet, 'a', 'r2');
+	fleet.run(100);
+	expect(fateOf(fleet, 'a/r2')).toMatchObject({kind: 'refuse', refusal: {kind: RefusalKind.Stopping, outcome: Outcome.NotRun}});
+	const fate = fateOf(fleet, 'a/r2');
+	expect(fate?.kind === 'refuse' && fate.refusal.retryAfterMs).toBeGreaterThan(0);
+});
+
+test.each([StoreFault.None, StoreFault.Down])('a stop waits for a running answer, however long: store fault %s', storeFault => {
+	const fleet = fleetOf('a', 'b', 'c');
+	ask(fleet, 'a', 'r1');
+	fleet.run(500);
+	fleet.storeFault = () => storeFault;
+	fleet.stop('a');
+	fleet.run(40_000);
+	expect(hasStopped(fleet, 'a')).toBe(false);
+	expect(fleet.worlds.get('a')!.requests.size).toBe(1);
+	endAnswer(fleet, 'a', 'r1');
+	exit(fleet, ['a'], 3000);
+});
+
+test('no address names a router that stops, and none of its targets idles', () => {
+	const fleet = fleetOf('a', 'b', 'c');
+	fleet.stop('a');
+	fleet.run(200);
+	expect(fleet.worlds.get('b')!.members.get('a')!.state).toBe(MemberState.Leaving);
+	for (const target of targetIds) {
+		expect(fleet.servers(target)).toHaveLength(1);
+		expect(fleet.servers(target)).not.toContain('a');
+	}
+});
--- a/packages/core/test/support/fleet.ts
+++ b/packages/core/test/support/fleet.ts
@@ -175,6 +175,9 @@
 	}
 
 	const configuration = {...emptyConfiguration(), revision: 1};
+	configuration.workspaces.set('w', {
+		id: 'w', weight: 1, keyHash: '0'.repeat(64), queueLimit: 10_000,
+	});
 	for (const [id, failureDomain] of Object.entries(targets)) {
 		configuration.targets.set(id, {
 			id, url: 'http://10.0.0.1', kind: TargetKind.Engine, failureDomain, pools: ['m'], warmBudget: 4, coldBudget: 1, standing: Standing.In, fences: false,
--- a/packages/router/src/callers/app.ts
+++ b/packages/router/src/callers/app.ts
@@ -11,7 +11,7 @@
 	Outcome, RefusalKind, refusals, type Refusal,
 } from '@shallotloom/core/refusal.ts';
 import {addresses} from '@shallotloom/core/systems/addresses.ts';
-import {takesRequests} from '@shallotloom/core/systems/requests.ts';
+import {stoppingRefusal, takesRequests} from '@shallotloom/core/systems/leaving.ts';
 import type {World} from '@shallotloom/core/world.ts';
 import {refusalBody, refusalHeaders, type Exchange} from '../exchange.ts';
 import {readBody} from './body.ts';
@@ -88,7 +88,7 @@
 
 	async function withCaller(context: CallerContext, run: (workspace: Workspace) => Response | Promise<Response>) {
 		if (!takesRequests(world)) {
-			return refuse(context, notRun(RefusalKind.Stopping));
+			return refuse(context, stoppingRefusal());
 		}
 
 		if (world.configuration.revision === 0) {
--- a/packages/router/src/cli/main.ts
+++ b/packages/router/src/cli/main.ts
@@ -3,6 +3,7 @@
 Exit codes: 0 stopped as planned or settings valid, 1 couldn't start, 2 settings invalid.
 */
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import sade from 'sade';
 import {LogPart} from '@shallotloom/core/ports.ts';
 import {checkRouterSettings, loadRouterSettings} from '@shallotloom/settings/router-settings.ts';
@@ -22,8 +23,11 @@
 	process.exitCode = exitCode;
 }
 
+/** Longest wait for connections to end once the stop is done, in milliseconds: a silent peer must not hold the process. */
+const closeMs = 3000;
+
 async function leave(router: Router) {
-	await router.close();
+	await Promise.race([router.close(), sleep(closeMs)]);
 	process.exit(0); // eslint-disable-line unicorn/no-process-exit
 }
 
--- a/packages/router/src/listener.ts
+++ b/packages/router/src/listener.ts
@@ -16,8 +16,14 @@
 	return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
 }
 
+export type ListenerOptions = {
+	limits: Pick<RouterSettings['limits'], 'headerBytes' | 'headersTimeoutMs' | 'requestTimeoutMs' | 'connections'>;
+	/** Whether each connection ends with its next answer; never by default. */
+	isLeaving?: () => boolean;
+};
+
 /** Starts a listener; rejects when its address can't be bound. */
-export async function listen(app: App, {host, port}: Place, limits: RouterSettings['limits']): Promise<Server> {
+export async function listen(app: App, {host, port}: Place, {limits, isLeaving = () => false}: ListenerOptions): Promise<Server> {
 	const listener = getRequestListener(app.fetch);
 	const server = createServer({
 		maxHeaderSize: limits.headerBytes,
@@ -25,6 +31,11 @@
 		requestTimeout: limits.requestTimeoutMs,
 		noDelay: true,
 	}, (incoming, outgoing) => {
+		if (isLeaving()) {
+			// Clients then open their next connection anew, to an address that still takes requests.
+			outgoing.setHeader('connection', 'close');
+		}
+
 		void listener(incoming, outgoing);
 	});
 	server.maxConnections = limits.connections;
@@ -35,6 +46,21 @@
 	return server;
 }
 
+/** Ends a listener: no connection is taken any more, idle ones end, and answers get `graceMs` to finish. */
+export async function drainListener(server: Server, graceMs: number) {
+	const drained = new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	server.closeIdleConnections();
+	const timer = setTimeout(() => {
+		server.closeAllConnections();
+	}, graceMs);
+	await drained;
+	clearTimeout(timer);
+}
+
 /** Ends a listener and its connections. */
 export function closeListener(server: Server) {
 	server.close();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -13,7 +13,9 @@
 import {createCallerApp} from './callers/app.ts';
 import {createCoreLoop, type CoreLoop, type Edges} from './core-loop.ts';
 import {createExchanges} from './exchanges.ts';
-import {closeListener, listen, parsePlace} from './listener.ts';
+import {
+	closeListener, drainListener, listen, parsePlace,
+} from './listener.ts';
 import {EdgePart, type Log} from './log.ts';
 import {createMetrics} from './metrics.ts';
 import {createOperatorApp} from './operators/app.ts';
@@ -37,7 +39,7 @@
 	world: World;
 	/** Starts the planned stop. */
 	stop(): void;
-	/** Ends at once, without handing anything over. */
+	/** Ends without handing anything over. */
 	close(): Promise<void>;
 };
 
@@ -165,7 +167,7 @@
 	});
 	const callerServer = await listen(createCallerApp({
 		world, now: timer.now, open: exchanges.open, onRefused: counts.countRefusal, ...settings.limits,
-	}), parsePlace(settings.listen.callers), settings.limits);
+	}), parsePlace(settings.listen.callers), {limits: settings.limits, isLeaving: () => world.stopAt !== undefined});
 	const operatorServer = await listen(createOperatorApp({
 		world,
 		operators: settings.operators,
@@ -176,7 +178,7 @@
 			metrics.set(counts.read(world, traffic));
 			return metrics.scrape();
 		},
-	}), parsePlace(settings.listen.operators), settings.limits);
+	}), parsePlace(settings.listen.operators), {limits: settings.limits});
 
 	return {
 		world,
@@ -184,12 +186,13 @@
 			loop.push({kind: 'stopRequested'});
 		},
 		async close() {
+			// The core still runs, so that what has just arrived is refused and not cut off.
+			await drainListener(callerServer, drainMs);
 			loop.stop();
 			timer.stop();
 			watch.stop();
 			await instances.stop();
 			peers.close();
-			closeListener(callerServer);
 			closeListener(operatorServer);
 			await peerServer.close();
 			await agents.close();
@@ -198,6 +201,9 @@
 	};
 }
 
+/** Time for the last refusals to reach their callers once the stop is done, in milliseconds. */
+const drainMs = 1000;
+
 /** Period at which the instance list is read, in milliseconds: it lags by more than that. */
 const instanceListMs = 10_000;
 
