Bench stop and rolling-restart; name no router again whose lease was given up

Ruled out: kept callers' connections (answers say connection: close) and the relays (they reset refused connections only).

Change: the end of a tenure leaves a member's state as it is; a new tenure takes that of its lease or digest. The address time to live is a setting (limits.addressTtlMs), so that nine restarts in turn fit into the scenario.

--- a/packages/bench/src/deployment/operators.ts
+++ b/packages/bench/src/deployment/operators.ts
@@ -46,7 +46,13 @@
 		.reduce((sum, {budget}) => sum + (budget ?? 0), 0);
 }
 
-type TargetView = {kind: TargetKind; owner: string; budget?: number};
+/** Ids of the targets that a router owns, as another router knows it. */
+export async function targetsOf(operatorsUrl: string, router: string): Promise<string[]> {
+	const targets = await targetViews(operatorsUrl);
+	return targets.filter(({owner}) => owner === router).map(({id}) => id);
+}
+
+type TargetView = {id: string; kind: TargetKind; owner: string; budget?: number};
 
 async function targetViews(operatorsUrl: string): Promise<TargetView[]> {
 	return callJson<TargetView[]>(`${operatorsUrl}/operator/v1/targets`, {headers});
--- a/packages/bench/src/deployment/plan.ts
+++ b/packages/bench/src/deployment/plan.ts
@@ -59,6 +59,8 @@
 	fairness: {exchange: boolean; discipline: Discipline};
 	control: {tickMs: number; digestMs: number; progressMs: number; loadPollMs: number};
 	lease: {durationMs: number; renewMs: number};
+	/** Time for which callers may keep an address. */
+	addressTtlMs: number;
 	/** One-way delays in milliseconds. */
 	delayMs: {same: number; between: number; client: number};
 	logLevel: string;
@@ -98,6 +100,7 @@
 		tickMs: 50, digestMs: 250, progressMs: 500, loadPollMs: 500,
 	},
 	lease: {durationMs: 6000, renewMs: 2000},
+	addressTtlMs: 5000,
 	delayMs: {same: 0, between: 1.5, client: 1},
 	logLevel: 'warn',
 };
--- a/packages/bench/src/deployment/settings-file.ts
+++ b/packages/bench/src/deployment/settings-file.ts
@@ -44,6 +44,7 @@
 		operators: [{name: 'duty', keyHash: sha256(operatorKey)}],
 		lease: options.lease,
 		control: options.control,
+		limits: {addressTtlMs: options.addressTtlMs},
 		fairness: options.fairness,
 		log: {format: 'text', level: options.logLevel},
 	};
--- /dev/null
+++ b/packages/bench/src/scenarios/caller-fates.ts
@@ -0,0 +1,24 @@
+/*
+What became of callers' requests while routers stop: cut, failed otherwise, or lost with a killed router.
+*/
+import {Ending, isFailure, type RequestRecord} from '../load/record.ts';
+
+export type CallerFates = {
+	/** Requests whose answer broke off, or whose connection did before one came. */
+	cutRequests: number;
+	/** Requests that failed in any way, the cut ones included; a full queue isn't a failure. */
+	failedRequests: number;
+	/** Failed requests that the killed routers' own callers sent; not counted above. */
+	failedAtKilled: number;
+};
+
+/** Counts the failures, apart for the callers of killed routers, by the routers' URLs. */
+export function callerFates(records: RequestRecord[], killed: readonly string[] = []): CallerFates {
+	const failures = records.filter(record => isFailure(record));
+	const others = failures.filter(({entry}) => !killed.includes(entry));
+	return {
+		cutRequests: others.filter(({ending}) => ending === Ending.Broken).length,
+		failedRequests: others.length,
+		failedAtKilled: failures.length - others.length,
+	};
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/rolling-restart.ts
@@ -0,0 +1,96 @@
+/*
+All routers are restarted in turn under load, each after the one before serves again. Callers follow the addresses that
+they are told.
+*/
+import type {Deployment, RunningRouter} from '../deployment/deployment.ts';
+import {sleep, waitUntil} from '../deployment/http.ts';
+import {fleetStatus} from '../deployment/operators.ts';
+import {openAddressBook} from '../load/address-book.ts';
+import {startLoad} from '../load/load.ts';
+import {endings} from '../load/record.ts';
+import {schedule} from '../load/schedule.ts';
+import {atLeast, atMost, rounded} from '../measure/figures.ts';
+import {callerFates} from './caller-fates.ts';
+import {routerUrls, shareLoads} from './capacity.ts';
+import {
+	withDeployment, type Scenario, type ScenarioResult, type ScenarioRun,
+} from './scenario.ts';
+
+const loadFactor = 0.7;
+
+const retries = 5;
+
+/** Load before the first restart, in milliseconds. */
+const leadMs = 3000;
+
+/** Shorter than the default, so that nine stops fit into the scenario. */
+const addressTtlMs = 2000;
+
+export const rollingRestart: Scenario = {
+	summary: 'all routers are restarted in turn under load',
+	seconds: 58,
+	run: async run => withDeployment({addressTtlMs}, async deployment => measure(deployment, run)),
+};
+
+type Restart = {exitCode: number | null; stopSeconds: number; startSeconds: number};
+
+async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun): Promise<ScenarioResult> {
+	const durationMs = seconds * 1000;
+	const book = await openAddressBook(deployment.workspaces, routerUrls(deployment));
+	const load = startLoad({
+		arrivals: schedule({seed, durationMs, loads: shareLoads(deployment, {factorOf: () => loadFactor})}),
+		durationMs,
+		workspaces: deployment.workspaces,
+		entryOf: ({workspace}, attempts) => book.addressOf(workspace, attempts),
+		retries,
+		drainMs: 5000,
+	});
+	await sleep(leadMs);
+	const restarts: Restart[] = [];
+	for (const router of deployment.routers) {
+		const restart = await restartOne(deployment, router);
+		restarts.push(restart);
+		progress(`${router.id} stopped in ${restart.stopSeconds} s, started in ${restart.startSeconds} s, at ${Math.round(load.elapsedMs() / 1000)} s`);
+	}
+
+	const allSeconds = rounded(load.elapsedMs() / 1000);
+	const result = await load.finished;
+	book.close();
+	const {cutRequests, failedRequests} = callerFates(result.records);
+	const restarted = restarts.filter(({exitCode}) => exitCode === 0).length;
+	return {
+		cutRequests,
+		failedRequests,
+		restarted,
+		allSeconds,
+		stopSeconds: Math.max(...restarts.map(({stopSeconds}) => stopSeconds)),
+		startSeconds: Math.max(...restarts.map(({startSeconds}) => startSeconds)),
+		requests: result.records.length,
+		endings: endings(result.records),
+		bounds: {
+			cutRequests: atMost(cutRequests, 0),
+			failedRequests: atMost(failedRequests, 0),
+			restarted: atLeast(restarted, deployment.routers.length),
+			allSeconds: atMost(allSeconds, seconds),
+		},
+	};
+}
+
+async function restartOne(deployment: Deployment, router: RunningRouter): Promise<Restart> {
+	const before = performance.now();
+	const exitCode = await deployment.term(router.id);
+	const stopped = performance.now();
+	await deployment.restart(router.id);
+	await waitUntil(`${router.id} being ready`, async () => isReady(router));
+	return {
+		exitCode,
+		stopSeconds: rounded((stopped - before) / 1000),
+		startSeconds: rounded((performance.now() - stopped) / 1000),
+	};
+}
+
+/** Whether a router has its configuration and hears the others. */
+async function isReady({operatorsUrl}: RunningRouter): Promise<boolean> {
+	const {inForce} = await fleetStatus(operatorsUrl);
+	return inForce.members === inForce.of && inForce.of > 1;
+}
--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -6,8 +6,10 @@
 import {failureDomain} from './failure-domain.ts';
 import {fairness} from './fairness.ts';
 import {overhead} from './overhead.ts';
+import {rollingRestart} from './rolling-restart.ts';
 import type {Scenario} from './scenario.ts';
 import {starvation} from './starvation.ts';
+import {stop} from './stop.ts';
 import {utilisation} from './utilisation.ts';
 
 export const scenarios: Record<string, Scenario | undefined> = {
@@ -18,4 +20,6 @@
 	'cold-start': coldStart,
 	control,
 	overhead,
+	stop,
+	'rolling-restart': rollingRestart,
 };
--- a/packages/core/src/systems/contacts.ts
+++ b/packages/core/src/systems/contacts.ts
@@ -55,6 +55,11 @@
 
 	const isKnown = world.members.has(id);
 	const member = memberOf(world, id);
+	// A leaving router never becomes active again in the same tenure.
+	if (contact.tenure !== record.tenure || record.state === MemberState.Leaving) {
+		member.state = record.state;
+	}
+
 	if (!isKnown || contact.tenure !== record.tenure) {
 		const {failureDomain, callerUrl, peerUrl, incarnation} = record;
 		Object.assign(member, {
@@ -66,10 +71,6 @@
 	noteTenure(world, contact, record.tenure);
 	contact.version = version;
 	noteRenewal(world, member, record.sequence, world.now);
-	// A leaving router never becomes active again in the same tenure.
-	if (record.state === MemberState.Leaving) {
-		member.state = MemberState.Leaving;
-	}
 }
 
 /** Takes the tenure of a router's lease; a new one starts with nothing known of it. */
@@ -84,7 +85,6 @@
 	contact.renewals = [];
 	const member = world.members.get(contact.member);
 	if (member) {
-		member.state = MemberState.Active;
 		member.leaseSequence = 0;
 		member.leaseSeenAt = world.now;
 	}
--- a/packages/core/test/stop.test.ts
+++ b/packages/core/test/stop.test.ts
@@ -1,7 +1,8 @@
-import {AttemptEnd, MemberState} from '../src/messages.ts';
+import {AttemptEnd} from '../src/messages.ts';
 import {Outcome, RefusalKind} from '../src/refusal.ts';
+import {addresses} from '../src/systems/addresses.ts';
 import {withdrawalMs} from '../src/systems/leaving.ts';
-import {createFleet, type Fleet} from './support/fleet.ts';
+import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
 import {StoreFault} from './support/store-map.ts';
 
 const targets = {t1: 'x', t2: 'x', t3: 'y'};
@@ -160,13 +161,22 @@
 	exit(fleet, ['a'], 3000);
 });
 
-test('no address names a router that stops, and none of its targets idles', () => {
+test('no address names a router that stops or has stopped, and none of its targets idles', () => {
 	const fleet = fleetOf('a', 'b', 'c');
 	fleet.stop('a');
 	fleet.run(200);
-	expect(fleet.worlds.get('b')!.members.get('a')!.state).toBe(MemberState.Leaving);
-	for (const target of targetIds) {
-		expect(fleet.servers(target)).toHaveLength(1);
-		expect(fleet.servers(target)).not.toContain('a');
+	const end = fleet.now + 20_000;
+	while (fleet.now < end) {
+		fleet.run(tickMs);
+		for (const id of ['b', 'c']) {
+			expect(addresses(fleet.worlds.get(id)!).map(({url}) => url)).not.toContain('http://a');
+		}
+
+		expect(targetIds.map(target => fleet.servers(target).filter(id => id !== 'a').length)).toEqual([1, 1, 1]);
+		if (hasStopped(fleet, 'a')) {
+			fleet.kill('a');
+		}
 	}
+
+	expect(fleet.worlds.has('a')).toBe(false);
 });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -59,6 +59,7 @@
 			leaseRenewMs: settings.lease.renewMs,
 			digestMs: settings.control.digestMs,
 			progressMs: settings.control.progressMs,
+			addressTtlMs: settings.limits.addressTtlMs,
 			exchange: settings.fairness.exchange,
 			discipline: settings.fairness.discipline,
 		},
--- a/packages/settings/src/router-settings.ts
+++ b/packages/settings/src/router-settings.ts
@@ -74,6 +74,7 @@
 	connections: count().default(2000).describe('Most connections of callers at once.'),
 	headersTimeoutMs: milliseconds().default(10_000).describe('Time for a caller to send its headers.'),
 	requestTimeoutMs: milliseconds().default(300_000).describe('Time for a caller to send its whole request.'),
+	addressTtlMs: milliseconds().default(5000).describe('Time for which callers may keep an address; a planned stop waits for it. The same on every router.'),
 	defaultDeadlineMs: milliseconds().default(60_000).describe('Deadline of a request that names none.'),
 	maxDeadlineMs: milliseconds().default(600_000).describe('Latest deadline that a request may name.'),
 }).prefault({}).describe('Limits on callers.');
