--- a/packages/bench/src/deployment/operators.ts
+++ b/packages/bench/src/deployment/operators.ts
@@ -3,6 +3,7 @@
 */
 import {request} from 'undici';
 import type {TargetKind} from '@shallotloom/core/configuration.ts';
+import {parseJson} from '../parse-json.ts';
 import {callJson} from './http.ts';
 import {operatorKey} from './plan.ts';
 
@@ -16,6 +17,8 @@
 };
 
 export type FleetStatus = {
+	/** In force at the router that answers. */
+	revision: number;
 	/** How many members have the latest revision in force. */
 	inForce: {members: number; of: number};
 };
@@ -28,6 +31,26 @@
 	return revision;
 }
 
+export type ReleaseTry = {note: ReleaseNote; reason: string; ifRevision?: number};
+
+/** Posts a release note; `status` is 0 when no answer came. Never rejects. */
+export async function tryRelease(operatorsUrl: string, body: ReleaseTry): Promise<{status: number; revision: number | undefined}> {
+	try {
+		const response = await request(`${operatorsUrl}/operator/v1/releases`, {
+			method: 'POST', headers: {...headers, 'content-type': 'application/json'}, body: JSON.stringify(body), headersTimeout: 20_000,
+		});
+		const text = await response.body.text();
+		return {status: response.statusCode, revision: parseJson<{revision?: number}>(text).revision};
+	} catch {
+		return {status: 0, revision: undefined};
+	}
+}
+
+/** All releases, newest first. */
+export async function releaseHistory(operatorsUrl: string): Promise<Array<{revision: number; audit: {reason: string}}>> {
+	return callJson(`${operatorsUrl}/operator/v1/releases?limit=1000`, {headers});
+}
+
 export async function fleetStatus(operatorsUrl: string): Promise<FleetStatus> {
 	return callJson<FleetStatus>(`${operatorsUrl}/operator/v1/status`, {headers});
 }
--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -2,6 +2,7 @@
 The table of scenarios, by the name that the command line takes.
 */
 import {coldStart} from './cold-start.ts';
+import {configuration} from './configuration.ts';
 import {control} from './control.ts';
 import {failureDomain} from './failure-domain.ts';
 import {fairness} from './fairness.ts';
@@ -22,4 +23,5 @@
 	overhead,
 	stop,
 	'rolling-restart': rollingRestart,
+	configuration,
 };
