--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -1,14 +1,18 @@
 /*
 The table of scenarios, by the name that the command line takes.
 */
+import {atMostOnce} from './at-most-once.ts';
 import {coldStart} from './cold-start.ts';
 import {configuration} from './configuration.ts';
 import {control} from './control.ts';
+import {coreSize} from './core-size.ts';
 import {failureDomain} from './failure-domain.ts';
+import {domainCrash} from './domain-crash.ts';
 import {fairness} from './fairness.ts';
 import {overhead} from './overhead.ts';
 import {rollingRestart} from './rolling-restart.ts';
 import type {Scenario} from './scenario.ts';
+import {streaming} from './streaming.ts';
 import {starvation} from './starvation.ts';
 import {stop} from './stop.ts';
 import {utilisation} from './utilisation.ts';
@@ -18,10 +22,14 @@
 	starvation,
 	utilisation,
 	'failure-domain': failureDomain,
+	'domain-crash': domainCrash,
 	'cold-start': coldStart,
 	control,
+	'core-size': coreSize,
 	overhead,
 	stop,
 	'rolling-restart': rollingRestart,
 	configuration,
+	'at-most-once': atMostOnce,
+	streaming,
 };
--- a/packages/core/src/systems/handovers.ts
+++ b/packages/core/src/systems/handovers.ts
@@ -71,6 +71,8 @@
 		},
 	};
 	world.moves.set(move);
+	// Sent along with the write, so that the new owner has it once it sees the record; it counts with the record only.
+	send(world, owner, {...move.handover!, epoch: record.epoch, version: 0});
 	write(world, move, record, version);
 }
 
--- a/packages/core/src/systems/leaving.ts
+++ b/packages/core/src/systems/leaving.ts
@@ -34,10 +34,11 @@
 
 /**
 Whether the stop has nothing left to do but to give the lease up. Targets that can't be handed over, since the Object API
-is down, are waited for no longer than `stopStoreWaitMs`; running answers are waited for as long as they take.
+is down, are waited for no longer than `stopStoreWaitMs`; running answers, and the
+ends of `once` requests that aren't recorded yet, are waited for as long as they take.
 */
 export function isFinished(world: World): boolean {
-	if (world.stopAt === undefined || takesRequests(world) || world.requests.size > 0) {
+	if (world.stopAt === undefined || takesRequests(world) || world.requests.size > 0 || world.runWrites.size > 0) {
 		return false;
 	}
 
--- a/packages/core/src/systems/proposals.ts
+++ b/packages/core/src/systems/proposals.ts
@@ -67,7 +67,7 @@
 
 function releaseOf(world: World, proposal: Proposal, note: ReleaseNote, after: Configuration): Release {
 	const {
-		at, operator, reason, action = 'release apply',
+		at, operator, action, reason,
 	} = proposal;
 	return {
 		revision: after.revision,
--- a/packages/core/test/releases.test.ts
+++ b/packages/core/test/releases.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import {AuditAction} from '../src/release.ts';
 import {Standing} from '../src/configuration.ts';
 import type {ReleaseAnswer, StoreOperation} from '../src/ports.ts';
 import {maxStoredBytes} from '../src/release-codec.ts';
@@ -13,9 +14,17 @@
 	return {changed: {failureDomains: [{name, standing: Standing.Out}]}};
 }
 
-function propose(fleet: Fleet, to: string, note: unknown, ifRevision?: number, more: {action?: string; reason?: string} = {}) {
+function propose(fleet: Fleet, to: string, note: unknown, ifRevision?: number, more: {action?: AuditAction; reason?: string} = {}) {
 	fleet.give(to, {
-		kind: 'releaseProposed', proposal: `${to}-${fleet.now}`, note, operator: 'op', reason: 'drill', at: '2026-01-01T00:00:00Z', ...(ifRevision !== undefined && {ifRevision}), ...more,
+		kind: 'releaseProposed',
+		proposal: `${to}-${fleet.now}`,
+		note,
+		operator: 'op',
+		action: AuditAction.ReleaseApply,
+		reason: 'drill',
+		at: '2026-01-01T00:00:00Z',
+		...(ifRevision !== undefined && {ifRevision}),
+		...more,
 	});
 }
 
@@ -95,7 +104,7 @@
 test('the operator\'s action reaches the audit entry, and a note that is too large is refused', () => {
 	const fleet = createFleet({routers, targets});
 	fleet.run(1000);
-	propose(fleet, 'a', out('x'), undefined, {action: 'domain out'});
+	propose(fleet, 'a', out('x'), undefined, {action: AuditAction.DomainOut});
 	fleet.run(500);
 	expect(JSON.parse(fleet.storeMap.objects.get('release/00000002')!.value)).toMatchObject({audit: {action: 'domain out'}});
 	propose(fleet, 'a', out('y'), undefined, {reason: 'r'.repeat(maxStoredBytes)});
--- a/packages/router/src/operators/app.ts
+++ b/packages/router/src/operators/app.ts
@@ -3,10 +3,11 @@
 */
 import {Hono, type Context} from 'hono';
 import type {InboundOf, ReleaseAnswer} from '@shallotloom/core/ports.ts';
+import {AuditAction} from '@shallotloom/core/release.ts';
 import type {World} from '@shallotloom/core/world.ts';
 import {bearerKey, hasHash} from '../callers/keys.ts';
 import {
-	membersView, statusView, targetsView, workspacesView,
+	domainsView, membersView, statusView, targetsView, workspacesView,
 } from './views.ts';
 
 export type Operator = {name: string; keyHash: string};
@@ -51,7 +52,7 @@
 	}, 504),
 };
 
-type ReleaseBody = {note?: unknown; reason?: unknown; action?: unknown; ifRevision?: unknown};
+type ReleaseBody = {note?: unknown; action?: unknown; reason?: unknown; ifRevision?: unknown};
 
 async function readRelease(context: Context<Environment>): Promise<ReleaseBody | undefined> {
 	try {
@@ -62,12 +63,7 @@
 	}
 }
 
-/** Most characters of an action in the audit trail. */
-const actionLimit = 100;
-
-function isAction(value: unknown): value is string {
-	return typeof value === 'string' && value !== '' && value.length <= actionLimit;
-}
+const auditActions = Object.values(AuditAction);
 
 const malformed = {error: {kind: 'malformed', message: 'the body is not a JSON object with a note', hint: 'Send {"note": …, "reason": "…"}.'}};
 
@@ -94,6 +90,7 @@
 	});
 	app.get('/operator/v1/status', context => context.json(statusView(world)));
 	app.get('/operator/v1/members', context => context.json(membersView(world)));
+	app.get('/operator/v1/domains', context => context.json(domainsView(world)));
 	app.get('/operator/v1/targets', context => context.json(targetsView(world)));
 	app.get('/operator/v1/workspaces', context => context.json(workspacesView(world)));
 	app.get('/operator/v1/releases', async context => {
@@ -113,9 +110,9 @@
 		const answer = await options.propose({
 			note: body.note,
 			operator: context.get('operator'),
+			action: auditActions.find(action => action === body.action) ?? AuditAction.ReleaseApply,
 			reason: typeof body.reason === 'string' ? body.reason : '',
 			at: new Date().toISOString(),
-			...(isAction(body.action) && {action: body.action}),
 			...(typeof body.ifRevision === 'number' && {ifRevision: body.ifRevision}),
 		});
 		const handler = answerHandlers[answer.kind] as (context: Context<Environment>, answer: ReleaseAnswer) => Response;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,7 @@
 import {applyNote} from '@shallotloom/core/release.ts';
 import {watchedPrefixes} from '@shallotloom/core/step.ts';
 import {createWorld, type World} from '@shallotloom/core/world.ts';
+import {describePlatformError} from '@shallotloom/platform/errors.ts';
 import {pollInstanceList} from '@shallotloom/platform/instance-list.ts';
 import {createObjectStore, type ObjectStore} from '@shallotloom/platform/object-store.ts';
 import type {RouterSettings} from '@shallotloom/settings/router-settings.ts';
@@ -155,7 +156,9 @@
 		agents,
 		onReport: loop.push,
 	});
-	const watch = watchStore(store, loop, log);
+	const watch = watchStore({
+		store, loop, log, onCall: counts.countStoreCall,
+	});
 	const instances = watchInstances(settings, loop, log);
 	const peerServer = await startPeerServer({
 		...parsePlace(settings.listen.peers),
@@ -218,19 +221,29 @@
 			loop.push({kind: 'instanceList', instances});
 		},
 		onError(error) {
-			log.write({part: EdgePart.Platform, level: 'debug', text: `instance list could not be read: ${error.kind}`});
+			log.write({part: EdgePart.Platform, level: 'debug', text: `instance list could not be read: ${describePlatformError(error)}`});
 		},
 	});
 }
 
-function watchStore(store: ObjectStore, loop: CoreLoop, log: Log) {
+type StoreWatch = {
+	store: ObjectStore;
+	loop: CoreLoop;
+	log: Log;
+	onCall: (call: 'list' | 'watch') => void;
+};
+
+function watchStore({
+	store, loop, log, onCall,
+}: StoreWatch) {
 	return store.watch({
+		onCall,
 		prefixes: Object.keys(watchedPrefixes),
 		onObject(object) {
 			loop.push({kind: 'storeEvent', object});
 		},
 		onError(error) {
-			log.write({part: EdgePart.Platform, level: 'warn', text: `watch broke: ${error.kind}`});
+			log.write({part: EdgePart.Platform, level: 'warn', text: `watch broke and is tried again: ${describePlatformError(error)}`});
 		},
 	});
 }
