--- a/packages/bench/src/cli/main.ts
+++ b/packages/bench/src/cli/main.ts
@@ -6,6 +6,7 @@
 import sade from 'sade';
 import {killAll} from '../deployment/child.ts';
 import {demo} from './demo.ts';
+import {matrix} from './matrix.ts';
 import {run} from './run.ts';
 
 process.once('exit', killAll);
@@ -37,11 +38,9 @@
 
 program
 	.command('matrix')
-	.describe('Runs every fault at every step.')
-	.action(() => {
-		console.error('not built yet');
-		process.exitCode = 1;
-	});
+	.describe('Runs the tests of the fault matrix and prints it.')
+	.option('--page', 'Only write docs/FAULTS.md')
+	.action(async (options: {page?: boolean}) => finish(matrix({page: options.page ?? false})));
 
 program.parse(process.argv);
 
