--- a/packages/bench/src/matrix/cells.ts
+++ b/packages/bench/src/matrix/cells.ts
@@ -31,6 +31,7 @@
 	{
 		step: Step.RequestGranted, faults: [Fault.Pause], file: requests,
 		test: 'a permit that reached a router while it was paused is void, and the request gets another',
+		without: 'the age limit of permits',
 	},
 	{
 		step: Step.RequestGranted, faults: [Fault.CutTwoWay], file: budgets,
@@ -71,6 +72,7 @@
 	{
 		step: Step.RequestRunning, faults: [Fault.TargetSlow], file: budgets,
 		test: 'a target that turns slow goes back to its cold budget',
+		without: 'falling back for slow answers',
 	},
 	{
 		step: Step.RequestRunning, faults: [Fault.TargetDies], file: wholeAnswers,
@@ -95,6 +97,7 @@
 	{
 		step: Step.OnceClaimed, faults: [Fault.StoreAnswerLost], file: runs,
 		test: 'a claim whose answer is lost after its effect is recognised by its nonce',
+		without: 'the nonce in the run record',
 	},
 	{
 		step: Step.OnceClaimed, faults: [Fault.StoreDown], file: runs,
@@ -107,6 +110,7 @@
 	{
 		step: Step.OnceClaimed, faults: [Fault.StoreSlow], file: runs,
 		test: 'a claim that takes effect after it was given up is removed, and the key runs once',
+		without: 'comparing the nonce of a run record before it is removed',
 	},
 	{
 		step: Step.OnceClaimed, faults: [Fault.Kill], file: runs,
@@ -147,6 +151,7 @@
 	{
 		step: Step.Handover, faults: [Fault.CutFromStore], file: ownership,
 		test: 'a handover with the write lost has one new owner, at the next epoch, soon',
+		without: 'looking up a lost handover',
 	},
 	{
 		step: Step.Handover, faults: [Fault.StoreDown], file: ownership,
@@ -163,14 +168,17 @@
 	{
 		step: Step.Handover, faults: [Fault.StoreSlow], file: ownership,
 		test: 'an owner doesn\'t take a target back while its lost handover may still take effect',
+		without: 'looking up a lost handover',
 	},
 	{
 		step: Step.ReleaseProposed, faults: [Fault.StoreAnswerLost], file: releases,
 		test: 'a release whose write fails once by answer-lost is accepted and never doubled',
+		without: 'the nonce in the release',
 	},
 	{
 		step: Step.ReleaseProposed, faults: [Fault.CutFromStore], file: releases,
 		test: 'an operator is told unknown when no write is ever answered',
+		without: 'remembering an unanswered write',
 	},
 	{
 		step: Step.ReleaseProposed, faults: [Fault.StoreDown], file: releases,
@@ -179,10 +187,12 @@
 	{
 		step: Step.ReleaseProposed, faults: [Fault.CutFromStore, Fault.StoreDown], file: releases,
 		test: 'an operator is told unknown when the write is lost and then the store is down',
+		without: 'remembering an unanswered write',
 	},
 	{
 		step: Step.ReleaseProposed, faults: [Fault.StoreAnswerLost, Fault.StoreDown], file: releases,
 		test: 'an operator is told unknown when the answer is lost and it can\'t be looked up',
+		without: 'remembering an unanswered write',
 	},
 	{
 		step: Step.ReleaseProposed, faults: [Fault.OperatorsRacing], file: releases,
@@ -191,10 +201,12 @@
 	{
 		step: Step.ReleaseSpread, faults: [Fault.StoreSlow], file: releases,
 		test: 'watch events in any order, twice, late or with gaps never lower a revision, and all routers agree at the end',
+		without: 'asking for missing releases',
 	},
 	{
 		step: Step.ReleaseSpread, faults: [Fault.CutFromStore], file: releases,
 		test: 'a router without the Object API and without watch events takes releases from a peer',
+		without: 'asking peers for releases',
 	},
 	{
 		step: Step.ReleaseSpread, faults: [Fault.Restart], file: releases,
@@ -207,14 +219,17 @@
 	{
 		step: Step.Stop, faults: [Fault.StoreDown], file: stop,
 		test: 'a planned stop ends, though not before callers have dropped the address: one while the store is down',
+		without: 'the bound on waiting for the store',
 	},
 	{
 		step: Step.Stop, faults: [Fault.CutFromStore], file: stop,
 		test: 'a planned stop ends, though not before callers have dropped the address: one while the store does not answer',
+		without: 'the bound on waiting for the store',
 	},
 	{
 		step: Step.Stop, faults: [Fault.StoreAnswerLost], file: stop,
 		test: 'a planned stop ends, though not before callers have dropped the address: all while store answers are lost',
+		without: 'the bound on waiting for the store',
 	},
 	{
 		step: Step.Stop, faults: [Fault.CutFromPeers], file: stop,
@@ -223,6 +238,7 @@
 	{
 		step: Step.Stop, faults: [Fault.Restart], file: stop,
 		test: 'routers that stop one after the other end, and the last releases its targets for the next start',
+		without: 'releasing owner records',
 	},
 	{
 		step: Step.Stop, faults: [Fault.TargetCold], file: budgets,
@@ -241,6 +257,7 @@
 	{
 		step: Step.LeaseRenewal, faults: [Fault.CutFromStore], file: lease,
 		test: 'a router cut from the Object API alone goes on, since peers relay its renewals',
+		without: 'relayed renewals',
 	},
 	{
 		step: Step.LeaseRenewal, faults: [Fault.Pause], file: lease,
@@ -250,6 +267,7 @@
 	{
 		step: Step.LeaseRenewal, faults: [Fault.Restart], file: lease,
 		test: 'a restart with an empty memory waits until the earlier start has surely stopped',
+		without: 'waiting out the lease',
 	},
 	{
 		step: Step.LeaseRenewal, faults: [Fault.CutOneWay, Fault.StoreDown], file: lease,
@@ -268,6 +286,7 @@
 	{
 		step: Step.TargetClaim, faults: [Fault.InstanceListLate], file: ownership,
 		test: 'after a crash of most routers the rest takes over: false when the instance list still has them',
+		without: 'waiting out the lease',
 	},
 	{
 		step: Step.TargetClaim, faults: [Fault.CutFromStore], file: singleOwner,
