--- a/packages/core/test/failure-domains.test.ts
+++ b/packages/core/test/failure-domains.test.ts
@@ -1,8 +1,8 @@
 import {Standing} from '../src/configuration.ts';
 import {Phase} from '../src/messages.ts';
-import {AuditAction} from '../src/release.ts';
 import type {ReleaseNote} from '../src/release-note.ts';
 import {RefusalKind} from '../src/refusal.ts';
+import {AuditAction} from '../src/release.ts';
 import {RequestState} from '../src/rows.ts';
 import {addresses} from '../src/systems/addresses.ts';
 import {
