--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -90,7 +90,10 @@
 	= | {kind: 'accepted'; revision: number}
 		| {kind: 'superseded'; revision: number; audit: unknown}
 		| {kind: 'invalid'; problems: unknown[]}
-		| {kind: 'unavailable'};
+	/** Nothing was changed. */
+		| {kind: 'unavailable'}
+	/** It may have become this revision, or may still. */
+		| {kind: 'unknown'; revision: number};
 
 export type InboundOf<Kind extends Inbound['kind']> = Extract<Inbound, {kind: Kind}>;
 
--- a/packages/core/src/systems/tickets.ts
+++ b/packages/core/src/systems/tickets.ts
@@ -6,6 +6,7 @@
 } from '../messages.ts';
 import type {Ticket} from '../rows.ts';
 import {due, send, type World} from '../world.ts';
+import {leavesLast} from './leaving.ts';
 import {originOf} from './permits.ts';
 import {isHeard} from './quorum.ts';
 import {isIn} from './routes.ts';
@@ -20,6 +21,11 @@
 	});
 }
 
+/** Whether tickets belong elsewhere because this router is leaving; the last ones to leave serve them. */
+function mustHandOn(world: World): boolean {
+	return world.state === MemberState.Leaving && !leavesLast(world);
+}
+
 /** Whether this router owns a target of the pool that operators let work go to. */
 export function ownsPool(world: World, pool: string): boolean {
 	for (const budget of world.budgets.rows()) {
@@ -49,7 +55,7 @@
 		return;
 	}
 
-	if (world.state === MemberState.Leaving) {
+	if (mustHandOn(world)) {
 		giveTicketBack(world, ticket, TicketReturnReason.Leaving);
 		return;
 	}
@@ -72,8 +78,9 @@
 		return;
 	}
 
+	const isHandingOn = mustHandOn(world);
 	for (const ticket of world.tickets.rows()) {
-		const reason = reasonToReturn(world, ticket);
+		const reason = isHandingOn ? TicketReturnReason.Leaving : reasonToReturn(world, ticket);
 		if (reason !== undefined) {
 			removeTicket(world, ticket.ticket);
 			giveTicketBack(world, ticket, reason);
@@ -85,10 +92,6 @@
 
 /** Why a ticket can't stay here; a holder that isn't heard could not use a permit. */
 function reasonToReturn(world: World, {pool, origin}: Ticket): TicketReturnReason | undefined {
-	if (world.state === MemberState.Leaving) {
-		return TicketReturnReason.Leaving;
-	}
-
 	const holder = world.members.get(origin);
 	const isReachable = origin === world.self.id || (holder !== undefined && isHeard(world, holder));
 	return ownsPool(world, pool) && isReachable ? undefined : TicketReturnReason.NotOwner;
--- a/packages/router/src/operators/app.ts
+++ b/packages/router/src/operators/app.ts
@@ -47,6 +47,13 @@
 			hint: 'Look at the release history when the platform is back, before the note is sent again.',
 		},
 	}, 503),
+	unknown: (context, {revision}) => context.json({
+		error: {
+			kind: 'unknown-outcome',
+			message: `the Object API gave no answer; the note may have become revision ${revision}`,
+			hint: 'Look at `shallotloom release history` before you send it again.',
+		},
+	}, 504),
 };
 
 type ReleaseBody = {note?: unknown; action?: unknown; reason?: unknown; ifRevision?: unknown};
