Leave relayed connections unbound when their caller has no address of its own

Cause: the relay bound every onward connection to its caller's address. Ruled out: a leak (the open connections are requests that wait, four sockets each), the routers' connection limit, the restarted programs. Change: callers at 127.0.0.1 stay unbound; the target sees the same address. No test of its own: it would have to use up a machine's ports.

--- a/packages/standin/src/relay.ts
+++ b/packages/standin/src/relay.ts
@@ -34,6 +34,9 @@
 	queue: DueQueue;
 };
 
+/** Source address of loopback connections that name none. */
+const defaultAddress = '127.0.0.1';
+
 /** Creates a relay; it listens after `start`. */
 export function createRelay({listen, to, delayMs, isCut}: RelayOptions): Relay {
 	const target = addressOf(to);
@@ -43,8 +46,9 @@
 
 	function open(caller: Socket) {
 		const from = caller.remoteAddress ?? '';
-		// Bound to the caller's own address, so that the target sees who connects.
-		const callee = connect({...target, localAddress: from});
+		// Bound to the caller's own address, so that the target sees who connects. A bound socket needs a port that no other
+		// has, ended ones of the last minute included, so callers without an address of their own stay unbound.
+		const callee = connect(from === defaultAddress ? target : {...target, localAddress: from});
 		const refuse = (error: Error) => {
 			console.error(`relay ${listen} can't connect ${from} to ${to}: ${error.message}`);
 			caller.resetAndDestroy();
