Refuse at once what a cut-off router can't serve, and drop what nobody sends

Cause: a router cut off from most of the fleet kept its callers waiting until their deadlines; two reasons and a time in ticketReturn were never sent. Ruled out: a grace before the refusal (another router may serve the caller at once). Conclusion: the kind cut-off is no longer only reserved.

--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -30,10 +30,6 @@
 	Leaving = 2,
 	/** Another owner serves less deserving work; place the ticket there. */
 	Rebalance = 3,
-	/** The workspace's queue at the owner is full. */
-	QueueFull = 4,
-	/** The deadline can't be met any more. */
-	Late = 5,
 }
 
 export enum MemberState {
@@ -82,8 +78,6 @@
 	reason: TicketReturnReason;
 	/** Router at which to place it next, or '' when the holder chooses. */
 	next: string;
-	/** When to come back, for refusals. */
-	retryAfterMs: number;
 };
 
 /** Lets the holder of the ticket start one request at one target. */
--- a/packages/core/src/systems/abandoned.ts
+++ b/packages/core/src/systems/abandoned.ts
@@ -47,7 +47,7 @@
 	endPermit(world, permit, permit.outputTokens, true);
 	// A holder that never got the grant still waits for it.
 	send(world, permit.origin, {
-		kind: 'ticketReturn', ticket: permit.ticket, reason: TicketReturnReason.NotOwner, next: '', retryAfterMs: 0,
+		kind: 'ticketReturn', ticket: permit.ticket, reason: TicketReturnReason.NotOwner, next: '',
 	});
 }
 
--- a/packages/core/src/systems/addresses.ts
+++ b/packages/core/src/systems/addresses.ts
@@ -6,6 +6,7 @@
 import {MemberState} from '../messages.ts';
 import type {Member} from '../rows.ts';
 import {shuffled, type World} from '../world.ts';
+import {isCutOff} from './lease.ts';
 import {canHold} from './placement.ts';
 
 export type Address = {
@@ -18,7 +19,8 @@
 
 function isOpen(world: World, member: Member): boolean {
 	const domain = world.configuration.failureDomains.get(member.failureDomain);
-	return member.state === MemberState.Active && domain?.standing !== Standing.Out && canHold(world, member);
+	const isServing = member.id !== world.self.id || !isCutOff(world);
+	return isServing && member.state === MemberState.Active && domain?.standing !== Standing.Out && canHold(world, member);
 }
 
 /**
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/lease.ts
@@ -50,6 +50,11 @@
 	return world.lease.tenure !== '' && !world.lease.released && (hasValidLease(world) || isOutage(world));
 }
 
+/** Whether this router had a lease and may not dispatch now: it is cut off, or was paused for longer than the lease. */
+export function isCutOff(world: World): boolean {
+	return world.lease.sequence > 0 && !world.lease.released && !mayDispatch(world);
+}
+
 /** Whether the lease itself is valid, by time counted from before its renewal was sent. */
 export function hasValidLease(world: World): boolean {
 	return world.now < world.lease.validUntil;
--- a/packages/core/src/systems/rebalance.ts
+++ b/packages/core/src/systems/rebalance.ts
@@ -32,7 +32,7 @@
 	}
 
 	send(world, ticket.origin, {
-		kind: 'ticketReturn', ticket: ticket.ticket, reason: TicketReturnReason.Rebalance, next: to, retryAfterMs: 0,
+		kind: 'ticketReturn', ticket: ticket.ticket, reason: TicketReturnReason.Rebalance, next: to,
 	});
 }
 
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -12,6 +12,7 @@
 	demandOf, enterQueue, leaveQueue, queueCostOf, queueRefusal, retryAfter, spendRetry,
 } from './demands.ts';
 import {stoppingRefusal, takesRequests} from './leaving.ts';
+import {isCutOff} from './lease.ts';
 import {canHold, place, placeAt} from './placement.ts';
 import {
 	hasTarget, isIn, isPool, rebuildRoutes, routesOf,
@@ -59,6 +60,10 @@
 		};
 	}
 
+	if (isCutOff(world)) {
+		return cutOff();
+	}
+
 	if (!isPool(world, request.pool)) {
 		return {kind: RefusalKind.UnknownPool, outcome: Outcome.NotRun, detail};
 	}
@@ -108,6 +113,13 @@
 	place(world, request);
 }
 
+/** A router that most of the fleet doesn't hear serves nobody soon; another one may. */
+function cutOff(): Refusal {
+	return {
+		kind: RefusalKind.CutOff, outcome: Outcome.NotRun, detail: '', retryAfterMs: second,
+	};
+}
+
 function noCapacity({pool}: Request): Refusal {
 	return {
 		kind: RefusalKind.NoCapacity, outcome: Outcome.NotRun, detail: pool, retryAfterMs: 5 * second,
@@ -266,8 +278,6 @@
 	[TicketReturnReason.NotOwner]: placeAnew,
 	[TicketReturnReason.Leaving]: placeAnew,
 	[TicketReturnReason.Rebalance]: placeAnew,
-	[TicketReturnReason.QueueFull]: placeAnew,
-	[TicketReturnReason.Late]: refuseLate,
 };
 
 export function onTicketReturn(world: World, from: string, message: PeerMessageOf<'ticketReturn'>) {
@@ -337,7 +347,7 @@
 	request.isClosed = true;
 }
 
-/** Gives up requests whose deadline passed without a byte of an answer. */
+/** Gives up requests whose deadline passed without a byte of an answer, and queued ones that can't be served soon. */
 export function deadlinesSystem(world: World) {
 	if (!due(world, 'deadlines', deadlineMs)) {
 		return;
@@ -348,6 +358,8 @@
 			overdue[request.state](world, request);
 		} else if (request.state === RequestState.Queued && !hasTarget(world, request.pool)) {
 			refuse(world, request, noCapacity(request));
+		} else if (request.state === RequestState.Queued && isCutOff(world)) {
+			refuse(world, request, cutOff());
 		}
 	}
 }
--- a/packages/core/src/systems/tickets.ts
+++ b/packages/core/src/systems/tickets.ts
@@ -17,7 +17,7 @@
 
 function giveTicketBack(world: World, ticket: {ticket: string; origin: string}, reason: TicketReturnReason) {
 	send(world, ticket.origin, {
-		kind: 'ticketReturn', ticket: ticket.ticket, reason, next: '', retryAfterMs: 0,
+		kind: 'ticketReturn', ticket: ticket.ticket, reason, next: '',
 	});
 }
 
--- a/packages/core/test/requests.test.ts
+++ b/packages/core/test/requests.test.ts
@@ -2,6 +2,7 @@
 import type {CallerRequest} from '../src/ports.ts';
 import {Outcome, RefusalKind} from '../src/refusal.ts';
 import {RequestState} from '../src/rows.ts';
+import {addresses} from '../src/systems/addresses.ts';
 import {
 	ask, askOnce, createRunningFleet, endAttempt, grantedAt, guestOf, permitsOut, refusalOf, runRecords, seen, starts, untilStarted, untilTold,
 } from './support/calls.ts';
@@ -150,3 +151,16 @@
 	const {startWithinMs} = fleet.worlds.get(guest)!.limits;
 	expect(starts(fleet, request)[0]!.at - grantedAt(fleet, request)!).toBeLessThanOrEqual(startWithinMs);
 });
+
+test('a router that is cut off refuses what waits and what comes, as not run, and names itself to no caller', () => {
+	const fleet = createRunningFleet();
+	fill(fleet);
+	const waiting = ask(fleet, 'a');
+	fleet.delay = (from, to) => from === 'a' || to === 'a' ? undefined : 1;
+	fleet.run(9000);
+	expect(refusalOf(fleet, waiting)).toEqual({kind: RefusalKind.CutOff, outcome: Outcome.NotRun, comesBack: true});
+	const later = ask(fleet, 'a');
+	fleet.run(50);
+	expect(refusalOf(fleet, later)).toEqual({kind: RefusalKind.CutOff, outcome: Outcome.NotRun, comesBack: true});
+	expect(addresses(fleet.worlds.get('a')!)).toEqual([]);
+});
