Bench: one load of callers that follow addresses serves four scenarios

Cause: domain-crash, failure-domain, stop and rolling-restart each started the same load. Change: following-load.ts starts it; options, rates and retries are as they were. Ruled out: merging failure-domain and domain-crash themselves (they count different things). Conclusion: one place to change how callers follow addresses.

--- a/packages/bench/src/scenarios/domain-crash.ts
+++ b/packages/bench/src/scenarios/domain-crash.ts
@@ -5,14 +5,12 @@
 import type {Deployment} from '../deployment/deployment.ts';
 import {killDomain, restartDomain} from '../deployment/domain-controls.ts';
 import {sleep} from '../deployment/http.ts';
-import {openAddressBook} from '../load/address-book.ts';
-import {startLoad} from '../load/load.ts';
 import {endings, isFailure, type RequestRecord} from '../load/record.ts';
-import {schedule} from '../load/schedule.ts';
 import {atLeast, atMost, rounded} from '../measure/figures.ts';
 import {goodputFraction, timeToGoodput, type GoodputOptions} from '../measure/goodput.ts';
-import {fleetCapacity, routerUrls, shareLoads} from './capacity.ts';
+import {fleetCapacity, routerUrls} from './capacity.ts';
 import {coldOverrunsOf, enginesOf} from './engines.ts';
+import {startFollowingLoad} from './following-load.ts';
 import {
 	withDeployment, type Scenario, type ScenarioResult, type ScenarioRun,
 } from './scenario.ts';
@@ -22,8 +20,6 @@
 /** Offered load as a multiple of the full capacity. */
 const loadFactor = 1.1;
 
-const retries = 5;
-
 /** Time after which goodput counts: as long as a domain that is taken out may still get new work. */
 const allowedMs = 3000;
 
@@ -40,14 +36,8 @@
 
 async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun): Promise<ScenarioResult> {
 	const durationMs = seconds * 1000;
-	const loads = shareLoads(deployment, {factorOf: () => loadFactor, burstSeconds: 2});
-	const book = await openAddressBook(deployment.workspaces, routerUrls(deployment));
-	const load = startLoad({
-		arrivals: schedule({seed, durationMs, loads}),
-		durationMs,
-		workspaces: deployment.workspaces,
-		entryOf: ({workspace}, attempts) => book.addressOf(workspace, attempts),
-		retries,
+	const {load, close} = await startFollowingLoad(deployment, {
+		seed, durationMs, loadFactor, burstSeconds: 2,
 	});
 	await sleep(durationMs / 4);
 	const overrunsBefore = await coldOverrunsOf(enginesOf(deployment, domain));
@@ -61,7 +51,7 @@
 	await sleep(durationMs - load.elapsedMs() - 200);
 	const coldOverruns = overrunsBefore + await coldOverrunsOf(enginesOf(deployment));
 	const {records, totals} = await load.finished;
-	book.close();
+	close();
 	const {slots} = fleetCapacity(deployment.options);
 	const survivingSlots = slots * (1 - (enginesOf(deployment, domain).length / enginesOf(deployment).length));
 	const capacity = (of: number): GoodputOptions => ({...deployment.options.engine, totals, slots: of});
--- a/packages/bench/src/scenarios/failure-domain.ts
+++ b/packages/bench/src/scenarios/failure-domain.ts
@@ -5,14 +5,13 @@
 import {Standing} from '@shallotloom/core/configuration.ts';
 import {sleep} from '../deployment/http.ts';
 import type {Deployment} from '../deployment/deployment.ts';
-import {openAddressBook} from '../load/address-book.ts';
-import {startLoad, type LoadResult, type RunningLoad} from '../load/load.ts';
+import type {LoadResult, RunningLoad} from '../load/load.ts';
 import {endings, isFailure} from '../load/record.ts';
-import {schedule} from '../load/schedule.ts';
 import {atLeast, atMost, rounded} from '../measure/figures.ts';
 import {goodputFraction, timeToGoodput, type GoodputOptions} from '../measure/goodput.ts';
-import {fleetCapacity, routerUrls, shareLoads} from './capacity.ts';
+import {fleetCapacity} from './capacity.ts';
 import {coldOverrunsOf, enginesOf, statsOf} from './engines.ts';
+import {startFollowingLoad} from './following-load.ts';
 import {
 	withDeployment, type Scenario, type ScenarioResult, type ScenarioRun,
 } from './scenario.ts';
@@ -22,8 +21,6 @@
 /** Offered load as a multiple of the full capacity: enough to keep what is left busy, and all of it after the return. */
 const loadFactor = 1.1;
 
-const retries = 5;
-
 /** Time in which the domain may still get new work. */
 const allowedMs = 3000;
 
@@ -41,18 +38,12 @@
 
 async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun): Promise<ScenarioResult> {
 	const durationMs = seconds * 1000;
-	const loads = shareLoads(deployment, {factorOf: () => loadFactor, burstSeconds: 2});
-	const book = await openAddressBook(deployment.workspaces, routerUrls(deployment));
-	const load = startLoad({
-		arrivals: schedule({seed, durationMs, loads}),
-		durationMs,
-		workspaces: deployment.workspaces,
-		entryOf: ({workspace}, attempts) => book.addressOf(workspace, attempts),
-		retries,
+	const {load, close} = await startFollowingLoad(deployment, {
+		seed, durationMs, loadFactor, burstSeconds: 2,
 	});
 	const moments = await leaveAndReturn(deployment, load, durationMs, progress);
 	const result = await load.finished;
-	book.close();
+	close();
 	return figures(deployment, result, moments, durationMs);
 }
 
--- a/packages/bench/src/scenarios/rolling-restart.ts
+++ b/packages/bench/src/scenarios/rolling-restart.ts
@@ -5,21 +5,16 @@
 import type {Deployment, RunningRouter} from '../deployment/deployment.ts';
 import {sleep, waitUntil} from '../deployment/http.ts';
 import {fleetStatus} from '../deployment/operators.ts';
-import {openAddressBook} from '../load/address-book.ts';
-import {startLoad} from '../load/load.ts';
 import {endings} from '../load/record.ts';
-import {schedule} from '../load/schedule.ts';
 import {atLeast, atMost, rounded} from '../measure/figures.ts';
 import {callerFates} from './caller-fates.ts';
-import {routerUrls, shareLoads} from './capacity.ts';
+import {startFollowingLoad} from './following-load.ts';
 import {
 	withDeployment, type Scenario, type ScenarioResult, type ScenarioRun,
 } from './scenario.ts';
 
 const loadFactor = 0.7;
 
-const retries = 5;
-
 /** Load before the first restart, in milliseconds. */
 const leadMs = 3000;
 
@@ -36,14 +31,8 @@
 
 async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun): Promise<ScenarioResult> {
 	const durationMs = seconds * 1000;
-	const book = await openAddressBook(deployment.workspaces, routerUrls(deployment));
-	const load = startLoad({
-		arrivals: schedule({seed, durationMs, loads: shareLoads(deployment, {factorOf: () => loadFactor})}),
-		durationMs,
-		workspaces: deployment.workspaces,
-		entryOf: ({workspace}, attempts) => book.addressOf(workspace, attempts),
-		retries,
-		drainMs: 5000,
+	const {load, close} = await startFollowingLoad(deployment, {
+		seed, durationMs, loadFactor, drainMs: 5000,
 	});
 	await sleep(leadMs);
 	const restarts: Restart[] = [];
@@ -55,7 +44,7 @@
 
 	const allSeconds = rounded(load.elapsedMs() / 1000);
 	const result = await load.finished;
-	book.close();
+	close();
 	const {cutRequests, failedRequests} = callerFates(result.records);
 	const restarted = restarts.filter(({exitCode}) => exitCode === 0).length;
 	return {
--- a/packages/bench/src/scenarios/stop.ts
+++ b/packages/bench/src/scenarios/stop.ts
@@ -5,14 +5,13 @@
 import type {Deployment, RunningRouter} from '../deployment/deployment.ts';
 import {sleep} from '../deployment/http.ts';
 import {targetsOf} from '../deployment/operators.ts';
-import {openAddressBook} from '../load/address-book.ts';
-import {startLoad, type RunningLoad} from '../load/load.ts';
+import type {RunningLoad} from '../load/load.ts';
 import {endings} from '../load/record.ts';
-import {schedule} from '../load/schedule.ts';
 import {atMost, rounded} from '../measure/figures.ts';
 import {callerFates} from './caller-fates.ts';
-import {routerUrls, shareLoads, warmUpMs} from './capacity.ts';
+import {warmUpMs} from './capacity.ts';
 import {enginesOf, statsOf} from './engines.ts';
+import {startFollowingLoad} from './following-load.ts';
 import {
 	withDeployment, type Scenario, type ScenarioResult, type ScenarioRun,
 } from './scenario.ts';
@@ -20,8 +19,6 @@
 /** Offered load as a multiple of the capacity: engines get requests all the time, and queues stay short. */
 const loadFactor = 0.8;
 
-const retries = 5;
-
 /** Time after the start of a stop in which its targets change hands. */
 const handoverMs = 3000;
 
@@ -46,14 +43,8 @@
 
 async function measure(deployment: Deployment, {seed, seconds, progress}: ScenarioRun): Promise<ScenarioResult> {
 	const durationMs = seconds * 1000;
-	const book = await openAddressBook(deployment.workspaces, routerUrls(deployment));
-	const load = startLoad({
-		arrivals: schedule({seed, durationMs, loads: shareLoads(deployment, {factorOf: () => loadFactor})}),
-		durationMs,
-		workspaces: deployment.workspaces,
-		entryOf: ({workspace}, attempts) => book.addressOf(workspace, attempts),
-		retries,
-		drainMs: 5000,
+	const {load, close} = await startFollowingLoad(deployment, {
+		seed, durationMs, loadFactor, drainMs: 5000,
 	});
 	const [first, second, third] = ownersInTurn(deployment, seed);
 	await sleep(warmUpMs);
@@ -66,7 +57,7 @@
 	const withKill = await stopping;
 	progress(`${second.id} stopped in ${withKill.seconds} s`);
 	const result = await load.finished;
-	book.close();
+	close();
 	const {cutRequests, failedRequests, failedAtKilled} = callerFates(result.records, [third.url]);
 	const exitCodes = [alone.exitCode, withKill.exitCode];
 	const stopSeconds = Math.max(alone.seconds, withKill.seconds);
