Count only what has entered a queue, and bound a workspace's waiting requests by number

Cause: a request that was refused at its arrival was taken out of a queue that it had never entered, so each refusal made room for another: 1950 requests of one workspace waited at a router whose limit is some 700. They held all 2000 connections of the router, and the router closed those of other workspaces (82 to 91 broken requests of small workspaces under a flood). Ruled out: idle connections of refused callers (open requests were as many), starvation in the order (no small workspace waited in a queue). Change: a request starts as arrived, not as queued; at most a quarter of a router's connections is for one workspace's waiting requests of one pool. The scenario starvation floods once the targets are warm, side by side with the load without the flood: before, it measured a cold fleet that carries less than the small workspaces offer; it prints how their requests ended. Conclusion: a flood fills its own queue only.

--- a/packages/bench/src/scenarios/starvation.ts
+++ b/packages/bench/src/scenarios/starvation.ts
@@ -1,14 +1,15 @@
 /*
-Starvation: small workspaces offer less than their shares while one floods through one router. The same load runs first
-without the flood and then with it.
+Starvation: small workspaces offer less than their shares while one floods through one router. The same load runs with and
+without the flood, side by side. The flood starts once the targets are warm: a cold fleet carries less than the small
+workspaces offer, whoever floods.
 */
 import type {Deployment} from '../deployment/deployment.ts';
 import type {WorkspaceShare} from '../deployment/plan.ts';
 import {startLoad, type LoadResult} from '../load/load.ts';
-import {Ending, type RequestRecord} from '../load/record.ts';
+import {Ending, endings, type RequestRecord} from '../load/record.ts';
 import {schedule} from '../load/schedule.ts';
 import {atLeast, rounded} from '../measure/figures.ts';
-import {routerUrls, shareLoads, warmUpMs} from './capacity.ts';
+import {routerUrls, shareLoads} from './capacity.ts';
 import {withDeployment, type Scenario} from './scenario.ts';
 
 /** The largest workspace floods. */
@@ -19,6 +20,9 @@
 /** Load of the others, below their shares. */
 const quietFactor = 0.7;
 
+/** Time from which the flood comes and the waits count, in milliseconds. */
+const floodFromMs = 12_000;
+
 /** Part of what a small workspace offered that must have been served. */
 const leastServed = 0.9;
 
@@ -26,7 +30,7 @@
 	summary: 'how long the smallest workspace waits under a flood',
 	seconds: 36,
 	async run({seed, seconds, progress}) {
-		const durationMs = seconds * 1000 / 2;
+		const durationMs = seconds * 1000;
 		const load = async (flood: boolean) => withDeployment({}, async deployment => {
 			progress(`${flood ? 'with' : 'without'} the flood: load for ${durationMs / 1000} s`);
 			const arrivals = schedule({seed, durationMs, loads: loadsOf(deployment, flood)});
@@ -35,8 +39,7 @@
 			}).finished;
 			return {result, workspaces: deployment.workspaces};
 		});
-		const idle = await load(false);
-		const flooded = await load(true);
+		const [idle, flooded] = await Promise.all([load(false), load(true)]);
 		const small = flooded.workspaces.filter((_, index) => index !== flooding);
 		const smallest = small.at(-1)?.id ?? '';
 		const served = small.map(workspace => servedFraction(flooded.result, workspace, durationMs));
@@ -46,6 +49,7 @@
 			worstWaitSeconds: rounded(worstWait(flooded.result, smallest, durationMs)),
 			idleWaitSeconds: rounded(worstWait(idle.result, smallest, durationMs)),
 			leastServedFraction: rounded(leastFraction),
+			endings: endings(flooded.result.records.filter(({workspace, sentMs}) => workspace !== flooded.workspaces[flooding]?.id && sentMs >= floodFromMs)),
 			bounds: {leastServedFraction: atLeast(leastFraction, leastServed)},
 		};
 	},
@@ -53,13 +57,12 @@
 
 function loadsOf(deployment: Deployment, flood: boolean) {
 	const isFlooding = (workspace: WorkspaceShare) => deployment.workspaces.indexOf(workspace) === flooding;
-	return shareLoads(deployment, {
-		factorOf: workspace => isFlooding(workspace) && flood ? floodFactor : quietFactor,
-		entriesOf(workspace) {
-			const urls = routerUrls(deployment);
-			return isFlooding(workspace) ? urls.slice(0, 1) : urls;
-		},
+	const quiet = shareLoads(deployment, {factorOf: () => quietFactor});
+	const flooded = shareLoads(deployment, {
+		factorOf: workspace => isFlooding(workspace) ? floodFactor - quietFactor : 0,
+		entriesOf: () => routerUrls(deployment).slice(0, 1),
 	});
+	return flood ? [...quiet, ...flooded.map(load => ({...load, fromMs: floodFromMs}))] : quiet;
 }
 
 /** Longest time to the first byte after the warm-up, in seconds; a request that got none waited to the end. */
@@ -77,5 +80,5 @@
 }
 
 function measured(records: RequestRecord[], workspace: string): RequestRecord[] {
-	return records.filter(record => record.workspace === workspace && record.sentMs >= warmUpMs);
+	return records.filter(record => record.workspace === workspace && record.sentMs >= floodFromMs);
 }
--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -47,6 +47,8 @@
 	inFlightFactor: number;
 	/** Lead in weighted tokens from which tickets move to an owner that serves less deserving work. */
 	rebalanceLead: number;
+	/** Most requests of one workspace that wait at a router for one pool: each holds a connection that others need too. */
+	queuedRequests: number;
 	/** A granted permit is void when the request hasn't left by then. */
 	startWithinMs: number;
 	/** Good completions at the cold budget before it rises. */
@@ -93,6 +95,7 @@
 	outputWeight: 1,
 	inFlightFactor: 2,
 	rebalanceLead: 100,
+	queuedRequests: 500,
 	startWithinMs: second,
 	coldCompletions: 8,
 	rampFactor: 1.5,
--- a/packages/core/src/rows.ts
+++ b/packages/core/src/rows.ts
@@ -157,6 +157,8 @@
 };
 
 export enum RequestState {
+	/** Has just come, and is in no queue. */
+	Arrived = 'arrived',
 	/** Reads the run record of its idempotency key. */
 	Checking = 'checking',
 	/** Waits for a permit. */
@@ -287,7 +289,8 @@
 export type Demand = {
 	pool: string;
 	workspace: string;
-	/** Cost of its requests that wait for a permit. */
+	/** Its requests that wait for a permit, and their cost. */
+	queued: number;
 	queuedCost: number;
 	/** Cost that left the queue since the rate was last measured. */
 	drained: number;
--- a/packages/core/src/systems/demands.ts
+++ b/packages/core/src/systems/demands.ts
@@ -28,6 +28,7 @@
 	const demand: Demand = {
 		pool: id.pool,
 		workspace: id.workspace,
+		queued: 0,
 		queuedCost: 0,
 		drained: 0,
 		drainRate: 0,
@@ -55,7 +56,8 @@
 	const demand = demandOf(world, request);
 	const limit = world.configuration.workspaces.get(request.workspace)?.queueLimit ?? 0;
 	const waitMs = demand.drainRate > 0 ? (demand.queuedCost / demand.drainRate) * second : 0;
-	if (demand.queuedCost + request.queueCost <= limit && waitMs <= request.deadline - world.now) {
+	const hasRoom = demand.queuedCost + request.queueCost <= limit && demand.queued < world.limits.queuedRequests;
+	if (hasRoom && waitMs <= request.deadline - world.now) {
 		return undefined;
 	}
 
@@ -69,12 +71,15 @@
 
 /** Takes a request into the cost of its queue. */
 export function enterQueue(world: World, request: Request) {
-	demandOf(world, request).queuedCost += request.queueCost;
+	const demand = demandOf(world, request);
+	demand.queued += 1;
+	demand.queuedCost += request.queueCost;
 }
 
 /** Takes a request out of the cost of its queue, as served or as given up. */
 export function leaveQueue(world: World, request: Request, wasServed: boolean) {
 	const demand = demandOf(world, request);
+	demand.queued = Math.max(0, demand.queued - 1);
 	demand.queuedCost = Math.max(0, demand.queuedCost - request.queueCost);
 	if (wasServed) {
 		demand.drained += request.queueCost;
--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -26,7 +26,7 @@
 function createRequest(world: World, arrived: CallerRequest): Request {
 	return {
 		...arrived,
-		state: RequestState.Queued,
+		state: RequestState.Arrived,
 		arrivedAt: world.now,
 		attempts: 0,
 		resumes: 0,
@@ -322,6 +322,7 @@
 
 /** What becomes of a request whose deadline passes, by its state. */
 const overdue: Record<RequestState, (world: World, request: Request) => void> = {
+	[RequestState.Arrived]: refuseLate,
 	[RequestState.Checking]: refuseLate,
 	[RequestState.Queued]: refuseLate,
 	[RequestState.Claiming]: refuseLate,
--- a/packages/core/test/requests.test.ts
+++ b/packages/core/test/requests.test.ts
@@ -164,3 +164,16 @@
 	expect(refusalOf(fleet, later)).toEqual({kind: RefusalKind.CutOff, outcome: Outcome.NotRun, comesBack: true});
 	expect(addresses(fleet.worlds.get('a')!)).toEqual([]);
 });
+
+test.each([
+	['cost', 100, {}],
+	['number', 40, {queuedRequests: 40}],
+])('requests beyond the limit of a queue by %s are refused at once, however many come', (_, most, limits) => {
+	const fleet = createRunningFleet({limits});
+	fill(fleet);
+	const requests = Array.from({length: 500}, () => ask(fleet, 'a'));
+	fleet.run(50);
+	const refused = requests.filter(request => refusalOf(fleet, request)?.kind === RefusalKind.QueueFull);
+	expect(fleet.worlds.get('a')!.requests.size).toBeLessThanOrEqual(most + 3);
+	expect(refused.length).toBeGreaterThanOrEqual(500 - most);
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -43,6 +43,9 @@
 	close(): Promise<void>;
 };
 
+/** Most of a router's connections that the waiting requests of one workspace for one pool may hold. */
+const workspaceShare = 0.25;
+
 function createRouterWorld(settings: RouterSettings, timer: Timer): World {
 	return createWorld({
 		self: {
@@ -63,6 +66,7 @@
 			addressTtlMs: settings.limits.addressTtlMs,
 			exchange: settings.fairness.exchange,
 			discipline: settings.fairness.discipline,
+			queuedRequests: Math.max(1, Math.floor(settings.limits.connections * workspaceShare)),
 		},
 	});
 }
