Count a permit that goes back unused as no attempt once, not twice

Change: only giveBack takes the attempt back. Ruled out: taking it back in leaveUnused instead (a claim that is given up returns its permit too).

--- a/packages/core/src/systems/requests.ts
+++ b/packages/core/src/systems/requests.ts
@@ -236,7 +236,6 @@
 
 /** Queues a request again whose permit can't be used. */
 function leaveUnused(world: World, request: Request) {
-	request.attempts -= 1;
 	giveBack(world, request);
 	queueAgain(world, request);
 }
@@ -247,7 +246,7 @@
 	});
 }
 
-/** Returns a permit that no request has left for its target with. */
+/** Returns a permit that no request has left for its target with; it doesn't count as an attempt. */
 export function giveBack(world: World, request: Request) {
 	const owner = world.ownerships.get(request.target)?.owner ?? request.holder;
 	returnPermit(world, owner, {ticket: request.id, target: request.target, epoch: request.epoch});
--- a/packages/core/test/requests.test.ts
+++ b/packages/core/test/requests.test.ts
@@ -3,6 +3,7 @@
 import {Outcome, RefusalKind} from '../src/refusal.ts';
 import {RequestState} from '../src/rows.ts';
 import {addresses} from '../src/systems/addresses.ts';
+import {startAnswer} from '../src/systems/requests.ts';
 import {
 	ask, askOnce, createRunningFleet, endAttempt, grantedAt, guestOf, permitsOut, refusalOf, runRecords, seen, starts, untilStarted, untilTold,
 } from './support/calls.ts';
@@ -177,3 +178,16 @@
 	expect(fleet.worlds.get('a')!.requests.size).toBeLessThanOrEqual(most + 3);
 	expect(refused.length).toBeGreaterThanOrEqual(500 - most);
 });
+
+test('a permit that is given back unused counts as no attempt', () => {
+	const fleet = createRunningFleet();
+	const request = ask(fleet, 'a');
+	const world = fleet.worlds.get('a')!;
+	untilStarted(fleet, request);
+	const row = world.requests.get(request)!;
+	expect(row.attempts).toBe(1);
+	// As if its answer had not been let go yet when the permit became void.
+	row.startBy = world.now - 1;
+	startAnswer(world, row);
+	expect(row.attempts).toBe(0);
+});
