Share the owner's pools and free slots, and the bench's disciplines, with their one source

Cause: the whole change read once more: the pools of a router's targets stood in rebalance and digests, the sum of free slots in rebalance and placement, the test of a heard member in placement beside quorum's, and the enum Discipline in the bench beside the core's. Change: ownPools and freeOf stand in dispatch.ts; canHold asks isHeard; the bench takes the core's enum. Ruled out: one set-up for the two HTTP test files (jest's hooks read better in the file that they belong to). Conclusion: behaviour as before.

--- a/packages/bench/src/deployment/plan.ts
+++ b/packages/bench/src/deployment/plan.ts
@@ -4,6 +4,7 @@
 */
 import {createHash} from 'node:crypto';
 import {Standing, TargetKind} from '@shallotloom/core/configuration.ts';
+import {Discipline} from '@shallotloom/core/limits.ts';
 
 /** Pool that every engine serves. */
 export const enginePool = 'assistant';
@@ -19,14 +20,6 @@
 /** Key of the operator in every deployment of the bench. */
 export const operatorKey = 'operator-duty-key';
 
-export enum Discipline {
-	Fair = 'fair',
-	/** Tickets in the order in which they came. */
-	Fifo = 'fifo',
-	/** Tickets bound to a target on arrival. */
-	Bound = 'bound',
-}
-
 export type EngineTiming = {
 	firstTokenMs: number;
 	betweenTokensMs: number;
--- a/packages/bench/src/scenarios/fairness.ts
+++ b/packages/bench/src/scenarios/fairness.ts
@@ -3,10 +3,9 @@
 through one router. The same load goes to three deployments: fair service with exchanged counters, tickets in order of
 arrival, and owners that do not exchange counters.
 */
+import {Discipline} from '@shallotloom/core/limits.ts';
 import type {Deployment} from '../deployment/deployment.ts';
-import {
-	deploymentDefaults, Discipline, type DeploymentOptions, type WorkspaceShare,
-} from '../deployment/plan.ts';
+import {deploymentDefaults, type DeploymentOptions, type WorkspaceShare} from '../deployment/plan.ts';
 import {startLoad, type LoadResult} from '../load/load.ts';
 import {endings, Ending} from '../load/record.ts';
 import {schedule, sizesDefaults} from '../load/schedule.ts';
--- a/packages/bench/src/scenarios/utilisation.ts
+++ b/packages/bench/src/scenarios/utilisation.ts
@@ -2,8 +2,9 @@
 Utilisation: the part of the warm slots that are busy while any request waits, with more work than capacity. The baseline
 binds each ticket to a target on arrival.
 */
+import {Discipline} from '@shallotloom/core/limits.ts';
 import type {Deployment} from '../deployment/deployment.ts';
-import {deploymentDefaults, Discipline} from '../deployment/plan.ts';
+import {deploymentDefaults} from '../deployment/plan.ts';
 import {startLoad} from '../load/load.ts';
 import {isRefusal, type RequestRecord} from '../load/record.ts';
 import {schedule} from '../load/schedule.ts';
--- a/packages/core/src/systems/digests.ts
+++ b/packages/core/src/systems/digests.ts
@@ -7,6 +7,7 @@
 import {
 	due, send, serviceKey, type World,
 } from '../world.ts';
+import {ownPools} from './dispatch.ts';
 import {nextHeard} from './heard.ts';
 import {hearDigest, storeAge} from './membership.ts';
 import {loadOf} from './placement.ts';
@@ -49,14 +50,7 @@
 }
 
 function poolEntries(world: World): PoolEntry[] {
-	const pools = new Set<string>();
-	for (const budget of world.budgets.rows()) {
-		for (const pool of world.configuration.targets.get(budget.target)?.pools ?? []) {
-			pools.add(pool);
-		}
-	}
-
-	return [...pools].map(pool => {
+	return [...ownPools(world)].map(pool => {
 		const [next] = waitingServices(world, pool);
 		return {
 			...loadOf(world, world.self.id, pool)!,
--- a/packages/core/src/systems/dispatch.ts
+++ b/packages/core/src/systems/dispatch.ts
@@ -35,6 +35,28 @@
 	return slots;
 }
 
+/** Number of free slots of this router's targets that serve a pool. */
+export function freeOf(world: World, pool: string): number {
+	let free = 0;
+	for (const slot of slotsOf(world, pool)) {
+		free += slot.free;
+	}
+
+	return free;
+}
+
+/** Pools that this router's targets serve. */
+export function ownPools(world: World): Set<string> {
+	const pools = new Set<string>();
+	for (const budget of world.budgets.rows()) {
+		for (const pool of world.configuration.targets.get(budget.target)?.pools ?? []) {
+			pools.add(pool);
+		}
+	}
+
+	return pools;
+}
+
 /** Sum of the budgets of this router's targets that serve a pool. */
 export function budgetOf(world: World, pool: string): number {
 	let sum = 0;
--- a/packages/core/src/systems/placement.ts
+++ b/packages/core/src/systems/placement.ts
@@ -13,8 +13,9 @@
 } from '../world.ts';
 import {rendezvous} from '../hash.ts';
 import {second} from '../units.ts';
-import {budgetOf, slotsOf} from './dispatch.ts';
+import {budgetOf, freeOf} from './dispatch.ts';
 import {leavesLast} from './leaving.ts';
+import {isHeard} from './quorum.ts';
 import {routesOf} from './routes.ts';
 
 /** Period at which requests whose ticket is lost are placed anew, in milliseconds. */
@@ -34,22 +35,17 @@
 /** Whether a member can take tickets now; while all are leaving, leaving ones serve what their callers still send. */
 export function canHold(world: World, member: Member | undefined): member is Member {
 	return (member?.state === MemberState.Active || (member !== undefined && leavesLast(world)))
-		&& (member.id === world.self.id || world.now - member.heardAt < world.limits.heardMs);
+		&& (member.id === world.self.id || isHeard(world, member));
 }
 
 function ownEntry(world: World, pool: string): PoolEntry {
-	let free = 0;
-	for (const slot of slotsOf(world, pool)) {
-		free += slot.free;
-	}
-
 	let waiting = 0;
 	for (const service of world.services.group(pool)) {
 		waiting += service.waiting;
 	}
 
 	return {
-		pool, free, budget: budgetOf(world, pool), waiting, frontier: -1,
+		pool, free: freeOf(world, pool), budget: budgetOf(world, pool), waiting, frontier: -1,
 	};
 }
 
--- a/packages/core/src/systems/rebalance.ts
+++ b/packages/core/src/systems/rebalance.ts
@@ -11,7 +11,7 @@
 import {mayDispatch} from './lease.ts';
 import {canHold, placeAt} from './placement.ts';
 import {routesOf} from './routes.ts';
-import {slotsOf} from './dispatch.ts';
+import {freeOf, ownPools} from './dispatch.ts';
 import {
 	removeTicket, virtualTimeOf, waitingPools, waitingServices,
 } from './services.ts';
@@ -85,23 +85,8 @@
 	return best;
 }
 
-function ownPools(world: World): Set<string> {
-	const pools = new Set<string>();
-	for (const budget of world.budgets.rows()) {
-		for (const pool of world.configuration.targets.get(budget.target)?.pools ?? []) {
-			pools.add(pool);
-		}
-	}
-
-	return pools;
-}
-
 function askForWork(world: World, pool: string) {
-	let free = 0;
-	for (const slot of slotsOf(world, pool)) {
-		free += slot.free;
-	}
-
+	const free = freeOf(world, pool);
 	if (free === 0) {
 		world.offered.delete(pool);
 		return;
