Group the core's systems by matter, and undo three import circles

Cause: over forty modules lay side by side in packages/core/src/systems, and budgets-evidence-permits, proposals-releases and requests-runs imported each other.

Ruled out: an index module a folder; files are imported by their name (docs/STYLE.md).

Change: folders requests, fair-shares, targets, membership, ownership, releases and stop. permit-returns.ts takes what joined permits to evidence; arrivals.ts and deadlines.ts take what joined requests to runs; step.ts hands proposals to proposals.ts itself. Moves only: no function's body has changed.

--- a/packages/bench/src/core-size/fleet.ts
+++ b/packages/bench/src/core-size/fleet.ts
@@ -9,11 +9,11 @@
 import type {Inbound} from '@shallotloom/core/ports.ts';
 import type {Member} from '@shallotloom/core/rows.ts';
 import {step} from '@shallotloom/core/step.ts';
-import {noteLease} from '@shallotloom/core/systems/contacts.ts';
-import {heardWindow} from '@shallotloom/core/systems/heard.ts';
-import {preferredOwners} from '@shallotloom/core/systems/preferences.ts';
-import {applyOwner} from '@shallotloom/core/systems/owner-records.ts';
-import {addTicket} from '@shallotloom/core/systems/services.ts';
+import {noteLease} from '@shallotloom/core/systems/membership/contacts.ts';
+import {heardWindow} from '@shallotloom/core/systems/membership/heard.ts';
+import {preferredOwners} from '@shallotloom/core/systems/ownership/preferences.ts';
+import {applyOwner} from '@shallotloom/core/systems/ownership/owner-records.ts';
+import {addTicket} from '@shallotloom/core/systems/fair-shares/services.ts';
 import {createWorld, type World} from '@shallotloom/core/world.ts';
 import {createRandom, type Random} from '../load/random.ts';
 
--- a/packages/bench/test/core-size.test.ts
+++ b/packages/bench/test/core-size.test.ts
@@ -1,4 +1,4 @@
-import {isHeard} from '@shallotloom/core/systems/quorum.ts';
+import {isHeard} from '@shallotloom/core/systems/membership/quorum.ts';
 import {createFleet} from '../src/core-size/fleet.ts';
 import {drive, StepKind} from '../src/core-size/drive.ts';
 
--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -8,33 +8,36 @@
 } from './ports.ts';
 import {
 	onAnswerEnded, onAnswerProgress, onAnswerStarted, progressSystem,
-} from './systems/answers.ts';
-import {abandonedSystem} from './systems/abandoned.ts';
-import {onPermitAnnounce} from './systems/announcements.ts';
-import {budgetsSystem} from './systems/budgets.ts';
-import {demandsSystem} from './systems/demands.ts';
-import {digestsSystem, onDigest, silenceSystem} from './systems/digests.ts';
-import {dispatchSystem} from './systems/dispatch.ts';
-import {latenessSystem, onLoadReport} from './systems/evidence.ts';
-import {leaseSystem, onLeaseRelay, onLeaseRelayResult} from './systems/lease.ts';
-import {membershipSystem, onInstanceList} from './systems/membership.ts';
-import {onOwnerObject, onTargetHandover, ownershipSystem} from './systems/ownership.ts';
-import {onPermitProgress, onPermitReturn} from './systems/permits.ts';
-import {forgetHolder, placementSystem} from './systems/placement.ts';
-import {onWorkRequest, rebalanceSystem, workRequestSystem} from './systems/rebalance.ts';
+} from './systems/requests/answers.ts';
+import {abandonedSystem} from './systems/targets/abandoned.ts';
+import {onPermitAnnounce} from './systems/targets/announcements.ts';
+import {budgetsSystem} from './systems/targets/budgets.ts';
+import {demandsSystem} from './systems/requests/demands.ts';
+import {digestsSystem, onDigest, silenceSystem} from './systems/membership/digests.ts';
+import {dispatchSystem} from './systems/fair-shares/dispatch.ts';
+import {latenessSystem, onLoadReport} from './systems/targets/evidence.ts';
+import {leaseSystem, onLeaseRelay, onLeaseRelayResult} from './systems/membership/lease.ts';
+import {membershipSystem, onInstanceList} from './systems/membership/membership.ts';
+import {onOwnerObject, onTargetHandover, ownershipSystem} from './systems/ownership/ownership.ts';
+import {onPermitReturn} from './systems/targets/permit-returns.ts';
+import {onPermitProgress} from './systems/targets/permits.ts';
+import {forgetHolder, placementSystem} from './systems/requests/placement.ts';
+import {onWorkRequest, rebalanceSystem, workRequestSystem} from './systems/fair-shares/rebalance.ts';
 import {
-	onReleaseNotes, onReleaseObject, onReleaseProposed, onReleaseRequest, releasesSystem,
-} from './systems/releases.ts';
+	onReleaseNotes, onReleaseObject, onReleaseRequest, releasesSystem,
+} from './systems/releases/releases.ts';
 import {
-	deadlinesSystem, onCallerGone, onCallerRequest, onPermitGrant, onTicketReturn,
-} from './systems/requests.ts';
-import {routesSystem} from './systems/routes.ts';
-import {runWritesSystem} from './systems/run-records.ts';
-import {runsSystem} from './systems/runs.ts';
-import {onStopRequested, stopSystem} from './systems/stop.ts';
+	onCallerGone, onCallerRequest, onPermitGrant, onTicketReturn,
+} from './systems/requests/arrivals.ts';
+import {deadlinesSystem} from './systems/requests/deadlines.ts';
+import {proposeRelease} from './systems/releases/proposals.ts';
+import {routesSystem} from './systems/requests/routes.ts';
+import {runWritesSystem} from './systems/requests/run-records.ts';
+import {runsSystem} from './systems/requests/runs.ts';
+import {onStopRequested, stopSystem} from './systems/stop/stop.ts';
 import {
 	onTicketCancel, onTicketOffer, returnTickets, ticketsSystem,
-} from './systems/tickets.ts';
+} from './systems/fair-shares/tickets.ts';
 import type {World} from './world.ts';
 
 type InboundHandlers = {[Kind in Inbound['kind']]: (world: World, inbound: InboundOf<Kind>) => void};
@@ -128,7 +131,7 @@
 	storeReply: onStoreReply,
 	storeEvent: onStoreEvent,
 	loadReport: onLoadReport,
-	releaseProposed: onReleaseProposed,
+	releaseProposed: proposeRelease,
 	instanceList: onInstanceList,
 	stopRequested: onStopRequested,
 };
--- a/packages/core/src/systems/dispatch.ts
+++ b/packages/core/src/systems/fair-shares/dispatch.ts
@@ -2,15 +2,15 @@
 Gives permits for free slots to waiting tickets: the workspace with the least virtual time first, and within it the oldest
 ticket. While others wait, a workspace holds no more than a multiple of its share of the slots.
 */
-import {Discipline} from '../limits.ts';
-import {rendezvousScore} from '../hash.ts';
-import type {Budget, Service, Ticket} from '../rows.ts';
+import {Discipline} from '../../limits.ts';
+import {rendezvousScore} from '../../hash.ts';
+import type {Budget, Service, Ticket} from '../../rows.ts';
 import {
 	send, serviceKey, type World,
-} from '../world.ts';
-import {freeSlots} from './budgets.ts';
-import {mayDispatch} from './lease.ts';
-import {addPermit} from './permits.ts';
+} from '../../world.ts';
+import {freeSlots} from '../targets/budgets.ts';
+import {mayDispatch} from '../membership/lease.ts';
+import {addPermit} from '../targets/permits.ts';
 import {
 	removeTicket, virtualTimeOf, waitingPools, waitingServices, weightOf,
 } from './services.ts';
--- a/packages/core/src/systems/rebalance.ts
+++ b/packages/core/src/systems/fair-shares/rebalance.ts
@@ -2,15 +2,15 @@
 Moves tickets between owners: an owner whose targets run dry asks for work, and an owner whose workspaces wait behind
 others moves tickets to owners that serve less deserving work.
 */
-import {Discipline} from '../limits.ts';
-import {TicketReturnReason, type PeerMessageOf} from '../messages.ts';
-import type {Member, Service, Ticket} from '../rows.ts';
+import {Discipline} from '../../limits.ts';
+import {TicketReturnReason, type PeerMessageOf} from '../../messages.ts';
+import type {Member, Service, Ticket} from '../../rows.ts';
 import {
 	due, random, send, serviceKey, shuffled, type World,
-} from '../world.ts';
-import {mayDispatch} from './lease.ts';
-import {canHold, placeAt} from './placement.ts';
-import {routesOf} from './routes.ts';
+} from '../../world.ts';
+import {mayDispatch} from '../membership/lease.ts';
+import {canHold, placeAt} from '../requests/placement.ts';
+import {routesOf} from '../requests/routes.ts';
 import {freeOf, ownPools} from './dispatch.ts';
 import {
 	removeTicket, virtualTimeOf, waitingPools, waitingServices,
--- a/packages/core/src/systems/services.ts
+++ b/packages/core/src/systems/fair-shares/services.ts
@@ -6,9 +6,9 @@
 Source: virtual token counter (Sheng et al., "Fairness in Serving Large Language Models", 2024), extended to several
 owners by cumulative counters in digests. See docs/design/fairness.md.
 */
-import {Discipline} from '../limits.ts';
-import type {Service, Ticket} from '../rows.ts';
-import {serviceKey, type World} from '../world.ts';
+import {Discipline} from '../../limits.ts';
+import type {Service, Ticket} from '../../rows.ts';
+import {serviceKey, type World} from '../../world.ts';
 
 /** Weight of a sample in the running means. */
 const meanWeight = 0.1;
--- a/packages/core/src/systems/tickets.ts
+++ b/packages/core/src/systems/fair-shares/tickets.ts
@@ -3,13 +3,13 @@
 */
 import {
 	MemberState, TicketReturnReason, type PeerMessageOf,
-} from '../messages.ts';
-import type {Ticket} from '../rows.ts';
-import {due, send, type World} from '../world.ts';
-import {leavesLast} from './leaving.ts';
-import {originOf} from './permits.ts';
-import {isHeard} from './quorum.ts';
-import {isIn} from './routes.ts';
+} from '../../messages.ts';
+import type {Ticket} from '../../rows.ts';
+import {due, send, type World} from '../../world.ts';
+import {leavesLast} from '../stop/leaving.ts';
+import {originOf} from '../targets/permits.ts';
+import {isHeard} from '../membership/quorum.ts';
+import {isIn} from '../requests/routes.ts';
 import {addTicket, removeTicket} from './services.ts';
 
 /** Period at which waiting tickets are looked through, in milliseconds. */
--- a/packages/core/src/systems/contacts.ts
+++ b/packages/core/src/systems/membership/contacts.ts
@@ -1,11 +1,11 @@
 /*
 Keeps what is known of other routers and their leases: rows of members and contacts.
 */
-import {MemberState} from '../messages.ts';
-import {LogPart} from '../ports.ts';
-import type {LeaseRecord} from '../records.ts';
-import type {Contact, Member} from '../rows.ts';
-import {log, type World} from '../world.ts';
+import {MemberState} from '../../messages.ts';
+import {LogPart} from '../../ports.ts';
+import type {LeaseRecord} from '../../records.ts';
+import type {Contact, Member} from '../../rows.ts';
+import {log, type World} from '../../world.ts';
 
 /** Row of a router, added when there is none. */
 export function memberOf(world: World, id: string): Member {
--- a/packages/core/src/systems/digests.ts
+++ b/packages/core/src/systems/membership/digests.ts
@@ -2,18 +2,18 @@
 Digests: the periodic state that members send each other. They are the heartbeats, and carry counters of service, load by
 pool, and the revision in force. Counters are cumulative, so a lost digest loses nothing.
 */
-import type {Digest, PoolEntry, ServiceEntry} from '../messages.ts';
-import type {Member, Service} from '../rows.ts';
+import type {Digest, PoolEntry, ServiceEntry} from '../../messages.ts';
+import type {Member, Service} from '../../rows.ts';
 import {
 	due, send, serviceKey, type World,
-} from '../world.ts';
-import {ownPools} from './dispatch.ts';
-import {nextHeard} from './heard.ts';
-import {hearDigest, storeAge} from './membership.ts';
-import {loadOf} from './placement.ts';
+} from '../../world.ts';
+import {ownPools} from '../fair-shares/dispatch.ts';
+import {loadOf} from '../requests/placement.ts';
 import {
 	serviceOf, setWaiting, shiftExpected, virtualTimeOf, waitingServices, weightOf,
-} from './services.ts';
+} from '../fair-shares/services.ts';
+import {nextHeard} from './heard.ts';
+import {hearDigest, storeAge} from './membership.ts';
 
 /** Digests for which a counter that has changed is sent, so that a lost digest doesn't hide the change. */
 const repeats = 4;
--- a/packages/core/src/systems/heard.ts
+++ b/packages/core/src/systems/membership/heard.ts
@@ -6,10 +6,10 @@
 Each entry stands alone: its age and the number of the lease's renewal are of the same moment. So leaving an entry out is
 no more than a lost digest is. See docs/design/digests.md.
 */
-import type {HeardEntry} from '../messages.ts';
-import type {Contact} from '../rows.ts';
-import {rendezvousScore} from '../hash.ts';
-import type {World} from '../world.ts';
+import type {HeardEntry} from '../../messages.ts';
+import type {Contact} from '../../rows.ts';
+import {rendezvousScore} from '../../hash.ts';
+import type {World} from '../../world.ts';
 
 /**
 Other members of which one digest tells. Whatever the size of the fleet, about so many digests of one period tell of each
--- a/packages/core/src/systems/lapse.ts
+++ b/packages/core/src/systems/membership/lapse.ts
@@ -2,9 +2,9 @@
 Ends the tenure of a member whose lease has lapsed: a conditional delete of its lease object, so that a renewal that is
 still under way either comes first and wins, or finds the lease gone.
 */
-import {LogPart} from '../ports.ts';
-import {decodeLease, leaseKey, type LeaseRecord} from '../records.ts';
-import {log, store, type World} from '../world.ts';
+import {LogPart} from '../../ports.ts';
+import {decodeLease, leaseKey, type LeaseRecord} from '../../records.ts';
+import {log, store, type World} from '../../world.ts';
 import {noteEnded, noteLease} from './contacts.ts';
 import {mayEndLease} from './quorum.ts';
 
--- a/packages/core/src/systems/lease.ts
+++ b/packages/core/src/systems/membership/lease.ts
@@ -3,15 +3,15 @@
 Its tenure lasts until another router or a later start of this one ends it; a router whose tenure was ended owns nothing
 and starts a new one.
 */
-import type {PeerMessageOf} from '../messages.ts';
-import {LogPart} from '../ports.ts';
-import {decodeLease, leaseKey, type LeaseRecord} from '../records.ts';
-import type {Member} from '../rows.ts';
+import type {PeerMessageOf} from '../../messages.ts';
+import {LogPart} from '../../ports.ts';
+import {decodeLease, leaseKey, type LeaseRecord} from '../../records.ts';
+import type {Member} from '../../rows.ts';
 import {
 	log, nonce, pick, send, store, type LeaseRenewal, type StoreReply, type World,
-} from '../world.ts';
-import {dropHoldings} from './holdings.ts';
-import {isFinished} from './leaving.ts';
+} from '../../world.ts';
+import {dropHoldings} from '../ownership/holdings.ts';
+import {isFinished} from '../stop/leaving.ts';
 import {
 	hearsMajority, isHeard, mayEndLease, voters,
 } from './quorum.ts';
--- a/packages/core/src/systems/listing.ts
+++ b/packages/core/src/systems/membership/listing.ts
@@ -1,8 +1,8 @@
 /*
 Reads all objects under a prefix of the Object API.
 */
-import type {StoredObject} from '../ports.ts';
-import {store, type World} from '../world.ts';
+import type {StoredObject} from '../../ports.ts';
+import {store, type World} from '../../world.ts';
 
 type ListOptions = {
 	/** Lists only keys that sort after this one. */
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership/membership.ts
@@ -4,12 +4,12 @@
 A digest is as old as the newest digest of this router that its sender had heard by then: the echo bounds its age, however
 long it was under way. What it says of other members has its age added. See docs/design/membership.md.
 */
-import {MemberState, type HeardEntry, type PeerMessageOf} from '../messages.ts';
-import type {InboundOf, StoredObject} from '../ports.ts';
-import {rendezvous} from '../hash.ts';
-import {decodeLease, leasePrefix} from '../records.ts';
-import type {Contact, Member} from '../rows.ts';
-import {due, type World} from '../world.ts';
+import {MemberState, type HeardEntry, type PeerMessageOf} from '../../messages.ts';
+import type {InboundOf, StoredObject} from '../../ports.ts';
+import {rendezvous} from '../../hash.ts';
+import {decodeLease, leasePrefix} from '../../records.ts';
+import type {Contact, Member} from '../../rows.ts';
+import {due, type World} from '../../world.ts';
 import {
 	contactOf, memberOf, noteEnded, noteLease, noteRenewal, noteTenure, noteUnlisted,
 } from './contacts.ts';
--- a/packages/core/src/systems/quorum.ts
+++ b/packages/core/src/systems/membership/quorum.ts
@@ -3,8 +3,8 @@
 fleet knows so surely that the Object API is up that a silent member's lease may be ended. The two exclude each other,
 since each needs a strict majority of the same members; docs/design/membership.md has the argument.
 */
-import type {Contact, Member} from '../rows.ts';
-import type {World} from '../world.ts';
+import type {Contact, Member} from '../../rows.ts';
+import type {World} from '../../world.ts';
 
 /**
 Part that a router counts for when it succeeds its own earlier start. That one counts itself too, so the two majorities
--- a/packages/core/src/systems/claims.ts
+++ b/packages/core/src/systems/ownership/claims.ts
@@ -1,12 +1,12 @@
 /*
 Claims targets that nobody owns, or whose owner's lease has ended, by a conditional write of the ownership record.
 */
-import {decodeOwner, ownerKey, type OwnerRecord} from '../records.ts';
-import {MoveKind, type Move} from '../rows.ts';
-import {nonce, store, type World} from '../world.ts';
-import {endLease} from './lapse.ts';
+import {decodeOwner, ownerKey, type OwnerRecord} from '../../records.ts';
+import {MoveKind, type Move} from '../../rows.ts';
+import {nonce, store, type World} from '../../world.ts';
+import {endLease} from '../membership/lapse.ts';
+import {hasLapsed} from '../membership/quorum.ts';
 import {applyOwner, isOwn, settle} from './owner-records.ts';
-import {hasLapsed} from './quorum.ts';
 
 /** Time after which a claim that came to nothing is tried again. */
 const claimRetryMs = 500;
--- a/packages/core/src/systems/handovers.ts
+++ b/packages/core/src/systems/ownership/handovers.ts
@@ -2,12 +2,12 @@
 Hands targets over to other live members: this router stops to serve the target, writes the new record, and then tells
 the new owner. It takes the target back when the write is known not to have taken effect.
 */
-import {Phase, type TargetHandover} from '../messages.ts';
-import {decodeOwner, ownerKey, type OwnerRecord} from '../records.ts';
-import {MoveKind, type Move, type Ownership} from '../rows.ts';
+import {Phase, type TargetHandover} from '../../messages.ts';
+import {decodeOwner, ownerKey, type OwnerRecord} from '../../records.ts';
+import {MoveKind, type Move, type Ownership} from '../../rows.ts';
 import {
 	nonce, send, store, type World,
-} from '../world.ts';
+} from '../../world.ts';
 import {drop} from './holdings.ts';
 import {applyOwner, settle} from './owner-records.ts';
 
--- a/packages/core/src/systems/holdings.ts
+++ b/packages/core/src/systems/ownership/holdings.ts
@@ -1,10 +1,10 @@
 /*
 The targets that this router serves as owner: starts and ends their budgets as ownership comes and goes.
 */
-import type {TargetHandover} from '../messages.ts';
-import {LogPart} from '../ports.ts';
-import {log, type World} from '../world.ts';
-import {releaseTarget, takeTarget} from './budgets.ts';
+import type {TargetHandover} from '../../messages.ts';
+import {LogPart} from '../../ports.ts';
+import {log, type World} from '../../world.ts';
+import {releaseTarget, takeTarget} from '../targets/budgets.ts';
 
 /** Starts to serve a target as its owner under `epoch`. */
 export function hold(world: World, target: string, epoch: number, handover?: TargetHandover) {
--- a/packages/core/src/systems/owner-records.ts
+++ b/packages/core/src/systems/ownership/owner-records.ts
@@ -2,11 +2,11 @@
 Takes ownership records as they become known, and starts or stops to serve their targets accordingly. A record that is
 older than one already known changes nothing.
 */
-import type {TargetHandover} from '../messages.ts';
-import {type OwnerRecord} from '../records.ts';
-import {MoveKind, type Ownership} from '../rows.ts';
-import type {World} from '../world.ts';
-import {announcePermits} from './announcements.ts';
+import type {TargetHandover} from '../../messages.ts';
+import {type OwnerRecord} from '../../records.ts';
+import {MoveKind, type Ownership} from '../../rows.ts';
+import type {World} from '../../world.ts';
+import {announcePermits} from '../targets/announcements.ts';
 import {drop, hold} from './holdings.ts';
 
 /** Time for which the new owner of a target waits for the message of the old one before it starts without. */
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership/ownership.ts
@@ -2,25 +2,25 @@
 Claims targets for this router, hands them over and gives them up. `owner/TARGET` in the Object API holds the owner and
 its epoch.
 */
-import {MemberState, type PeerMessageOf} from '../messages.ts';
-import type {StoredObject} from '../ports.ts';
-import {rendezvous} from '../hash.ts';
-import {decodeOwner, ownerPrefix} from '../records.ts';
-import {MoveKind, type Member, type Preference} from '../rows.ts';
-import {second} from '../units.ts';
-import {due, type World} from '../world.ts';
+import {MemberState, type PeerMessageOf} from '../../messages.ts';
+import type {StoredObject} from '../../ports.ts';
+import {rendezvous} from '../../hash.ts';
+import {decodeOwner, ownerPrefix} from '../../records.ts';
+import {MoveKind, type Member, type Preference} from '../../rows.ts';
+import {second} from '../../units.ts';
+import {due, type World} from '../../world.ts';
+import {hasValidLease} from '../membership/lease.ts';
+import {hasWork} from '../stop/leaving.ts';
+import {listAll} from '../membership/listing.ts';
+import {liveMembers} from '../membership/membership.ts';
+import {isHeard} from '../membership/quorum.ts';
 import {claim} from './claims.ts';
 import {
 	canHandOver, giveUp, handOver, lookUp,
 } from './handovers.ts';
 import {drop} from './holdings.ts';
-import {hasValidLease} from './lease.ts';
-import {hasWork} from './leaving.ts';
-import {listAll} from './listing.ts';
-import {liveMembers} from './membership.ts';
 import {applyOwner, settle} from './owner-records.ts';
 import {updatePreferences} from './preferences.ts';
-import {isHeard} from './quorum.ts';
 
 /** Period of the system; a step runs on each message, and placement needn't. */
 const periodMs = 100;
--- a/packages/core/src/systems/preferences.ts
+++ b/packages/core/src/systems/ownership/preferences.ts
@@ -3,11 +3,11 @@
 failure domain, or over all live members where it has none. Every router that sees the same members and configuration
 chooses the same.
 */
-import type {Target} from '../configuration.ts';
-import {rendezvous} from '../hash.ts';
-import type {Member} from '../rows.ts';
-import type {World} from '../world.ts';
-import {liveMembers} from './membership.ts';
+import type {Target} from '../../configuration.ts';
+import {rendezvous} from '../../hash.ts';
+import type {Member} from '../../rows.ts';
+import type {World} from '../../world.ts';
+import {liveMembers} from '../membership/membership.ts';
 
 /** Updates the preferred owner of each configured target, and since when it is preferred. */
 export function updatePreferences(world: World) {
--- a/packages/core/src/systems/proposals.ts
+++ b/packages/core/src/systems/releases/proposals.ts
@@ -3,14 +3,14 @@
 value. Of two operators that race for a revision one wins; the other's note is applied on top, or is refused when it
 was made for the revision before.
 */
-import type {Configuration} from '../configuration.ts';
-import type {InboundOf, ReleaseAnswer} from '../ports.ts';
+import type {Configuration} from '../../configuration.ts';
+import type {InboundOf, ReleaseAnswer} from '../../ports.ts';
 import {
 	checkSize, decodeRelease, encodeRelease, releaseKey,
-} from '../release-codec.ts';
-import {readNote, type ReleaseNote} from '../release-note.ts';
-import {applyNote, partTouched, type Release} from '../release.ts';
-import {nonce, store, type World} from '../world.ts';
+} from '../../release-codec.ts';
+import {readNote, type ReleaseNote} from '../../release-note.ts';
+import {applyNote, partTouched, type Release} from '../../release.ts';
+import {nonce, store, type World} from '../../world.ts';
 import {catchUp, takeRelease, writeSnapshot} from './releases.ts';
 
 /** Writes that are tried before the Object API counts as unavailable. */
--- a/packages/core/src/systems/releases.ts
+++ b/packages/core/src/systems/releases/releases.ts
@@ -2,18 +2,17 @@
 Learns releases from the Object API and from peers, and puts them in force in order. A revision is never lowered: what
 was read late, out of order or not at all leaves the configuration as it is until the next revision is here.
 */
-import type {PeerMessageOf} from '../messages.ts';
-import {LogPart, type InboundOf, type StoredObject} from '../ports.ts';
+import type {PeerMessageOf} from '../../messages.ts';
+import {LogPart, type InboundOf, type StoredObject} from '../../ports.ts';
 import {
 	decodeRelease, decodeSnapshot, encodeSnapshot, releaseKey, snapshotKey,
-} from '../release-codec.ts';
-import {applyNote, type Release} from '../release.ts';
-import {second} from '../units.ts';
+} from '../../release-codec.ts';
+import {applyNote, type Release} from '../../release.ts';
+import {second} from '../../units.ts';
 import {
 	due, log, pick, send, store, type World,
-} from '../world.ts';
-import {listAll} from './listing.ts';
-import {proposeRelease} from './proposals.ts';
+} from '../../world.ts';
+import {listAll} from '../membership/listing.ts';
 
 const releasePrefix = 'release/';
 const snapshotPrefix = 'snapshot/';
@@ -59,11 +58,6 @@
 	}
 }
 
-/** Takes an operator's release note. */
-export function onReleaseProposed(world: World, proposed: InboundOf<'releaseProposed'>) {
-	proposeRelease(world, proposed);
-}
-
 /** Sends a peer the releases that follow a revision, as far as they are kept. */
 export function onReleaseRequest(world: World, from: string, {after}: PeerMessageOf<'releaseRequest'>) {
 	const releases: string[] = [];
--- a/packages/core/src/systems/addresses.ts
+++ b/packages/core/src/systems/requests/addresses.ts
@@ -2,11 +2,11 @@
 Which routers a caller should use: those of its failure domain first, none that is leaving or in a domain that was taken
 out, spread at random so that callers don't gather at one.
 */
-import {Standing} from '../configuration.ts';
-import {MemberState} from '../messages.ts';
-import type {Member} from '../rows.ts';
-import {shuffled, type World} from '../world.ts';
-import {isCutOff} from './lease.ts';
+import {Standing} from '../../configuration.ts';
+import {MemberState} from '../../messages.ts';
+import type {Member} from '../../rows.ts';
+import {shuffled, type World} from '../../world.ts';
+import {isCutOff} from '../membership/lease.ts';
 import {canHold} from './placement.ts';
 
 export type Address = {
--- a/packages/core/src/systems/answers.ts
+++ b/packages/core/src/systems/requests/answers.ts
@@ -1,13 +1,13 @@
 /*
 Ends of attempts: success, retry, resumption or a truthful refusal, and the return of the permit to the target's owner.
 */
-import {AttemptEnd, type PeerMessageOf} from '../messages.ts';
-import type {InboundOf} from '../ports.ts';
-import {Outcome, RefusalKind} from '../refusal.ts';
-import {RequestState, type Request} from '../rows.ts';
-import {TargetKind} from '../configuration.ts';
-import {second} from '../units.ts';
-import {due, send, type World} from '../world.ts';
+import {AttemptEnd, type PeerMessageOf} from '../../messages.ts';
+import type {InboundOf} from '../../ports.ts';
+import {Outcome, RefusalKind} from '../../refusal.ts';
+import {RequestState, type Request} from '../../rows.ts';
+import {TargetKind} from '../../configuration.ts';
+import {second} from '../../units.ts';
+import {due, send, type World} from '../../world.ts';
 import {earnRetry} from './demands.ts';
 import {forget, refuse, retry} from './requests.ts';
 import {endRun} from './run-records.ts';
--- a/packages/core/src/systems/demands.ts
+++ b/packages/core/src/systems/requests/demands.ts
@@ -2,11 +2,11 @@
 Demand of the callers of this router: queue limits by cost, the measured drain rate from which Retry-After follows, and
 the retry budget of each workspace.
 */
-import {Outcome, RefusalKind, type Refusal} from '../refusal.ts';
-import type {Demand, Request} from '../rows.ts';
-import {second, minute} from '../units.ts';
-import {due, serviceKey, type World} from '../world.ts';
-import {costOf, serviceOf} from './services.ts';
+import {Outcome, RefusalKind, type Refusal} from '../../refusal.ts';
+import type {Demand, Request} from '../../rows.ts';
+import {second, minute} from '../../units.ts';
+import {due, serviceKey, type World} from '../../world.ts';
+import {costOf, serviceOf} from '../fair-shares/services.ts';
 import {spread} from './placement.ts';
 
 /** Output tokens that a request counts for before its workspace has had an answer. */
--- a/packages/core/src/systems/placement.ts
+++ b/packages/core/src/systems/requests/placement.ts
@@ -3,19 +3,19 @@
 itself while it has a free slot, else at an owner with free slots, nearest first, else where the queue is shortest for
 its budget.
 */
-import {Discipline} from '../limits.ts';
-import {MemberState, type PoolEntry, type TicketOffer} from '../messages.ts';
+import {Discipline} from '../../limits.ts';
+import {MemberState, type PoolEntry, type TicketOffer} from '../../messages.ts';
 import {
 	RequestState, type Member, type Request, type Route,
-} from '../rows.ts';
+} from '../../rows.ts';
 import {
 	due, pick, random, send, type World,
-} from '../world.ts';
-import {rendezvous} from '../hash.ts';
-import {second} from '../units.ts';
-import {budgetOf, freeOf} from './dispatch.ts';
-import {leavesLast} from './leaving.ts';
-import {isHeard} from './quorum.ts';
+} from '../../world.ts';
+import {rendezvous} from '../../hash.ts';
+import {second} from '../../units.ts';
+import {budgetOf, freeOf} from '../fair-shares/dispatch.ts';
+import {leavesLast} from '../stop/leaving.ts';
+import {isHeard} from '../membership/quorum.ts';
 import {routesOf} from './routes.ts';
 
 /** Period at which requests whose ticket is lost are placed anew, in milliseconds. */
--- a/packages/core/src/systems/routes.ts
+++ b/packages/core/src/systems/requests/routes.ts
@@ -1,9 +1,9 @@
 /*
 Which owners serve which pool, from the configuration and the ownerships.
 */
-import {Standing, type Configuration, type Target} from '../configuration.ts';
-import type {Route} from '../rows.ts';
-import {due, type World} from '../world.ts';
+import {Standing, type Configuration, type Target} from '../../configuration.ts';
+import type {Route} from '../../rows.ts';
+import {due, type World} from '../../world.ts';
 
 /** Period at which the routes are rebuilt, in milliseconds. */
 const routesMs = 100;
--- a/packages/core/src/systems/run-records.ts
+++ b/packages/core/src/systems/requests/run-records.ts
@@ -5,13 +5,13 @@
 
 Object `run/WORKSPACE/KEY`: JSON of `Run`, below.
 */
-import {LogPart} from '../ports.ts';
-import type {Outcome} from '../refusal.ts';
-import {RunWriteKind, type Request, type RunWrite} from '../rows.ts';
-import {second} from '../units.ts';
+import {LogPart} from '../../ports.ts';
+import type {Outcome} from '../../refusal.ts';
+import {RunWriteKind, type Request, type RunWrite} from '../../rows.ts';
+import {second} from '../../units.ts';
 import {
 	log, random, store, type StoreReply, type World,
-} from '../world.ts';
+} from '../../world.ts';
 
 /** Value of `run/WORKSPACE/KEY`. */
 export type Run = {
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/requests/runs.ts
@@ -3,13 +3,13 @@
 first byte of the request leaves; its end holds the outcome and a small answer. The same key at any router finds the
 record and gets the same answer or a truthful "unknown". See docs/design/at-most-once.md.
 */
-import {Outcome, RefusalKind} from '../refusal.ts';
-import {RequestState, type Request} from '../rows.ts';
-import {second} from '../units.ts';
+import {Outcome, RefusalKind} from '../../refusal.ts';
+import {RequestState, type Request} from '../../rows.ts';
+import {second} from '../../units.ts';
 import {
 	due, nonce, store, type StoreReply, type World,
-} from '../world.ts';
-import {hearsMajority, isHeard} from './quorum.ts';
+} from '../../world.ts';
+import {hearsMajority, isHeard} from '../membership/quorum.ts';
 import {
 	enqueue, giveBack, refuse, startAnswer,
 } from './requests.ts';
--- a/packages/core/src/systems/leaving.ts
+++ b/packages/core/src/systems/stop/leaving.ts
@@ -2,11 +2,11 @@
 How far a planned stop has come: whether callers may still keep the address, whether another router is left to take over,
 and whether anything remains to be done. See docs/design/stops.md.
 */
-import {MemberState} from '../messages.ts';
-import {Outcome, RefusalKind, type Refusal} from '../refusal.ts';
-import {second} from '../units.ts';
-import type {World} from '../world.ts';
-import {isHeard} from './quorum.ts';
+import {MemberState} from '../../messages.ts';
+import {Outcome, RefusalKind, type Refusal} from '../../refusal.ts';
+import {second} from '../../units.ts';
+import type {World} from '../../world.ts';
+import {isHeard} from '../membership/quorum.ts';
 
 /**
 Time from the stop's start until no caller may use the address any more: others name it until they hear of the stop or
--- a/packages/core/src/systems/stop.ts
+++ b/packages/core/src/systems/stop/stop.ts
@@ -3,14 +3,14 @@
 then the lease is given up and the process may exit. Callers that still keep the address are served until no answer that
 named it is valid any more. See docs/design/stops.md.
 */
-import {MemberState} from '../messages.ts';
-import {LogPart} from '../ports.ts';
-import {RequestState} from '../rows.ts';
-import {second} from '../units.ts';
-import {due, log, type World} from '../world.ts';
+import {MemberState} from '../../messages.ts';
+import {LogPart} from '../../ports.ts';
+import {RequestState} from '../../rows.ts';
+import {second} from '../../units.ts';
+import {due, log, type World} from '../../world.ts';
+import {refuse} from '../requests/requests.ts';
+import {routesOf} from '../requests/routes.ts';
 import {leavesLast, stoppingRefusal} from './leaving.ts';
-import {refuse} from './requests.ts';
-import {routesOf} from './routes.ts';
 
 /** Longest wait for replies of the Object API once the lease was given up. */
 const repliesMs = 2 * second;
--- a/packages/core/src/systems/abandoned.ts
+++ b/packages/core/src/systems/targets/abandoned.ts
@@ -2,14 +2,14 @@
 Frees permits whose holder is gone. A holder that lives reports its permits; one that isn't heard any more keeps them until
 its lease has lapsed, or until a load report shows that fewer requests run than there are permits.
 */
-import {TicketReturnReason} from '../messages.ts';
-import type {Budget, Permit} from '../rows.ts';
-import {second} from '../units.ts';
-import {due, send, type World} from '../world.ts';
+import {TicketReturnReason} from '../../messages.ts';
+import type {Budget, Permit} from '../../rows.ts';
+import {second} from '../../units.ts';
+import {due, send, type World} from '../../world.ts';
+import {isLive} from '../membership/membership.ts';
+import {isHeard} from '../membership/quorum.ts';
 import {explainedBy} from './budgets.ts';
-import {isLive} from './membership.ts';
 import {endPermit} from './permits.ts';
-import {isHeard} from './quorum.ts';
 
 /** A permit that its holder hasn't reported for this long is void, in milliseconds. */
 const unseenMs = 4 * second;
--- a/packages/core/src/systems/announcements.ts
+++ b/packages/core/src/systems/targets/announcements.ts
@@ -1,9 +1,9 @@
 /*
 Announcements: after a change of owner, every router tells the new one which permits it holds for the target.
 */
-import type {PeerMessageOf} from '../messages.ts';
-import {RequestState} from '../rows.ts';
-import {send, type World} from '../world.ts';
+import type {PeerMessageOf} from '../../messages.ts';
+import {RequestState} from '../../rows.ts';
+import {send, type World} from '../../world.ts';
 import {adoptPermit} from './permits.ts';
 
 /** Tells the owner of a target which permits this router holds for it; none is told too. */
--- a/packages/core/src/systems/budgets.ts
+++ b/packages/core/src/systems/targets/budgets.ts
@@ -3,11 +3,11 @@
 starts at its cold budget; evidence of good completions raises it in steps, see `evidence.ts`; a failing one is set aside
 for a time that doubles and then probed with one request. See docs/design/cold-start.md.
 */
-import {Phase, type TargetHandover} from '../messages.ts';
-import {LogPart} from '../ports.ts';
-import type {Budget, Permit} from '../rows.ts';
-import {log, type World} from '../world.ts';
-import {isIn} from './routes.ts';
+import {Phase, type TargetHandover} from '../../messages.ts';
+import {LogPart} from '../../ports.ts';
+import type {Budget, Permit} from '../../rows.ts';
+import {log, type World} from '../../world.ts';
+import {isIn} from '../requests/routes.ts';
 import {adoptPermit, endPermit} from './permits.ts';
 
 /** No target restarts and takes requests again within this time, in milliseconds. */
--- a/packages/core/src/systems/evidence.ts
+++ b/packages/core/src/systems/targets/evidence.ts
@@ -2,11 +2,11 @@
 Evidence for the budgets of targets: ends of attempts and load reports. What began before the last fall-back, and what a
 report tells of the time before it, raises nothing. See docs/design/cold-start.md.
 */
-import {AttemptEnd, Phase, type PermitReturn} from '../messages.ts';
-import type {InboundOf} from '../ports.ts';
-import type {Budget, Permit} from '../rows.ts';
-import {second} from '../units.ts';
-import {due, type World} from '../world.ts';
+import {AttemptEnd, Phase, type PermitReturn} from '../../messages.ts';
+import type {InboundOf} from '../../ports.ts';
+import type {Budget, Permit} from '../../rows.ts';
+import {second} from '../../units.ts';
+import {due, type World} from '../../world.ts';
 import {fallBack, setAside} from './budgets.ts';
 
 /** Weight of a sample in the running means. */
--- a/packages/core/src/systems/permits.ts
+++ b/packages/core/src/systems/targets/permits.ts
@@ -1,13 +1,12 @@
 /*
 Permits that this router gave for its targets: charging, progress, return, and the permits of holders that are gone.
 */
-import {AttemptEnd, type PeerMessageOf, type TargetHandover} from '../messages.ts';
-import type {Permit, Ticket} from '../rows.ts';
-import {send, type World} from '../world.ts';
+import {AttemptEnd, type PeerMessageOf, type TargetHandover} from '../../messages.ts';
+import type {Permit, Ticket} from '../../rows.ts';
+import {send, type World} from '../../world.ts';
 import {
 	charge, costOf, expectOthers, learnOutput, serviceOf,
-} from './services.ts';
-import {onAttemptEnd} from './evidence.ts';
+} from '../fair-shares/services.ts';
 
 type RunningEntry = TargetHandover['entries'][number];
 
@@ -112,29 +111,3 @@
 		budget.ended.shift();
 	}
 }
-
-const servedEnds = new Set([AttemptEnd.Whole, AttemptEnd.Broken, AttemptEnd.Cancelled, AttemptEnd.Mismatched]);
-
-export function onPermitReturn(world: World, from: string, message: PeerMessageOf<'permitReturn'>) {
-	const permit = world.permits.get(message.ticket);
-	if (permit?.target !== message.target) {
-		passOn(world, from, message);
-		return;
-	}
-
-	const outputTokens = Math.max(permit.outputTokens, message.outputTokens);
-	endPermit(world, permit, outputTokens, servedEnds.has(message.end));
-	if (message.end === AttemptEnd.Whole) {
-		learnOutput(serviceOf(world, permit), outputTokens);
-	}
-
-	onAttemptEnd(world, message, permit);
-}
-
-/** Sends a holder's message to the owner that came after this router, of which the holder hasn't heard yet. */
-function passOn(world: World, from: string, message: PeerMessageOf<'permitReturn'>) {
-	const owner = world.ownerships.get(message.target)?.owner ?? '';
-	if (owner !== world.self.id && from === originOf(message.ticket)) {
-		send(world, owner, message);
-	}
-}
--- a/packages/core/test/at-most-once.test.ts
+++ b/packages/core/test/at-most-once.test.ts
@@ -2,7 +2,7 @@
 import {AttemptEnd} from '../src/messages.ts';
 import {Outcome} from '../src/refusal.ts';
 import type {StoreOperation} from '../src/ports.ts';
-import {hasValidLease} from '../src/systems/lease.ts';
+import {hasValidLease} from '../src/systems/membership/lease.ts';
 import {
 	askOnce, createRunningFleet, endAttempt, seen, starts,
 } from './support/calls.ts';
--- a/packages/core/test/digests.test.ts
+++ b/packages/core/test/digests.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import type {Digest} from '../src/messages.ts';
-import {isHeard} from '../src/systems/quorum.ts';
-import {heardWindow} from '../src/systems/heard.ts';
-import {charge, serviceOf, setWaiting} from '../src/systems/services.ts';
+import {isHeard} from '../src/systems/membership/quorum.ts';
+import {heardWindow} from '../src/systems/membership/heard.ts';
+import {charge, serviceOf, setWaiting} from '../src/systems/fair-shares/services.ts';
 import type {World} from '../src/world.ts';
 import {createFleet, type Fleet} from './support/fleet.ts';
 
--- a/packages/core/test/failure-domains.test.ts
+++ b/packages/core/test/failure-domains.test.ts
@@ -4,7 +4,7 @@
 import {RefusalKind} from '../src/refusal.ts';
 import {AuditAction} from '../src/release.ts';
 import {RequestState} from '../src/rows.ts';
-import {addresses} from '../src/systems/addresses.ts';
+import {addresses} from '../src/systems/requests/addresses.ts';
 import {
 	attachEngines, ask, runLoaded, workspaceOf,
 } from './support/engines.ts';
--- a/packages/core/test/fairness.test.ts
+++ b/packages/core/test/fairness.test.ts
@@ -1,5 +1,5 @@
 import * as fc from 'fast-check';
-import {serviceOf, virtualTimeOf} from '../src/systems/services.ts';
+import {serviceOf, virtualTimeOf} from '../src/systems/fair-shares/services.ts';
 import {
 	ask, attachEngines, workspaceOf, type Engines,
 } from './support/engines.ts';
--- a/packages/core/test/lease.test.ts
+++ b/packages/core/test/lease.test.ts
@@ -1,5 +1,5 @@
-import {mayDispatch} from '../src/systems/lease.ts';
-import {liveMembers} from '../src/systems/membership.ts';
+import {mayDispatch} from '../src/systems/membership/lease.ts';
+import {liveMembers} from '../src/systems/membership/membership.ts';
 import {MemberState} from '../src/messages.ts';
 import type {LeaseRecord} from '../src/records.ts';
 import type {World} from '../src/world.ts';
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -1,5 +1,5 @@
 import type {StoreOperation} from '../src/ports.ts';
-import {onInstanceList} from '../src/systems/membership.ts';
+import {onInstanceList} from '../src/systems/membership/membership.ts';
 import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
 import {StoreFault} from './support/store-map.ts';
 
--- a/packages/core/test/requests.test.ts
+++ b/packages/core/test/requests.test.ts
@@ -2,8 +2,8 @@
 import type {CallerRequest} from '../src/ports.ts';
 import {Outcome, RefusalKind} from '../src/refusal.ts';
 import {RequestState} from '../src/rows.ts';
-import {addresses} from '../src/systems/addresses.ts';
-import {startAnswer} from '../src/systems/requests.ts';
+import {addresses} from '../src/systems/requests/addresses.ts';
+import {startAnswer} from '../src/systems/requests/requests.ts';
 import {
 	ask, askOnce, createRunningFleet, endAttempt, grantedAt, guestOf, permitsOut, refusalOf, runRecords, seen, starts, untilStarted, untilTold,
 } from './support/calls.ts';
--- a/packages/core/test/routes.test.ts
+++ b/packages/core/test/routes.test.ts
@@ -1,7 +1,7 @@
 import {Standing} from '../src/configuration.ts';
 import {step} from '../src/step.ts';
-import {applyOwner} from '../src/systems/owner-records.ts';
-import {routesOf} from '../src/systems/routes.ts';
+import {applyOwner} from '../src/systems/ownership/owner-records.ts';
+import {routesOf} from '../src/systems/requests/routes.ts';
 import {createWorld, type World} from '../src/world.ts';
 import {createFleet} from './support/fleet.ts';
 
--- a/packages/core/test/stop.test.ts
+++ b/packages/core/test/stop.test.ts
@@ -1,7 +1,7 @@
 import {AttemptEnd} from '../src/messages.ts';
 import {Outcome, RefusalKind} from '../src/refusal.ts';
-import {addresses} from '../src/systems/addresses.ts';
-import {withdrawalMs} from '../src/systems/leaving.ts';
+import {addresses} from '../src/systems/requests/addresses.ts';
+import {withdrawalMs} from '../src/systems/stop/leaving.ts';
 import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
 import {StoreFault} from './support/store-map.ts';
 
--- a/packages/core/test/support/fleet.ts
+++ b/packages/core/test/support/fleet.ts
@@ -8,7 +8,7 @@
 } from '../../src/ports.ts';
 import {encodeSnapshot} from '../../src/release-codec.ts';
 import {step} from '../../src/step.ts';
-import {mayDispatch} from '../../src/systems/lease.ts';
+import {mayDispatch} from '../../src/systems/membership/lease.ts';
 import {createWorld, type World} from '../../src/world.ts';
 import {createStoreMap, StoreFault} from './store-map.ts';
 
--- a/packages/core/test/work-conservation.test.ts
+++ b/packages/core/test/work-conservation.test.ts
@@ -1,5 +1,5 @@
 import type {Limits} from '../src/limits.ts';
-import {freeSlots} from '../src/systems/budgets.ts';
+import {freeSlots} from '../src/systems/targets/budgets.ts';
 import {attachEngines, ask, runLoaded} from './support/engines.ts';
 import {createFleet, tickMs, type Fleet} from './support/fleet.ts';
 
--- a/packages/router/src/callers/app.ts
+++ b/packages/router/src/callers/app.ts
@@ -10,8 +10,8 @@
 import {
 	Outcome, RefusalKind, refusals, type Refusal,
 } from '@shallotloom/core/refusal.ts';
-import {addresses} from '@shallotloom/core/systems/addresses.ts';
-import {stoppingRefusal, takesRequests} from '@shallotloom/core/systems/leaving.ts';
+import {addresses} from '@shallotloom/core/systems/requests/addresses.ts';
+import {stoppingRefusal, takesRequests} from '@shallotloom/core/systems/stop/leaving.ts';
 import type {World} from '@shallotloom/core/world.ts';
 import {refusalBody, refusalHeaders, type Exchange} from '../exchange.ts';
 import {readBody} from './body.ts';
--- a/packages/router/src/operators/views.ts
+++ b/packages/router/src/operators/views.ts
@@ -6,7 +6,7 @@
 import {
 	PhaseName, RouterState, type DomainReply, type MemberReply, type StatusReply, type TargetReply, type WorkspaceReply,
 } from '@shallotloom/core/operator-api.ts';
-import {virtualTimeOf} from '@shallotloom/core/systems/services.ts';
+import {virtualTimeOf} from '@shallotloom/core/systems/fair-shares/services.ts';
 import type {World} from '@shallotloom/core/world.ts';
 
 const phaseNames: Record<Phase, PhaseName> = {
--- a/packages/router/src/reading.ts
+++ b/packages/router/src/reading.ts
@@ -3,7 +3,7 @@
 */
 import process from 'node:process';
 import type {RefusalKind, Outcome, Refusal} from '@shallotloom/core/refusal.ts';
-import {virtualTimeOf, weightOf} from '@shallotloom/core/systems/services.ts';
+import {virtualTimeOf, weightOf} from '@shallotloom/core/systems/fair-shares/services.ts';
 import type {World} from '@shallotloom/core/world.ts';
 import type {Reading, StoreCall, WorkspaceReading} from './metrics.ts';
 import type {Traffic} from './traffic.ts';
--- a/packages/router/test/reading.test.ts
+++ b/packages/router/test/reading.test.ts
@@ -1,5 +1,5 @@
 import {createWorld} from '@shallotloom/core/world.ts';
-import {demandOf, spendRetry} from '@shallotloom/core/systems/demands.ts';
+import {demandOf, spendRetry} from '@shallotloom/core/systems/requests/demands.ts';
 import {createCounts} from '../src/reading.ts';
 import {createTraffic} from '../src/traffic.ts';
 
