--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,7 @@
 /** @type {import('jest').Config} */
 const config = {
 	testEnvironment: 'node',
-	testMatch: ['<rootDir>/packages/*/test/**/*.test.ts'],
+	testMatch: ['<rootDir>/packages/*/test/**/*.test.ts', '<rootDir>/platform/test/**/*.test.ts'],
 	transform: {
 		'\\.ts$': ['@swc/jest', {
 			jsc: {parser: {syntax: 'typescript'}, target: 'es2022'},
--- /dev/null
+++ b/packages/core/src/gateway/gateway.ts
@@ -0,0 +1,128 @@
+/*
+State of the routed calls of one instance. Every instance decides on its own: it places its callers' requests by the load
+that targets report and by what it has sent them itself. What the whole fleet must not exceed is split among its
+members. See docs/design/placement.md.
+*/
+import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
+import {MemberState} from '../messages.ts';
+import type {LogPart} from '../ports.ts';
+import {createTable, type Table} from '../table.ts';
+import type {Catalogue} from './catalogue.ts';
+import {gatewayLimitDefaults, type GatewayLimits} from './limits.ts';
+import type {GatewayOutbound} from './ports.ts';
+import type {
+	Call, Instance, PoolTarget, SendCount, Usage,
+} from './rows.ts';
+
+export type GatewaySelf = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl'>;
+
+/** Pace of one pool as this instance sees it. */
+export type Pace = {
+	pool: string;
+	/** Calls a second that found a place while others waited, exponentially weighted; 0 before the first. */
+	startsPerSecond: number;
+	startedAt: number;
+	/** Prompt tokens that its engines read in a millisecond; 0 before the first sample. */
+	readTokensPerMs: number;
+	/** Least time to a first byte seen of late. */
+	floorMs: number;
+	/** Mean time that a target works on a call without a prompt; 0 before the first sample. */
+	workMs: number;
+};
+
+export type Gateway = {
+	readonly self: GatewaySelf;
+	readonly limits: GatewayLimits;
+	/** Monotonic time of the current step. */
+	now: number;
+	startedAt: number;
+	state: MemberState;
+	stopAt: number | undefined;
+	/** Undefined before the first. */
+	catalogue: Catalogue | undefined;
+	/** Whether the platform's list of targets has been read. */
+	targetsListed: boolean;
+	targets: Table<PoolTarget>;
+	domainsOut: Set<string>;
+	/** Whether the platform answers, and since when. */
+	platform: {isReached: boolean; since: number};
+	calls: Table<Call>;
+	/** Ids of the calls that wait for a place, by pool, oldest first. */
+	waiting: Map<string, Set<string>>;
+	usages: Table<Usage>;
+	sendCounts: Map<string, SendCount[]>;
+	paces: Table<Pace>;
+	instances: Table<Instance>;
+	/** Whether the platform's list of instances has been read. */
+	instancesListed: boolean;
+	/** When a registration was last asked for; -Infinity before the first. */
+	registeredAt: number;
+	/** State that was last asked to be registered. */
+	registeredState: MemberState | undefined;
+	ranAt: Map<string, number>;
+	generator: RandomGenerator;
+	outbox: GatewayOutbound[];
+};
+
+export type GatewayOptions = {
+	self: GatewaySelf;
+	seed: number;
+	now: number;
+	limits?: Partial<GatewayLimits>;
+};
+
+/** Creates the state of an instance that has just started and knows nothing. */
+export function createGateway({self, seed, now, limits}: GatewayOptions): Gateway {
+	return {
+		self,
+		limits: {...gatewayLimitDefaults, ...limits},
+		now,
+		startedAt: now,
+		state: MemberState.Active,
+		stopAt: undefined,
+		catalogue: undefined,
+		targetsListed: false,
+		targets: createTable<PoolTarget>({key: target => target.id, index: target => target.pool}),
+		domainsOut: new Set(),
+		platform: {isReached: true, since: Number.NEGATIVE_INFINITY},
+		calls: createTable<Call>({key: call => call.id}),
+		waiting: new Map(),
+		usages: createTable<Usage>({key: usage => `${usage.pool}/${usage.workspace}`, index: usage => usage.pool}),
+		sendCounts: new Map(),
+		paces: createTable<Pace>({key: pace => pace.pool}),
+		instances: createTable<Instance>({key: instance => instance.id}),
+		instancesListed: false,
+		registeredAt: Number.NEGATIVE_INFINITY,
+		registeredState: undefined,
+		ranAt: new Map(),
+		generator: xoroshiro128plus(seed),
+		outbox: [],
+	};
+}
+
+/** Pace of a pool; a new one before its first sample. */
+export function paceOf({paces}: Gateway, pool: string): Pace {
+	const known = paces.get(pool);
+	if (known) {
+		return known;
+	}
+
+	const pace: Pace = {
+		pool, startsPerSecond: 0, startedAt: Number.NEGATIVE_INFINITY, readTokensPerMs: 0, floorMs: 0, workMs: 0,
+	};
+	paces.set(pace);
+	return pace;
+}
+
+type Note = {
+	part: LogPart;
+	level?: 'debug' | 'info' | 'warn' | 'error';
+	text: string;
+	request?: string;
+	fields?: Record<string, unknown>;
+};
+
+/** Adds a log line to the outbox. */
+export function note(gateway: Gateway, {level = 'info', ...rest}: Note) {
+	gateway.outbox.push({kind: 'log', level, ...rest});
+}
--- /dev/null
+++ b/packages/core/src/gateway/prompt-parts.ts
@@ -0,0 +1,53 @@
+/*
+What engines are expected to keep of prompts. A part is kept only after all parts before it, so what counts is how far a
+prompt's parts are kept from its start. Engines publish this late and with gaps; here it follows from the calls that this
+instance has sent, and from rendezvous hashing, by which all instances send a shared part to the same target first.
+*/
+import type {Gateway} from './gateway.ts';
+import type {PoolTarget, Prompt} from './rows.ts';
+
+/** Parts of a prompt that other calls may share: all but the last, which is the call's or its session's own. */
+export function sharedKey(prompt: Prompt): string | undefined {
+	return prompt.parts.at(-2)?.id;
+}
+
+function keeps({now, limits}: Gateway, target: PoolTarget, part: string): boolean {
+	const at = target.parts.get(part);
+	return at !== undefined && now - at <= limits.keptPartMs;
+}
+
+/** Tokens of a prompt that a target has to read, by what it is known here to keep. */
+export function unreadTokensAt(gateway: Gateway, target: PoolTarget, prompt: Prompt): number {
+	let unread = prompt.inputTokens;
+	for (const part of prompt.parts) {
+		if (!keeps(gateway, target, part.id)) {
+			break;
+		}
+
+		unread -= part.tokens;
+	}
+
+	return Math.max(0, unread);
+}
+
+/** Tokens of a prompt that a target has to read when it keeps all shared parts. */
+export function ownTokens(prompt: Prompt): number {
+	const shared = prompt.parts.slice(0, -1);
+	return Math.max(0, prompt.inputTokens - shared.reduce((sum, part) => sum + part.tokens, 0));
+}
+
+/** Notes that a target reads a prompt, and so keeps its parts. */
+export function rememberParts({now, limits}: Gateway, target: PoolTarget, prompt: Prompt) {
+	for (const {id} of prompt.parts) {
+		target.parts.delete(id);
+		target.parts.set(id, now);
+	}
+
+	for (const id of target.parts.keys()) {
+		if (target.parts.size <= limits.keptParts) {
+			break;
+		}
+
+		target.parts.delete(id);
+	}
+}
--- /dev/null
+++ b/packages/core/src/gateway/step.ts
@@ -0,0 +1,63 @@
+/*
+One step of the routed calls: the inbox by a table of handlers, then the systems in order.
+*/
+import {
+	callsSystem, onAnswerDelivered, onAnswerStarted, onCallArrived, onCallerGone, onSendEnded, timeoutsSystem,
+} from './calls.ts';
+import type {Gateway} from './gateway.ts';
+import {
+	digestsSystem, onDigest, onRegistrations, onStopRequested, registrationSystem, removalSystem, stopSystem,
+} from './instances.ts';
+import type {GatewayInbound, GatewayInboundOf, GatewayOutbound} from './ports.ts';
+import {
+	onCatalogue, onDomainsOut, onPlatformReach, onTargets, targetsSystem,
+} from './targets.ts';
+
+type InboundHandlers = {[Kind in GatewayInbound['kind']]: (gateway: Gateway, inbound: GatewayInboundOf<Kind>) => void};
+
+const inboundHandlers: InboundHandlers = {
+	callArrived: onCallArrived,
+	callerGone: onCallerGone,
+	answerStarted: onAnswerStarted,
+	answerDelivered: onAnswerDelivered,
+	sendEnded: onSendEnded,
+	catalogue: onCatalogue,
+	targets: onTargets,
+	domainsOut: onDomainsOut,
+	registrations: onRegistrations,
+	platformReach: onPlatformReach,
+	digest: onDigest,
+	stopRequested: onStopRequested,
+};
+
+/** The systems in the order in which they run. */
+const systems: Array<(gateway: Gateway) => void> = [
+	targetsSystem,
+	timeoutsSystem,
+	callsSystem,
+	registrationSystem,
+	digestsSystem,
+	removalSystem,
+	stopSystem,
+];
+
+/**
+Takes the inbox, runs the systems, and returns what the edges are to do.
+
+@param now Monotonic time in milliseconds; a time before that of the last step counts as that.
+*/
+export function gatewayStep(gateway: Gateway, now: number, inbox: Iterable<GatewayInbound>): GatewayOutbound[] {
+	gateway.now = Math.max(gateway.now, now);
+	for (const inbound of inbox) {
+		const handler = inboundHandlers[inbound.kind] as (gateway: Gateway, inbound: GatewayInbound) => void;
+		handler(gateway, inbound);
+	}
+
+	for (const system of systems) {
+		system(gateway);
+	}
+
+	const {outbox} = gateway;
+	gateway.outbox = [];
+	return outbox;
+}
--- /dev/null
+++ b/packages/core/src/gateway/targets.ts
@@ -0,0 +1,151 @@
+/*
+The targets that the platform lists. A target that is no longer listed gets no new work; only while the platform comes back
+from an outage may its entry have lapsed though it lives, and it is kept until the time for listing it again is over.
+*/
+import {LogPart} from '../ports.ts';
+import {note, type Gateway} from './gateway.ts';
+import type {GatewayInboundOf} from './ports.ts';
+import {TargetStanding, type ListedTarget, type PoolTarget} from './rows.ts';
+
+function createTarget({now}: Gateway, listed: ListedTarget): PoolTarget {
+	return {
+		...listed,
+		coldUntil: now + listed.coldForMs,
+		coldSends: [],
+		running: 0,
+		unreadTokens: 0,
+		reported: 0,
+		reportedAt: Number.NEGATIVE_INFINITY,
+		sentSince: 0,
+		endedSince: 0,
+		fullUntil: Number.NEGATIVE_INFINITY,
+		failuresInRow: 0,
+		setAsideUntil: Number.NEGATIVE_INFINITY,
+		missingSince: undefined,
+		parts: new Map(),
+	};
+}
+
+function logTarget(gateway: Gateway, text: string, {
+	id, pool, address, failureDomain, standing, coldForMs, start, revision,
+}: ListedTarget) {
+	note(gateway, {
+		part: LogPart.Target,
+		text,
+		fields: {
+			target: id, pool, address, failureDomain, standing, coldForMs, start, revision,
+		},
+	});
+}
+
+function addTarget(gateway: Gateway, listed: ListedTarget) {
+	gateway.targets.set(createTarget(gateway, listed));
+	logTarget(gateway, 'listed', listed);
+}
+
+function updateTarget(gateway: Gateway, target: PoolTarget, listed: ListedTarget) {
+	target.missingSince = undefined;
+	if (listed.revision === target.revision) {
+		return;
+	}
+
+	if (listed.start !== target.start || listed.pool !== target.pool || listed.address !== target.address) {
+		// Another process: nothing that was known of the one before holds.
+		const {running} = target;
+		gateway.targets.set({...createTarget(gateway, listed), running});
+		logTarget(gateway, 'listed again after a start', listed);
+		return;
+	}
+
+	Object.assign(target, listed, {coldUntil: Math.max(target.coldUntil, gateway.now + listed.coldForMs)});
+	logTarget(gateway, 'changed', listed);
+}
+
+function dropTarget(gateway: Gateway, target: PoolTarget, reason: string) {
+	gateway.targets.delete(target.id);
+	gateway.outbox.push({kind: 'targetGone', address: target.address});
+	logTarget(gateway, `gone: ${reason}`, target);
+}
+
+/** Whether entries may be missing only since the platform was away. */
+function isListDoubtful({platform, now, limits}: Gateway): boolean {
+	return !platform.isReached || now < platform.since + limits.relistMs;
+}
+
+export function onTargets(gateway: Gateway, {targets}: GatewayInboundOf<'targets'>) {
+	gateway.targetsListed = true;
+	const listed = new Set(targets.map(({id}) => id));
+	for (const target of targets) {
+		const known = gateway.targets.get(target.id);
+		if (known) {
+			updateTarget(gateway, known, target);
+		} else {
+			addTarget(gateway, target);
+		}
+	}
+
+	for (const target of gateway.targets.rows()) {
+		if (listed.has(target.id)) {
+			continue;
+		}
+
+		if (isListDoubtful(gateway) && target.standing === TargetStanding.Ready) {
+			target.missingSince ??= gateway.now;
+		} else {
+			dropTarget(gateway, target, 'not listed');
+		}
+	}
+}
+
+export function onDomainsOut(gateway: Gateway, {domains}: GatewayInboundOf<'domainsOut'>) {
+	const before = gateway.domainsOut;
+	gateway.domainsOut = new Set(domains);
+	for (const domain of domains) {
+		if (!before.has(domain)) {
+			note(gateway, {part: LogPart.Domain, text: 'taken out', fields: {domain}});
+		}
+	}
+
+	for (const domain of before) {
+		if (!gateway.domainsOut.has(domain)) {
+			note(gateway, {part: LogPart.Domain, text: 'taken back', fields: {domain}});
+		}
+	}
+}
+
+export function onPlatformReach(gateway: Gateway, {isReached}: GatewayInboundOf<'platformReach'>) {
+	if (isReached !== gateway.platform.isReached) {
+		gateway.platform = {isReached, since: gateway.now};
+		note(gateway, {part: LogPart.Membership, level: isReached ? 'info' : 'warn', text: isReached ? 'platform reached again' : 'platform lost'});
+	}
+}
+
+export function onCatalogue(gateway: Gateway, {catalogue}: GatewayInboundOf<'catalogue'>) {
+	const version = gateway.catalogue?.version;
+	if (version !== undefined && catalogue.version <= version) {
+		if (catalogue.version < version) {
+			note(gateway, {
+				part: LogPart.Release, level: 'warn', text: 'older catalogue ignored', fields: {version: catalogue.version, inForce: version},
+			});
+		}
+
+		return;
+	}
+
+	gateway.catalogue = catalogue;
+	gateway.outbox.push({kind: 'catalogueInForce', catalogue});
+	note(gateway, {part: LogPart.Release, text: 'catalogue in force', fields: {version: catalogue.version, before: version}});
+}
+
+/** Drops targets that are still missing when their time for being listed again is over. */
+export function targetsSystem(gateway: Gateway) {
+	if (isListDoubtful(gateway)) {
+		return;
+	}
+
+	for (const target of gateway.targets.rows()) {
+		if (target.missingSince !== undefined) {
+			dropTarget(gateway, target, 'not listed again after the outage');
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/gateway/waiting.ts
@@ -0,0 +1,170 @@
+/*
+Calls that wait for a place at a target. The queue of a pool is short: it holds no more than what is expected to start within
+the callers' patience. Beyond that a call of the workspace that has used most is refused at once and told when to come
+back, so a flood of one workspace doesn't push out the others.
+*/
+import {LogPart} from '../ports.ts';
+import {
+	Outcome, RefusalKind, type Refusal,
+} from '../refusal.ts';
+import {second} from '../units.ts';
+import {random} from '../world.ts';
+import {note, paceOf, type Gateway} from './gateway.ts';
+import {choose, soundTargets, type Choice} from './placement.ts';
+import {CallState, type Call} from './rows.ts';
+import {usedBy} from './usage.ts';
+
+/** Weight of a sample in the mean rate of starts. */
+const paceWeight = 0.1;
+
+/** Calls that may wait in a pool whose pace isn't known yet. */
+const unknownPaceLimit = 8;
+
+/** Part of the time to come back by which callers are spread. */
+const spread = 0.5;
+
+function queueOf({waiting}: Gateway, pool: string): Set<string> {
+	const known = waiting.get(pool);
+	if (known) {
+		return known;
+	}
+
+	const queue = new Set<string>();
+	waiting.set(pool, queue);
+	return queue;
+}
+
+function callsOf(gateway: Gateway, pool: string): Call[] {
+	return [...queueOf(gateway, pool)].map(id => gateway.calls.get(id)!);
+}
+
+/** Number of calls that wait for a pool. */
+export function waitingCount({waiting}: Gateway, pool: string): number {
+	return waiting.get(pool)?.size ?? 0;
+}
+
+/** When a call that finds no place is to come back: once the queue has drained, spread over callers. */
+export function comeBackAfter(gateway: Gateway, pool: string): number {
+	const {startsPerSecond} = paceOf(gateway, pool);
+	const drainMs = startsPerSecond > 0 ? waitingCount(gateway, pool) * second / startsPerSecond : 0;
+	const base = Math.max(gateway.limits.retryAfterMs, drainMs);
+	return Math.round(base * (1 + (spread * random(gateway))));
+}
+
+/** Refusal of a call for which no target has a place; it has not run. */
+export function noPlace(gateway: Gateway, call: Pick<Call, 'pool'>): Refusal {
+	const isServed = soundTargets(gateway, call.pool).length > 0;
+	return {
+		kind: RefusalKind.NoCapacity,
+		outcome: Outcome.NotRun,
+		detail: call.pool,
+		retryAfterMs: isServed ? comeBackAfter(gateway, call.pool) : gateway.limits.noTargetRetryMs,
+	};
+}
+
+/** Puts a call into the queue of its pool. */
+export function enterWaiting(gateway: Gateway, call: Call) {
+	call.state = CallState.Waiting;
+	queueOf(gateway, call.pool).add(call.id);
+}
+
+export function leaveWaiting({waiting}: Gateway, call: Call) {
+	waiting.get(call.pool)?.delete(call.id);
+}
+
+/** Order of service: rank, then least use of the pool, then age. */
+function nextOf(gateway: Gateway, calls: Call[]): Call | undefined {
+	let next: Call | undefined;
+	let nextUse = 0;
+	for (const call of calls) {
+		const use = usedBy(gateway, call.pool, call.workspace);
+		if (!next || call.priority < next.priority || (call.priority === next.priority && use < nextUse)) {
+			next = call;
+			nextUse = use;
+		}
+	}
+
+	return next;
+}
+
+function measurePace(gateway: Gateway, pool: string) {
+	const pace = paceOf(gateway, pool);
+	const gapMs = gateway.now - pace.startedAt;
+	pace.startedAt = gateway.now;
+	if (gapMs > 0 && gapMs < second) {
+		const sample = second / gapMs;
+		pace.startsPerSecond = pace.startsPerSecond === 0 ? sample : pace.startsPerSecond + (paceWeight * (sample - pace.startsPerSecond));
+	}
+}
+
+/** Most calls that may wait: those that are expected to start within the patience of the newest. */
+function queueLimit(gateway: Gateway, pool: string, call: Call): number {
+	const {startsPerSecond} = paceOf(gateway, pool);
+	return startsPerSecond === 0
+		? unknownPaceLimit
+		: Math.max(1, Math.floor(startsPerSecond * (call.patienceUntil - gateway.now) / second));
+}
+
+/** The waiting call that gives way: the newest of the workspace that has used and asks for most. */
+function victimOf(gateway: Gateway, calls: Call[]): Call {
+	const asked = new Map<string, number>();
+	for (const {workspace, cost} of calls) {
+		asked.set(workspace, (asked.get(workspace) ?? 0) + cost);
+	}
+
+	let victim = calls[0]!;
+	let most = -1;
+	for (const call of calls) {
+		const weight = asked.get(call.workspace)! + usedBy(gateway, call.pool, call.workspace);
+		if (call.priority > victim.priority || (call.priority === victim.priority && weight >= most)) {
+			victim = call;
+			most = weight;
+		}
+	}
+
+	return victim;
+}
+
+/**
+Keeps a queue within its limit after a call was added.
+
+@returns The call that has to be refused; undefined when all may wait.
+*/
+export function overflowOf(gateway: Gateway, added: Call): Call | undefined {
+	if (waitingCount(gateway, added.pool) <= queueLimit(gateway, added.pool, added)) {
+		return undefined;
+	}
+
+	const victim = victimOf(gateway, callsOf(gateway, added.pool));
+	note(gateway, {
+		part: LogPart.Fair,
+		level: 'debug',
+		text: 'queue full',
+		request: victim.id,
+		fields: {
+			pool: victim.pool, workspace: victim.workspace, used: Math.round(usedBy(gateway, victim.pool, victim.workspace)), waiting: waitingCount(gateway, victim.pool),
+		},
+	});
+	return victim;
+}
+
+/** Starts waiting calls while there are places. */
+export function startWaiting(gateway: Gateway, start: (call: Call, choice: Choice) => void) {
+	for (const [pool, queue] of gateway.waiting) {
+		let calls = queue.size > 0 ? callsOf(gateway, pool) : [];
+		while (calls.length > 0) {
+			const call = nextOf(gateway, calls)!;
+			const choice = choose(gateway, call);
+			if (!choice && call.tried.length === 0) {
+				break;
+			}
+
+			calls = calls.filter(other => other !== call);
+			if (choice) {
+				leaveWaiting(gateway, call);
+				measurePace(gateway, pool);
+				start(call, choice);
+			}
+		}
+	}
+}
--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -12,6 +12,9 @@
 export enum RefusalKind {
 	UnknownWorkspace = 'unknown-workspace',
 	UnknownPool = 'unknown-pool',
+	UnknownRoute = 'unknown-route',
+	HeadersTooLarge = 'headers-too-large',
+	RequestTimeout = 'request-timeout',
 	BodyTooLarge = 'body-too-large',
 	MalformedBody = 'malformed-body',
 	DeadlinePassed = 'deadline-passed',
@@ -57,6 +60,21 @@
 		message: detail => `no model or service is named "${detail}"`,
 		hint: 'Ask an operator which models and services the current release has.',
 	},
+	[RefusalKind.UnknownRoute]: {
+		status: 404,
+		message: detail => `no route of host "${detail}" fits the path`,
+		hint: 'Ask an operator which routes are in force.',
+	},
+	[RefusalKind.HeadersTooLarge]: {
+		status: 431,
+		message: () => 'the request headers are too large',
+		hint: 'Send fewer or shorter headers.',
+	},
+	[RefusalKind.RequestTimeout]: {
+		status: 408,
+		message: () => 'the request took too long to arrive',
+		hint: 'Send the request again, on a new connection.',
+	},
 	[RefusalKind.BodyTooLarge]: {
 		status: 413,
 		message: detail => `the request body is larger than ${detail} bytes`,
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -212,17 +212,17 @@
 }
 
 /** Uniform number in [0, 1). */
-export function random(world: World): number {
+export function random(world: Pick<World, 'generator'>): number {
 	return (world.generator.unsafeNext() / 0x1_00_00_00_00) + 0.5;
 }
 
 /** Uniform element of a list that isn't empty. */
-export function pick<Item>(world: World, items: readonly Item[]): Item | undefined {
+export function pick<Item>(world: Pick<World, 'generator'>, items: readonly Item[]): Item | undefined {
 	return items[Math.floor(random(world) * items.length)];
 }
 
 /** The items in random order. */
-export function shuffled<Item>(world: World, items: Item[]): Item[] {
+export function shuffled<Item>(world: Pick<World, 'generator'>, items: Item[]): Item[] {
 	return items
 		.map(item => ({item, key: random(world)}))
 		.toSorted((a, b) => a.key - b.key)
@@ -275,7 +275,7 @@
 }
 
 /** Whether a periodic system is due; when it is, its period starts anew. */
-export function due(world: World, name: string, periodMs: number): boolean {
+export function due(world: Pick<World, 'now' | 'ranAt'>, name: string, periodMs: number): boolean {
 	const last = world.ranAt.get(name);
 	if (last !== undefined && world.now - last < periodMs) {
 		return false;
--- a/packages/platform/src/http-call.ts
+++ b/packages/platform/src/http-call.ts
@@ -6,7 +6,7 @@
 import type {PlatformError} from './errors.ts';
 
 export type HttpCall = {
-	method: 'GET' | 'PUT' | 'DELETE';
+	method: 'GET' | 'POST' | 'PUT' | 'DELETE';
 	/** Path and query, already encoded. */
 	path: string;
 	headers?: Record<string, string>;
--- a/packages/router/src/core-loop.ts
+++ b/packages/router/src/core-loop.ts
@@ -2,15 +2,18 @@
 Runs the core: collects the inbox, takes a step on each tick and at once when something arrives, and hands each item of
 the outbox to the edge that carries it out.
 */
-import type {Inbound, Outbound, OutboundOf} from '@shallotloom/core/ports.ts';
-import {step} from '@shallotloom/core/step.ts';
-import type {World} from '@shallotloom/core/world.ts';
+import type {Outbound} from '@shallotloom/core/ports.ts';
 import type {Timer} from './timer.ts';
 
+type Tagged = {kind: string};
+
 /** Edge functions by kind of outbox item. */
-export type Edges = {[Kind in Outbound['kind']]: (item: OutboundOf<Kind>) => void};
+export type EdgesOf<Item extends Tagged> = {[Kind in Item['kind']]: (item: Extract<Item, {kind: Kind}>) => void};
+
+/** Edges of the permits' core. */
+export type Edges = EdgesOf<Outbound>;
 
-export type CoreLoop = {
+export type CoreLoop<Inbound> = {
 	/** Adds to the inbox; a step follows within the same turn of the event loop. */
 	push(inbound: Inbound): void;
 	/** Adds to the inbox without a step of its own, for what can wait until the next. */
@@ -20,17 +23,20 @@
 	stop(): void;
 };
 
-export type CoreLoopOptions = {
-	world: World;
+export type CoreLoopOptions<Inbound, Item extends Tagged> = {
+	/** Takes one step at a time and returns what the edges are to do. */
+	step: (now: number, inbox: Inbound[]) => Item[];
 	timer: Timer;
 	tickMs: number;
-	edges: Edges;
+	edges: EdgesOf<Item>;
 	/** Called after each step with its duration in milliseconds. */
 	onStep: (ms: number) => void;
 };
 
 /** Creates the loop. */
-export function createCoreLoop({world, timer, tickMs, edges, onStep}: CoreLoopOptions): CoreLoop {
+export function createCoreLoop<Inbound, Item extends Tagged>({
+	step, timer, tickMs, edges, onStep,
+}: CoreLoopOptions<Inbound, Item>): CoreLoop<Inbound> {
 	let inbox: Inbound[] = [];
 	let isScheduled = false;
 	let unsubscribe: (() => void) | undefined;
@@ -40,10 +46,10 @@
 		const taken = inbox;
 		inbox = [];
 		const before = timer.now();
-		const outbox = step(world, before, taken);
+		const outbox = step(before, taken);
 		onStep(timer.now() - before);
 		for (const item of outbox) {
-			const edge = edges[item.kind] as (item: Outbound) => void;
+			const edge = edges[item.kind as Item['kind']] as (item: Item) => void;
 			edge(item);
 		}
 	}
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -45,11 +45,15 @@
 	};
 }
 
-/** Headers of a refusal: Retry-After in whole seconds where coming back helps. */
-export function refusalHeaders({retryAfterMs}: Refusal): Record<string, string> {
+/**
+Headers of a refusal: Retry-After where coming back helps, in whole seconds.
+
+@param fractions Whether callers take fractions of a second.
+*/
+export function refusalHeaders({retryAfterMs}: Refusal, fractions = false): Record<string, string> {
 	return {
 		'content-type': 'application/json',
-		...(retryAfterMs !== undefined && {'retry-after': String(Math.ceil(retryAfterMs / 1000))}),
+		...(retryAfterMs !== undefined && {'retry-after': String(fractions ? retryAfterMs / 1000 : Math.ceil(retryAfterMs / 1000))}),
 	};
 }
 
--- a/packages/router/src/log.ts
+++ b/packages/router/src/log.ts
@@ -26,6 +26,8 @@
 	text: string;
 	/** Id of the request that the line is about. */
 	request?: string | undefined;
+	/** What decided it: inputs with their age or version, and the outcome. */
+	fields?: Record<string, unknown> | undefined;
 };
 
 export type Log = {
@@ -58,9 +60,11 @@
 		transports: [new transports.Stream({stream: destination, eol: '\n'})],
 	});
 	return {
-		write({part, level: severity, text, request}) {
+		write({
+			part, level: severity, text, request, fields,
+		}) {
 			logger.log({
-				level: severity, message: redact(text), part, request, at: new Date(),
+				level: severity, message: redact(text), part, request, fields, at: new Date(),
 			});
 		},
 		async close() {
@@ -78,16 +82,22 @@
 	message: string;
 	part: string;
 	request?: string;
+	fields?: Record<string, unknown>;
 	at: Date;
 };
 
 const forms: Record<LogOptions['format'], (record: LogRecord) => string> = {
-	json: ({at, level, part, message, request}) => JSON.stringify({
-		at: at.toISOString(), level, part, text: message, request,
+	json: ({
+		at, level, part, message, request, fields,
+	}) => JSON.stringify({
+		at: at.toISOString(), level, part, text: message, request, ...fields,
 	}),
-	text({at, level, part, message, request}) {
+	text({
+		at, level, part, message, request, fields,
+	}) {
 		const suffix = request === undefined ? '' : ` (${request})`;
-		return `${timeOfDay(at)} ${level} [${part}] ${message}${suffix}`.replaceAll('\r', String.raw`\r`).replaceAll('\n', String.raw`\n`);
+		const inputs = fields === undefined ? '' : ` ${JSON.stringify(fields)}`;
+		return `${timeOfDay(at)} ${level} [${part}] ${message}${inputs}${suffix}`.replaceAll('\r', String.raw`\r`).replaceAll('\n', String.raw`\n`);
 	},
 };
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,9 +3,10 @@
 */
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
-import type {Inbound} from '@shallotloom/core/ports.ts';
+import type {Inbound, Outbound} from '@shallotloom/core/ports.ts';
 import {readNote} from '@shallotloom/core/release-note.ts';
 import {applyNote} from '@shallotloom/core/release.ts';
+import {step} from '@shallotloom/core/step.ts';
 import {createWorld, type World} from '@shallotloom/core/world.ts';
 import type {ObjectStore} from '@shallotloom/platform/object-store.ts';
 import type {RouterSettings} from '@shallotloom/settings/router-settings.ts';
@@ -127,8 +128,8 @@
 		releaseAnswered: proposals.onAnswered,
 		stopped: onStopped,
 	};
-	const loop: CoreLoop = createCoreLoop({
-		world, timer, tickMs: settings.control.tickMs, edges, onStep: counts.countStep,
+	const loop: CoreLoop<Inbound> = createCoreLoop<Inbound, Outbound>({
+		step: (now, inbox) => step(world, now, inbox), timer, tickMs: settings.control.tickMs, edges, onStep: counts.countStep,
 	});
 
 	startLoadPoll({
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,5 +1,6 @@
 /*
-Bundles each program into one file under dist/, so that it starts as `node dist/NAME.js`.
+Bundles each program into one file under dist/, so that it starts as `node dist/NAME.js`; with --platform those of the
+users' platform, under target/.
 */
 import process from 'node:process';
 import {execFileSync} from 'node:child_process';
@@ -16,6 +17,11 @@
 	'shallotloom-bench': 'packages/bench/src/cli/main.ts',
 };
 
+/** Programs of the users' platform, which go under target/. */
+const platformPrograms = {
+	'shallotloom-gateway': 'platform/src/main.ts',
+};
+
 function commit() {
 	try {
 		return execFileSync('git', ['rev-parse', '--short', 'HEAD'], {encoding: 'utf8', stdio: ['ignore', 'pipe', 'ignore']}).trim();
@@ -25,22 +31,25 @@
 }
 
 const {version} = JSON.parse(readFileSync('package.json', 'utf8'));
-const entryPoints = Object.fromEntries(Object.entries(programs).filter(([, entry]) => existsSync(entry)));
+const forPlatform = process.argv.includes('--platform');
+const entryPoints = forPlatform ? platformPrograms : Object.fromEntries(Object.entries(programs).filter(([, entry]) => existsSync(entry)));
 
 await build({
 	entryPoints,
-	outdir: 'dist',
+	outdir: forPlatform ? 'target' : 'dist',
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
 	format: 'esm',
 	legalComments: 'none',
-	sourcemap: 'linked',
+	sourcemap: forPlatform ? false : 'linked',
+	minify: forPlatform,
+	keepNames: forPlatform,
 	logLevel: quiet ? 'error' : 'warning',
 	define: {SHALLOTLOOM_VERSION: JSON.stringify(`${version}+${commit()}`)},
 	banner: {js: 'import {createRequire as __createRequire} from \'node:module\'; const require = __createRequire(import.meta.url);'},
 });
 
 if (!quiet) {
-	console.log(`built ${Object.keys(entryPoints).length} programs under dist/`);
+	console.log(`built ${Object.keys(entryPoints).length} programs under ${forPlatform ? 'target' : 'dist'}/`);
 }
