End planned stops before their bound, and bound the requests at an engine

Two causes, measured apart.

Ruled out: a longer linger (callers keep addresses for 2 s); a fixed bound of requests (it depends on model and machine).

Change: the listener closes after the linger and calls finish. An answer without a length whose connection is reset is broken. The limit of requests at an engine follows the times to first byte by additive increase and multiplicative decrease; a long shared part has two homes by rendezvous hashing and spreads over at most four while those are full; digests tell what targets have of each instance.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -13,7 +13,10 @@
 } from './catalogue.ts';
 import {countColdSend} from './cold-limits.ts';
 import {note, paceOf, type Gateway} from './gateway.ts';
-import {countEnd, countSend, takeLoad} from './loads.ts';
+import {adjustLimit} from './engine-limits.ts';
+import {
+	countEnd, countSend, loadOf, takeLoad,
+} from './loads.ts';
 import {choose, soundTargets, type Choice} from './placement.ts';
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
 import {rememberParts} from './prompt-parts.ts';
@@ -275,7 +278,12 @@
 		return;
 	}
 
+	const expectedLoad = loadOf(gateway, target);
 	takeLoad(gateway, target, load);
+	if (call.prompt) {
+		adjustLimit(gateway, call, target, expectedLoad);
+	}
+
 	measureFirstByte(gateway, call, target.unreadTokens);
 	target.unreadTokens = Math.max(0, target.unreadTokens - call.unreadTokens);
 	call.unreadTokens = 0;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -26,10 +26,21 @@
 	readTokensPerMs: number;
 	/** Least time to a first byte seen of late. */
 	floorMs: number;
+	/** Most requests at once at one of its engines, by the times to first byte seen; 0 before the first call. */
+	limit: number;
 	/** Mean time that a target works on a call without a prompt; 0 before the first sample. */
 	workMs: number;
 };
 
+/** How far a planned stop has come. */
+export enum StopPhase {
+	/** Callers that keep an address longer are still served. */
+	Lingering = 'lingering',
+	/** No connection is taken any more; calls finish. */
+	Draining = 'draining',
+	Done = 'done',
+}
+
 export type Gateway = {
 	readonly self: GatewaySelf;
 	readonly limits: GatewayLimits;
@@ -37,7 +48,9 @@
 	now: number;
 	startedAt: number;
 	state: MemberState;
+	/** When a stop was requested; undefined while none was. */
 	stopAt: number | undefined;
+	stopPhase: StopPhase;
 	/** Undefined before the first. */
 	catalogue: Catalogue | undefined;
 	/** Whether the platform's list of targets has been read. */
@@ -80,6 +93,7 @@
 		startedAt: now,
 		state: MemberState.Active,
 		stopAt: undefined,
+		stopPhase: StopPhase.Lingering,
 		catalogue: undefined,
 		targetsListed: false,
 		targets: createTable<PoolTarget>({key: target => target.id, index: target => target.pool}),
@@ -108,7 +122,7 @@
 	}
 
 	const pace: Pace = {
-		pool, startsPerSecond: 0, startedAt: Number.NEGATIVE_INFINITY, readTokensPerMs: 0, floorMs: 0, workMs: 0,
+		pool, startsPerSecond: 0, startedAt: Number.NEGATIVE_INFINITY, readTokensPerMs: 0, floorMs: 0, limit: 0, workMs: 0,
 	};
 	paces.set(pace);
 	return pace;
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -7,9 +7,10 @@
 import {LogPart} from '../ports.ts';
 import {rendezvousScore} from '../hash.ts';
 import {due} from '../world.ts';
-import {note, type Gateway} from './gateway.ts';
+import {note, StopPhase, type Gateway} from './gateway.ts';
 import type {GatewayInboundOf, Registration} from './ports.ts';
 import type {Instance} from './rows.ts';
+import {ownRunning, updateRemoteRunning} from './loads.ts';
 import {ownServices, updateRemoteUse} from './usage.ts';
 
 function registrationOf({self, state}: Gateway): Registration {
@@ -59,6 +60,7 @@
 		// At the first list nothing is known of how fresh an entry is.
 		heardAt: Number.NEGATIVE_INFINITY,
 		services: [],
+		running: [],
 	});
 	note(gateway, {
 		part: LogPart.Membership,
@@ -82,6 +84,7 @@
 	instance.heardAt = gateway.now;
 	instance.state = digest.state;
 	instance.services = digest.services;
+	instance.running = digest.pools;
 }
 
 function createDigest(gateway: Gateway): Digest {
@@ -96,7 +99,7 @@
 		leaseSequence: 0,
 		storeAgeMs: -1,
 		services: ownServices(gateway),
-		pools: [],
+		pools: ownRunning(gateway),
 		heard: [],
 	};
 }
@@ -109,6 +112,7 @@
 
 	sendDigests(gateway);
 	updateRemoteUse(gateway);
+	updateRemoteRunning(gateway);
 }
 
 function sendDigests(gateway: Gateway) {
@@ -180,7 +184,7 @@
 	const named: Instance[] = [...gateway.instances.rows()].filter(instance => isNamed(gateway, instance) && (!isSelf(gateway, instance) || isReady(gateway)));
 	if (isReady(gateway) && !named.some(instance => isSelf(gateway, instance))) {
 		named.push({
-			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, services: [],
+			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, services: [], running: [],
 		});
 	}
 
@@ -199,20 +203,30 @@
 	note(gateway, {part: LogPart.Stop, text: 'stop requested', fields: {calls: gateway.calls.size}});
 }
 
-/** Ends a planned stop when the callers have had time to leave and all calls are answered. */
-export function stopSystem(gateway: Gateway) {
-	const {stopAt, now, limits, calls} = gateway;
-	if (stopAt === undefined || !due(gateway, 'stop', stopCheckMs)) {
-		return;
-	}
+/** What a planned stop does next, by how far it has come. */
+const stopPhases: Record<StopPhase, (gateway: Gateway, sinceMs: number) => void> = {
+	[StopPhase.Lingering](gateway, sinceMs) {
+		if (sinceMs >= gateway.limits.lingerMs) {
+			gateway.stopPhase = StopPhase.Draining;
+			gateway.outbox.push({kind: 'closeListener'});
+			note(gateway, {part: LogPart.Stop, text: 'takes no more callers', fields: {calls: gateway.calls.size}});
+		}
+	},
+	[StopPhase.Draining](gateway, sinceMs) {
+		if (gateway.calls.size === 0 || sinceMs >= gateway.limits.stopMs) {
+			gateway.stopPhase = StopPhase.Done;
+			gateway.outbox.push({kind: 'withdraw'}, {kind: 'stopped'});
+			note(gateway, {part: LogPart.Stop, text: 'stopped', fields: {calls: gateway.calls.size, afterMs: Math.round(sinceMs)}});
+		}
+	},
+	[StopPhase.Done]() {
+		// The process ends.
+	},
+};
 
-	const isDrained = now - stopAt >= limits.lingerMs && calls.size === 0;
-	if (isDrained || now - stopAt >= limits.stopMs) {
-		gateway.outbox.push({kind: 'withdraw'}, {kind: 'stopped'});
-		note(gateway, {part: LogPart.Stop, text: 'stopped', fields: {calls: calls.size, afterMs: Math.round(now - stopAt)}});
-		gateway.stopAt = Number.POSITIVE_INFINITY;
+/** Carries a planned stop on. */
+export function stopSystem(gateway: Gateway) {
+	if (gateway.stopAt !== undefined) {
+		stopPhases[gateway.stopPhase](gateway, gateway.now - gateway.stopAt);
 	}
 }
-
-/** Period at which a planned stop looks whether it is done, in milliseconds. */
-const stopCheckMs = 50;
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -40,6 +40,14 @@
 	keptParts: number;
 	/** Delay that one more running request adds at an engine. */
 	engineLoadMs: number;
+	/** Homes of a shared part of prompts: targets that all instances send it to. */
+	homes: number;
+	/** Most targets over which a shared part spreads while its homes are full. */
+	homesMax: number;
+	/** Shared tokens from which a call goes to the homes of its part only. */
+	boundTokens: number;
+	/** Weight of reading a shared token once more against reading one of the call's own. */
+	rereadWeight: number;
 	/** Delay of a request to another failure domain and back. */
 	crossDomainMs: number;
 	/** Prompt tokens that an engine reads in a millisecond, before it was measured. */
@@ -84,6 +92,10 @@
 	keptPartMs: 30 * second,
 	keptParts: 4096,
 	engineLoadMs: 2,
+	homes: 2,
+	homesMax: 4,
+	boundTokens: 1000,
+	rereadWeight: 5,
 	crossDomainMs: 3,
 	readTokensPerMs: 50,
 	patience: 0.5,
@@ -93,6 +105,6 @@
 	relistMs: 2.2 * second,
 	goneMs: 10 * second,
 	registerMs: 2 * second,
-	lingerMs: 3 * second,
+	lingerMs: 2.5 * second,
 	stopMs: 7 * second,
 };
--- a/packages/core/src/gateway/loads.ts
+++ b/packages/core/src/gateway/loads.ts
@@ -1,7 +1,9 @@
 /*
 Estimates of how busy targets are. An answer tells how many requests its target had; until the next one, what this instance
-has sent and seen end since is added. Without a recent report only its own requests are known.
+has sent and seen end since is added. Without a recent report the sum of what the instances tell each other counts.
 */
+import type {PoolEntry} from '../messages.ts';
+import {engineLimit} from './engine-limits.ts';
 import type {Gateway} from './gateway.ts';
 import type {LoadReport, PoolTarget} from './rows.ts';
 
@@ -10,12 +12,18 @@
 	const isRecent = now - target.reportedAt <= limits.loadReportMs;
 	return isRecent
 		? Math.max(target.running, target.reported + target.sentSince - target.endedSince)
-		: target.running;
+		: target.running + target.remoteRunning;
 }
 
 /** Whether a target has a place for one more request, by estimate. */
 export function hasPlace(gateway: Gateway, target: PoolTarget): boolean {
-	return gateway.now >= target.fullUntil && (target.slots === 0 || loadOf(gateway, target) < target.slots);
+	if (gateway.now < target.fullUntil) {
+		return false;
+	}
+
+	const isEngine = gateway.catalogue?.pools.get(target.pool)?.isEngine ?? false;
+	const limit = isEngine ? engineLimit(gateway, target) : target.slots;
+	return loadOf(gateway, target) < limit;
 }
 
 /** Takes a report that came with an answer. */
@@ -42,3 +50,37 @@
 	target.running -= 1;
 	target.endedSince += 1;
 }
+
+/** Requests of this instance that targets have, for its digests. */
+export function ownRunning(gateway: Gateway): PoolEntry[] {
+	const entries: PoolEntry[] = [];
+	for (const {id, running} of gateway.targets.rows()) {
+		if (running > 0) {
+			entries.push({
+				pool: id, free: 0, budget: 0, waiting: running, frontier: -1,
+			});
+		}
+	}
+
+	return entries;
+}
+
+/** Sums up what the other instances told last; those that are silent count no longer. */
+export function updateRemoteRunning(gateway: Gateway) {
+	for (const target of gateway.targets.rows()) {
+		target.remoteRunning = 0;
+	}
+
+	for (const instance of gateway.instances.rows()) {
+		if (gateway.now - instance.heardAt > gateway.limits.heardMs) {
+			continue;
+		}
+
+		for (const {pool: id, waiting: running} of instance.running) {
+			const target = gateway.targets.get(id);
+			if (target) {
+				target.remoteRunning += running;
+			}
+		}
+	}
+}
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -3,12 +3,13 @@
 reading of the prompt's unread tokens behind those of this instance's other calls, and a delay for each request that runs
 there; for services it is the queue.
 */
-import {rendezvousScore} from '../hash.ts';
 import {random} from '../world.ts';
 import {hasColdRoom} from './cold-limits.ts';
 import {paceOf, type Gateway} from './gateway.ts';
 import {hasPlace, loadOf} from './loads.ts';
-import {ownTokens, sharedKey, unreadTokensAt} from './prompt-parts.ts';
+import {
+	homesOf, ownTokens, sharedKey, sharedTokens, unreadTokensAt,
+} from './prompt-parts.ts';
 import {TargetStanding, type Call, type PoolTarget} from './rows.ts';
 
 /** Targets within this of the best are equal, in milliseconds. */
@@ -36,12 +37,43 @@
 
 function engineCandidate(gateway: Gateway, call: Call, target: PoolTarget, isHome: boolean): Candidate {
 	const prompt = call.prompt!;
+	const own = ownTokens(prompt);
 	const known = unreadTokensAt(gateway, target, prompt);
-	const unreadTokens = isHome ? Math.min(known, ownTokens(prompt)) : known;
-	const readMs = (target.unreadTokens + unreadTokens) / readSpeed(gateway, target.pool);
+	const unreadTokens = isHome ? Math.min(known, own) : known;
+	// A shared part that is read at one more target takes time there and room from the parts that it keeps.
+	const reread = Math.max(0, unreadTokens - own) * (gateway.limits.rereadWeight - 1);
+	const readMs = (target.unreadTokens + unreadTokens + reread) / readSpeed(gateway, target.pool);
 	return {target, unreadTokens, costMs: readMs + (loadOf(gateway, target) * gateway.limits.engineLoadMs)};
 }
 
+/** Engines that a call may go to now. A long shared part stays at its homes, and spreads in their order while those are full. */
+function engineCandidates(gateway: Gateway, call: Call, targets: PoolTarget[]): Candidate[] {
+	const {homes, homesMax, boundTokens} = gateway.limits;
+	const prompt = call.prompt!;
+	const key = sharedKey(prompt);
+	const ranked = key === undefined ? targets : homesOf(key, targets);
+	const isFree = (target: PoolTarget) => hasRoom(gateway, call, target);
+	if (key === undefined || sharedTokens(prompt) < boundTokens) {
+		return ranked
+			.map((target, rank) => ({target, isHome: key !== undefined && rank < homes}))
+			.filter(({target}) => isFree(target))
+			.map(({target, isHome}) => engineCandidate(gateway, call, target, isHome));
+	}
+
+	const near = ranked.slice(0, homes).filter(target => isFree(target));
+	if (near.length > 0) {
+		return near.map(target => engineCandidate(gateway, call, target, true));
+	}
+
+	const next = ranked.slice(homes, homesMax).find(target => isFree(target));
+	return next ? [engineCandidate(gateway, call, next, false)] : [];
+}
+
+/** Whether a call may be sent to a target now. */
+function hasRoom(gateway: Gateway, call: Call, target: PoolTarget): boolean {
+	return !call.tried.includes(target.id) && hasPlace(gateway, target) && hasColdRoom(gateway, target);
+}
+
 function serviceCandidate(gateway: Gateway, target: PoolTarget): Candidate {
 	const pace = paceOf(gateway, target.pool);
 	const workMs = pace.workMs > 0 ? pace.workMs : workDefaultMs;
@@ -52,26 +84,6 @@
 	return {target, unreadTokens: 0, costMs: ((queued + (load / slots)) * workMs / slots) + distanceMs};
 }
 
-/** The target that all instances send a shared part to first. */
-function homeOf(call: Call, targets: PoolTarget[]): PoolTarget | undefined {
-	const key = call.prompt && sharedKey(call.prompt);
-	if (key === undefined) {
-		return undefined;
-	}
-
-	let home: PoolTarget | undefined;
-	let best = -1;
-	for (const target of targets) {
-		const score = rendezvousScore(key, target.id);
-		if (score > best) {
-			best = score;
-			home = target;
-		}
-	}
-
-	return home;
-}
-
 /** One of the candidates with the least cost, at random. */
 function cheapest(gateway: Gateway, candidates: Candidate[]): Candidate | undefined {
 	const least = Math.min(...candidates.map(({costMs}) => costMs));
@@ -99,11 +111,9 @@
 export function choose(gateway: Gateway, call: Call): Choice | undefined {
 	const targets = soundTargets(gateway, call.pool);
 	const isEngine = call.prompt !== undefined && (gateway.catalogue?.pools.get(call.pool)?.isEngine ?? false);
-	const home = isEngine ? homeOf(call, targets) : undefined;
-	const untried = targets.filter(target => !call.tried.includes(target.id));
-	const candidates = untried
-		.filter(target => hasPlace(gateway, target) && hasColdRoom(gateway, target))
-		.map(target => isEngine ? engineCandidate(gateway, call, target, target === home) : serviceCandidate(gateway, target));
+	const candidates = isEngine
+		? engineCandidates(gateway, call, targets)
+		: targets.filter(target => hasRoom(gateway, call, target)).map(target => serviceCandidate(gateway, target));
 	const best = cheapest(gateway, candidates);
 	return best && {...best, candidates: candidates.length};
 }
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -72,6 +72,8 @@
 	| {kind: 'sendDigest'; to: string; peerUrl: string; digest: Digest}
 	/** Register this instance at the platform, or what has changed of it. */
 	| {kind: 'register'; registration: Registration}
+	/** Take no more connections, and close those that are idle. */
+	| {kind: 'closeListener'}
 	| {kind: 'withdraw'}
 	/** Remove the registration of an instance that is gone. */
 	| {kind: 'remove'; instance: string; incarnation: string}
--- a/packages/core/src/gateway/prompt-parts.ts
+++ b/packages/core/src/gateway/prompt-parts.ts
@@ -3,6 +3,7 @@
 prompt's parts are kept from its start. Engines publish this late and with gaps; here it follows from the calls that this
 instance has sent, and from rendezvous hashing, by which all instances send a shared part to the same target first.
 */
+import {rendezvousScore} from '../hash.ts';
 import type {Gateway} from './gateway.ts';
 import type {PoolTarget, Prompt} from './rows.ts';
 
@@ -30,10 +31,25 @@
 	return Math.max(0, unread);
 }
 
+/** Tokens of a prompt's shared parts. */
+export function sharedTokens(prompt: Prompt): number {
+	return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
+
 /** Tokens of a prompt that a target has to read when it keeps all shared parts. */
 export function ownTokens(prompt: Prompt): number {
-	const shared = prompt.parts.slice(0, -1);
-	return Math.max(0, prompt.inputTokens - shared.reduce((sum, part) => sum + part.tokens, 0));
+	return Math.max(0, prompt.inputTokens - sharedTokens(prompt));
+}
+
+/**
+Targets in the order in which all instances send a shared part to them. Rendezvous hashing keeps a part's place when others
+come or go.
+*/
+export function homesOf(part: string, targets: PoolTarget[]): PoolTarget[] {
+	return targets
+		.map(target => ({target, score: rendezvousScore(part, target.id)}))
+		.toSorted((a, b) => b.score - a.score)
+		.map(({target}) => target);
 }
 
 /** Notes that a target reads a prompt, and so keeps its parts. */
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -1,7 +1,7 @@
 /*
 Rows of the tables of routed calls. Times are in milliseconds of the local monotonic clock.
 */
-import type {MemberState, ServiceEntry} from '../messages.ts';
+import type {MemberState, PoolEntry, ServiceEntry} from '../messages.ts';
 import type {CallRoute} from './catalogue.ts';
 
 /** Part of a prompt, by which engines keep what they have read. */
@@ -109,7 +109,9 @@
 	coldSends: number[];
 	/** Requests of this instance that it has. */
 	running: number;
-	/** Prompt tokens of those that have no first byte yet. */
+	/** Requests of the other instances that it has, by their last digests. */
+	remoteRunning: number;
+	/** Prompt tokens of this instance's requests that have no first byte yet. */
 	unreadTokens: number;
 	/** Running and waiting requests by its last report, and what this instance sent and saw end since. */
 	reported: number;
@@ -156,5 +158,8 @@
 	listedAt: number;
 	/** When its last digest arrived; -Infinity before the first. */
 	heardAt: number;
+	/** What its callers have used of late, by its last digest. */
 	services: ServiceEntry[];
+	/** Requests of it that targets have, by its last digest; `pool` names the target. */
+	running: PoolEntry[];
 };
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -13,6 +13,7 @@
 		coldUntil: now + listed.coldForMs,
 		coldSends: [],
 		running: 0,
+		remoteRunning: 0,
 		unreadTokens: 0,
 		reported: 0,
 		reportedAt: Number.NEGATIVE_INFINITY,
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -27,7 +27,7 @@
 export type CallerListener = {
 	/** Puts bounds into force for new requests. */
 	setLimits(limits: CallerLimits): void;
-	/** Takes no more connections and closes idle ones; resolves when all have ended. */
+	/** Takes no more connections and closes those that are or become idle; resolves when all have ended. */
 	close(): Promise<void>;
 	closeAll(): void;
 };
@@ -49,6 +49,9 @@
 /** Period at which the listener looks for requests that arrive too slowly, in milliseconds. */
 const slowCheckMs = 1000;
 
+/** Period at which idle connections are closed once the listener is closed, in milliseconds. */
+const idleCheckMs = 50;
+
 function notRun(kind: RefusalKind, detail = ''): Refusal {
 	return {kind, outcome: Outcome.NotRun, detail};
 }
@@ -144,11 +147,16 @@
 			server.headersTimeout = next.headersTimeoutMs;
 		},
 		async close() {
+			// A response whose head left before the stop leaves its connection open.
+			const idleCheck = setInterval(() => {
+				server.closeIdleConnections();
+			}, idleCheckMs);
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
 				});
 			});
+			clearInterval(idleCheck);
 		},
 		closeAll() {
 			server.closeAllConnections();
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -75,6 +75,7 @@
 	const pools = createTargetPools();
 	const traffic = createTraffic();
 	let nextCall = 1;
+	let closing: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
 		loop.push(inbound);
 	};
@@ -140,6 +141,9 @@
 			register({registration}) {
 				registry.register(registration);
 			},
+			closeListener() {
+				closing = listener.close();
+			},
 			withdraw() {
 				void registry.withdraw();
 			},
@@ -221,7 +225,7 @@
 			push({kind: 'stopRequested'});
 		},
 		async close() {
-			await Promise.race([listener.close(), sleep(closeMs)]);
+			await Promise.race([closing ?? listener.close(), sleep(closeMs)]);
 			listener.closeAll();
 			loop.stop();
 			timer.stop();
--- a/packages/router/src/gateway/target-pools.ts
+++ b/packages/router/src/gateway/target-pools.ts
@@ -2,9 +2,15 @@
 Connections to targets, kept by address. A connection carries one request at a time; one whose answer is late, crossed or
 cut is closed and not used again.
 */
-import {Pool} from 'undici';
+import type {Socket} from 'node:net';
+import {buildConnector, Pool} from 'undici';
 
 export type TargetPools = {
+	/**
+	Whether the answer that just ended did so because its connection was reset. An answer without a length ends with its
+	connection, and undici reports it as whole also after a reset.
+	*/
+	isResetting(): boolean;
 	of(address: string): Pool;
 	/** Ends the connections to a target that is gone, once its answers have ended. */
 	drop(address: string): void;
@@ -23,8 +29,31 @@
 /** Creates the pools. */
 export function createTargetPools(): TargetPools {
 	const pools = new Map<string, Pool>();
+	const connector = buildConnector({timeout: connectTimeoutMs, noDelay: true});
+	let isResetting = false;
+
+	/** Notes errors of a connection before undici hears of them: it then ends the answer within the same event. */
+	function watchErrors(socket: Socket) {
+		socket.once('error', () => {
+			isResetting = true;
+			queueMicrotask(() => {
+				isResetting = false;
+			});
+		});
+	}
+
+	const connect: buildConnector.connector = (options, callback) => {
+		connector(options, (...result) => {
+			if (result[1]) {
+				watchErrors(result[1]);
+			}
+
+			callback(...result);
+		});
+	};
 
 	return {
+		isResetting: () => isResetting,
 		of(address) {
 			const known = pools.get(address);
 			if (known) {
@@ -32,7 +61,7 @@
 			}
 
 			const pool = new Pool(`http://${address}`, {
-				connect: {timeout: connectTimeoutMs, noDelay: true},
+				connect,
 				pipelining: 1,
 				headersTimeout: 0,
 				bodyTimeout: 0,
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -86,6 +86,11 @@
 			answer.data(controller, chunk);
 		},
 		onResponseEnd() {
+			if (pools.isResetting()) {
+				answer.fail(SendEnd.Broken, 'connection reset at the end of the answer');
+				return;
+			}
+
 			answer.end();
 		},
 		onResponseError(_controller, error) {
