Serve by share before rank, and let no arrival overtake a waiting call

Cause: a call that arrived took any free place before the queue was looked at, a waiting call whose homes were full held up all behind it, and the rank of a workspace starved it.

Ruled out: too few places (the same workspaces got ten times the tokens of others).

Change: arrivals enter the queue; each pool's queue is served by use, then rank, then age, skipping calls whose targets are full; its bound follows from the starts a second; the limit at engines settles at one late answer in five.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -17,10 +17,10 @@
 import {
 	countEnd, countSend, loadOf, takeLoad,
 } from './loads.ts';
-import {choose, soundTargets, type Choice} from './placement.ts';
+import {soundTargets, type Choice} from './placement.ts';
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
 import {rememberParts} from './prompt-parts.ts';
-import {countCall, spendRetry} from './retries.ts';
+import {countCall, countStart, spendRetry} from './retries.ts';
 import {CallState, type Call, type CallArrival} from './rows.ts';
 import {noteEnd} from './target-health.ts';
 import {chargeCall, refundCall} from './usage.ts';
@@ -134,30 +134,36 @@
 	place(gateway, call);
 }
 
-/** Sends a call to a target, lets it wait for a place, or refuses it. */
+/**
+Sends a call to a target, lets it wait for a place, or refuses it. It never overtakes a waiting call that deserves the place
+more.
+*/
 function place(gateway: Gateway, call: Call) {
-	const choice = choose(gateway, call);
-	if (choice) {
-		sendTo(gateway, call, choice);
-		return;
-	}
-
-	if (soundTargets(gateway, call.pool).every(({id}) => call.tried.includes(id))) {
+	const targets = soundTargets(gateway, call.pool);
+	if (targets.every(({id}) => call.tried.includes(id))) {
 		refuse(gateway, call, noPlace(gateway, call));
 		return;
 	}
 
 	enterWaiting(gateway, call);
-	const overflow = overflowOf(gateway, call);
+	startCalls(gateway, call.pool);
+	const overflow = call.state === CallState.Waiting ? overflowOf(gateway, call) : undefined;
 	if (overflow) {
 		leaveWaiting(gateway, overflow);
 		refuse(gateway, overflow, noPlace(gateway, overflow));
 	}
 }
 
+function startCalls(gateway: Gateway, pool: string) {
+	startWaiting(gateway, pool, (call, choice) => {
+		sendTo(gateway, call, choice);
+	});
+}
+
 function sendTo(gateway: Gateway, call: Call, {target, unreadTokens, costMs, candidates}: Choice) {
 	if (call.sends === 0) {
 		chargeCall(gateway, call);
+		countStart(gateway, call.pool);
 	}
 
 	Object.assign(call, {
@@ -432,9 +438,9 @@
 
 /** Starts waiting calls, and gives up those whose time has come. */
 export function callsSystem(gateway: Gateway) {
-	startWaiting(gateway, (call, choice) => {
-		sendTo(gateway, call, choice);
-	});
+	for (const pool of gateway.waiting.keys()) {
+		startCalls(gateway, pool);
+	}
 }
 
 /** Gives up calls whose deadline has passed or that have waited for a place as long as is of use. */
--- a/packages/core/src/gateway/engine-limits.ts
+++ b/packages/core/src/gateway/engine-limits.ts
@@ -16,8 +16,8 @@
 
 const decrease = 0.95;
 
-/** With the decrease, the limit settles where about one answer in ten is late. */
-const increase = 0.14;
+/** With the decrease, the limit settles where about one answer in five is late. */
+const increase = 0.3;
 
 /** Part of the limit that must be in use for a timely answer to raise it. */
 const usedPart = 0.7;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -19,9 +19,6 @@
 /** Pace of one pool as this instance sees it. */
 export type Pace = {
 	pool: string;
-	/** Calls a second that found a place while others waited, exponentially weighted; 0 before the first. */
-	startsPerSecond: number;
-	startedAt: number;
 	/** Prompt tokens that its engines read in a millisecond; 0 before the first sample. */
 	readTokensPerMs: number;
 	/** Least time to a first byte seen of late. */
@@ -122,7 +119,7 @@
 	}
 
 	const pace: Pace = {
-		pool, startsPerSecond: 0, startedAt: Number.NEGATIVE_INFINITY, readTokensPerMs: 0, floorMs: 0, limit: 0, workMs: 0,
+		pool, readTokensPerMs: 0, floorMs: 0, limit: 0, workMs: 0,
 	};
 	paces.set(pace);
 	return pace;
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -142,6 +142,8 @@
 export type SendCount = {
 	startedAt: number;
 	calls: number;
+	/** Calls that found a place, first sends only. */
+	starts: number;
 	resends: number;
 };
 
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -9,16 +9,14 @@
 } from '../refusal.ts';
 import {second} from '../units.ts';
 import {random} from '../world.ts';
-import {note, paceOf, type Gateway} from './gateway.ts';
+import {note, type Gateway} from './gateway.ts';
 import {choose, soundTargets, type Choice} from './placement.ts';
+import {startRate} from './retries.ts';
 import {CallState, type Call} from './rows.ts';
 import {usedBy} from './usage.ts';
 
-/** Weight of a sample in the mean rate of starts. */
-const paceWeight = 0.1;
-
-/** Calls that may wait in a pool whose pace isn't known yet. */
-const unknownPaceLimit = 8;
+/** Calls that may always wait: a burst of a few callers is no overload. */
+const leastQueue = 4;
 
 /** Part of the time to come back by which callers are spread. */
 const spread = 0.5;
@@ -45,7 +43,7 @@
 
 /** When a call that finds no place is to come back: once the queue has drained, spread over callers. */
 export function comeBackAfter(gateway: Gateway, pool: string): number {
-	const {startsPerSecond} = paceOf(gateway, pool);
+	const startsPerSecond = startRate(gateway, pool);
 	const drainMs = startsPerSecond > 0 ? waitingCount(gateway, pool) * second / startsPerSecond : 0;
 	const base = Math.max(gateway.limits.retryAfterMs, drainMs);
 	return Math.round(base * (1 + (spread * random(gateway))));
@@ -72,13 +70,16 @@
 	waiting.get(call.pool)?.delete(call.id);
 }
 
-/** Order of service: rank, then least use of the pool, then age. */
+/**
+Order of service: least use of the pool by the workspace, then rank, then age. Rank orders the calls of one workspace only: a
+workspace of low rank would starve otherwise.
+*/
 function nextOf(gateway: Gateway, calls: Call[]): Call | undefined {
 	let next: Call | undefined;
 	let nextUse = 0;
 	for (const call of calls) {
 		const use = usedBy(gateway, call.pool, call.workspace);
-		if (!next || call.priority < next.priority || (call.priority === next.priority && use < nextUse)) {
+		if (!next || use < nextUse || (use === nextUse && call.priority < next.priority)) {
 			next = call;
 			nextUse = use;
 		}
@@ -87,25 +88,13 @@
 	return next;
 }
 
-function measurePace(gateway: Gateway, pool: string) {
-	const pace = paceOf(gateway, pool);
-	const gapMs = gateway.now - pace.startedAt;
-	pace.startedAt = gateway.now;
-	if (gapMs > 0 && gapMs < second) {
-		const sample = second / gapMs;
-		pace.startsPerSecond = pace.startsPerSecond === 0 ? sample : pace.startsPerSecond + (paceWeight * (sample - pace.startsPerSecond));
-	}
-}
-
 /** Most calls that may wait: those that are expected to start within the patience of the newest. */
 function queueLimit(gateway: Gateway, pool: string, call: Call): number {
-	const {startsPerSecond} = paceOf(gateway, pool);
-	return startsPerSecond === 0
-		? unknownPaceLimit
-		: Math.max(1, Math.floor(startsPerSecond * (call.patienceUntil - gateway.now) / second));
+	const patienceMs = call.patienceUntil - gateway.now;
+	return Math.max(leastQueue, Math.floor(startRate(gateway, pool) * patienceMs / second));
 }
 
-/** The waiting call that gives way: the newest of the workspace that has used and asks for most. */
+/** The waiting call that gives way: of the workspace that has used and asks for most the least urgent, and of those the newest. */
 function victimOf(gateway: Gateway, calls: Call[]): Call {
 	const asked = new Map<string, number>();
 	for (const {workspace, cost} of calls) {
@@ -116,7 +105,7 @@
 	let most = -1;
 	for (const call of calls) {
 		const weight = asked.get(call.workspace)! + usedBy(gateway, call.pool, call.workspace);
-		if (call.priority > victim.priority || (call.priority === victim.priority && weight >= most)) {
+		if (weight > most || (weight === most && call.priority >= victim.priority)) {
 			victim = call;
 			most = weight;
 		}
@@ -148,23 +137,19 @@
 	return victim;
 }
 
-/** Starts waiting calls while there are places. */
-export function startWaiting(gateway: Gateway, start: (call: Call, choice: Choice) => void) {
-	for (const [pool, queue] of gateway.waiting) {
-		let calls = queue.size > 0 ? callsOf(gateway, pool) : [];
-		while (calls.length > 0) {
-			const call = nextOf(gateway, calls)!;
-			const choice = choose(gateway, call);
-			if (!choice && call.tried.length === 0) {
-				break;
-			}
-
-			calls = calls.filter(other => other !== call);
-			if (choice) {
-				leaveWaiting(gateway, call);
-				measurePace(gateway, pool);
-				start(call, choice);
-			}
+/**
+Starts the waiting calls of a pool that find a place, in order of service. A call whose targets are full doesn't hold up
+those that may go elsewhere.
+*/
+export function startWaiting(gateway: Gateway, pool: string, start: (call: Call, choice: Choice) => void) {
+	let calls = waitingCount(gateway, pool) > 0 ? callsOf(gateway, pool) : [];
+	while (calls.length > 0) {
+		const call = nextOf(gateway, calls)!;
+		calls = calls.filter(other => other !== call);
+		const choice = choose(gateway, call);
+		if (choice) {
+			leaveWaiting(gateway, call);
+			start(call, choice);
 		}
 	}
 }
