Keep max-min shares over all instances, and one limit at engines for all

Cause: callers of a workspace may all use one instance.

Change: digests carry what workspaces asked for besides what they used, and each instance's limit. Each instance fills the capacity up to one level; a workspace above it starts nothing while others lack theirs. All take the mean of the limits.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -23,7 +23,7 @@
 import {countCall, countStart, spendRetry} from './retries.ts';
 import {CallState, type Call, type CallArrival} from './rows.ts';
 import {noteEnd} from './target-health.ts';
-import {chargeCall, refundCall} from './usage.ts';
+import {chargeCall, noteAsked, refundCall} from './usage.ts';
 import {
 	comeBackAfter, enterWaiting, leaveWaiting, noPlace, overflowOf, startWaiting,
 } from './waiting.ts';
@@ -131,6 +131,7 @@
 	const call = createCall(gateway, arrival, admission.route, admission.tenancy);
 	gateway.calls.set(call);
 	countCall(gateway, call.pool);
+	noteAsked(gateway, call);
 	place(gateway, call);
 }
 
--- a/packages/core/src/gateway/catalogue.ts
+++ b/packages/core/src/gateway/catalogue.ts
@@ -75,6 +75,8 @@
 	/** Workspaces by caller key; undefined when callers need none. */
 	keys: Map<string, Tenancy> | undefined;
 	limits: CallerLimits;
+	/** Weighted tokens that all engines together serve a second; 0 when that isn't known. */
+	tokensPerSecond: number;
 };
 
 export type CatalogueOptions = Omit<Catalogue, 'routes' | 'pools'> & {routes: CallRoute[]; pools: CallPool[]};
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -60,6 +60,8 @@
 	/** Ids of the calls that wait for a place, by pool, oldest first. */
 	waiting: Map<string, Set<string>>;
 	usages: Table<Usage>;
+	/** Use by a workspace up to which a pool's capacity goes round, by pool. */
+	levels: Map<string, number>;
 	sendCounts: Map<string, SendCount[]>;
 	paces: Table<Pace>;
 	instances: Table<Instance>;
@@ -99,6 +101,7 @@
 		calls: createTable<Call>({key: call => call.id}),
 		waiting: new Map(),
 		usages: createTable<Usage>({key: usage => `${usage.pool}/${usage.workspace}`, index: usage => usage.pool}),
+		levels: new Map(),
 		sendCounts: new Map(),
 		paces: createTable<Pace>({key: pace => pace.pool}),
 		instances: createTable<Instance>({key: instance => instance.id}),
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -7,6 +7,7 @@
 import {LogPart} from '../ports.ts';
 import {rendezvousScore} from '../hash.ts';
 import {due} from '../world.ts';
+import {ownLimits, shareLimits} from './engine-limits.ts';
 import {note, StopPhase, type Gateway} from './gateway.ts';
 import type {GatewayInboundOf, Registration} from './ports.ts';
 import type {Instance} from './rows.ts';
@@ -60,7 +61,7 @@
 		// At the first list nothing is known of how fresh an entry is.
 		heardAt: Number.NEGATIVE_INFINITY,
 		services: [],
-		running: [],
+		loads: [],
 	});
 	note(gateway, {
 		part: LogPart.Membership,
@@ -84,7 +85,7 @@
 	instance.heardAt = gateway.now;
 	instance.state = digest.state;
 	instance.services = digest.services;
-	instance.running = digest.pools;
+	instance.loads = digest.pools;
 }
 
 function createDigest(gateway: Gateway): Digest {
@@ -99,7 +100,7 @@
 		leaseSequence: 0,
 		storeAgeMs: -1,
 		services: ownServices(gateway),
-		pools: ownRunning(gateway),
+		pools: [...ownRunning(gateway), ...ownLimits(gateway)],
 		heard: [],
 	};
 }
@@ -113,6 +114,7 @@
 	sendDigests(gateway);
 	updateRemoteUse(gateway);
 	updateRemoteRunning(gateway);
+	shareLimits(gateway);
 }
 
 function sendDigests(gateway: Gateway) {
@@ -184,7 +186,7 @@
 	const named: Instance[] = [...gateway.instances.rows()].filter(instance => isNamed(gateway, instance) && (!isSelf(gateway, instance) || isReady(gateway)));
 	if (isReady(gateway) && !named.some(instance => isSelf(gateway, instance))) {
 		named.push({
-			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, services: [], running: [],
+			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, services: [], loads: [],
 		});
 	}
 
--- a/packages/core/src/gateway/loads.ts
+++ b/packages/core/src/gateway/loads.ts
@@ -76,7 +76,7 @@
 			continue;
 		}
 
-		for (const {pool: id, waiting: running} of instance.running) {
+		for (const {pool: id, waiting: running} of instance.loads) {
 			const target = gateway.targets.get(id);
 			if (target) {
 				target.remoteRunning += running;
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -134,6 +134,9 @@
 	workspace: string;
 	own: number;
 	remote: number;
+	/** What callers asked for, served or not: here, and at the other instances. */
+	ownAsked: number;
+	remoteAsked: number;
 	/** When both were last brought up to date. */
 	at: number;
 };
@@ -162,6 +165,6 @@
 	heardAt: number;
 	/** What its callers have used of late, by its last digest. */
 	services: ServiceEntry[];
-	/** Requests of it that targets have, by its last digest; `pool` names the target. */
-	running: PoolEntry[];
+	/** By its last digest: requests of it that targets have, where `pool` names the target, and its limits at engines. */
+	loads: PoolEntry[];
 };
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -9,6 +9,7 @@
 	digestsSystem, onDigest, onRegistrations, onStopRequested, registrationSystem, removalSystem, stopSystem,
 } from './instances.ts';
 import type {GatewayInbound, GatewayInboundOf, GatewayOutbound} from './ports.ts';
+import {levelsSystem} from './shares.ts';
 import {
 	onCatalogue, onDomainsOut, onPlatformReach, onTargets, targetsSystem,
 } from './targets.ts';
@@ -33,6 +34,7 @@
 /** The systems in the order in which they run. */
 const systems: Array<(gateway: Gateway) => void> = [
 	targetsSystem,
+	levelsSystem,
 	timeoutsSystem,
 	callsSystem,
 	registrationSystem,
--- a/packages/core/src/gateway/usage.ts
+++ b/packages/core/src/gateway/usage.ts
@@ -13,6 +13,8 @@
 	const factor = Math.exp((usage.at - now) / limits.shareWindowMs);
 	usage.own *= factor;
 	usage.remote *= factor;
+	usage.ownAsked *= factor;
+	usage.remoteAsked *= factor;
 	usage.at = now;
 }
 
@@ -24,7 +26,7 @@
 	}
 
 	const usage: Usage = {
-		pool, workspace, own: 0, remote: 0, at: gateway.now,
+		pool, workspace, own: 0, remote: 0, ownAsked: 0, remoteAsked: 0, at: gateway.now,
 	};
 	gateway.usages.set(usage);
 	return usage;
@@ -36,6 +38,11 @@
 	return own + remote;
 }
 
+/** Notes that a caller asks for a call. */
+export function noteAsked(gateway: Gateway, call: Call) {
+	usageOf(gateway, call.pool, call.workspace).ownAsked += call.cost;
+}
+
 /** Charges a call that starts. */
 export function chargeCall(gateway: Gateway, call: Call) {
 	usageOf(gateway, call.pool, call.workspace).own += call.cost;
@@ -52,12 +59,12 @@
 	const entries: ServiceEntry[] = [];
 	for (const usage of gateway.usages.rows()) {
 		fade(gateway, usage);
-		if (usage.own + usage.remote < leastUse) {
+		if (usage.ownAsked + usage.remoteAsked + usage.own + usage.remote < leastUse) {
 			gateway.usages.delete(`${usage.pool}/${usage.workspace}`);
-		} else if (usage.own >= leastUse) {
-			const {pool, workspace, own} = usage;
+		} else if (usage.own + usage.ownAsked >= leastUse) {
+			const {pool, workspace, own, ownAsked} = usage;
 			entries.push({
-				workspace, pool, service: own, waiting: 0, virtualTime: 0,
+				workspace, pool, service: own, waiting: 0, virtualTime: 0, asked: ownAsked,
 			});
 		}
 	}
@@ -67,18 +74,23 @@
 
 /** Sums up what the other instances told last. */
 export function updateRemoteUse(gateway: Gateway) {
-	const remote = new Map<string, number>();
+	const remote = new Map<string, {used: number; asked: number}>();
 	for (const instance of gateway.instances.rows()) {
 		const factor = Math.exp((instance.heardAt - gateway.now) / gateway.limits.shareWindowMs);
-		for (const {pool, workspace, service} of instance.services) {
+		for (const {
+			pool, workspace, service, asked = 0,
+		} of instance.services) {
 			const key = `${pool}/${workspace}`;
-			remote.set(key, (remote.get(key) ?? 0) + (service * factor));
+			const sum = remote.get(key) ?? {used: 0, asked: 0};
+			remote.set(key, {used: sum.used + (service * factor), asked: sum.asked + (asked * factor)});
 			usageOf(gateway, pool, workspace);
 		}
 	}
 
 	for (const usage of gateway.usages.rows()) {
 		fade(gateway, usage);
-		usage.remote = remote.get(`${usage.pool}/${usage.workspace}`) ?? 0;
+		const {used, asked} = remote.get(`${usage.pool}/${usage.workspace}`) ?? {used: 0, asked: 0};
+		usage.remote = used;
+		usage.remoteAsked = asked;
 	}
 }
--- a/packages/core/src/gateway/waiting.ts
+++ b/packages/core/src/gateway/waiting.ts
@@ -13,6 +13,7 @@
 import {choose, soundTargets, type Choice} from './placement.ts';
 import {startRate} from './retries.ts';
 import {CallState, type Call} from './rows.ts';
+import {hasItsShare} from './shares.ts';
 import {usedBy} from './usage.ts';
 
 /** Calls that may always wait: a burst of a few callers is no overload. */
@@ -146,7 +147,7 @@
 	while (calls.length > 0) {
 		const call = nextOf(gateway, calls)!;
 		calls = calls.filter(other => other !== call);
-		const choice = choose(gateway, call);
+		const choice = hasItsShare(gateway, call) ? undefined : choose(gateway, call);
 		if (choice) {
 			leaveWaiting(gateway, call);
 			start(call, choice);
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -149,6 +149,8 @@
 	waiting: number;
 	/** The sender's view of the workspace's virtual time, which an owner that has just started adopts. */
 	virtualTime: number;
+	/** Weighted tokens that its callers asked for at the sender over the window of shares; left out where shares are kept by permits. */
+	asked?: number;
 };
 
 /** Load of one pool at one owner. */
--- a/packages/router/src/peers/service-table.ts
+++ b/packages/router/src/peers/service-table.ts
@@ -22,25 +22,29 @@
 
 /** Decodes service entries; throws when the bytes are no service table. */
 export function decodeServices(bytes: Uint8Array): ServiceEntry[] {
-	return fromBinary(ServiceTableSchema, bytes).pools.flatMap(({pool, workspaces, services, waiting, virtualTimes}) =>
+	return fromBinary(ServiceTableSchema, bytes).pools.flatMap(({pool, workspaces, services, waiting, virtualTimes, asked}) =>
 		workspaces.map((workspace, index) => ({
 			workspace,
 			pool,
 			service: services[index] ?? 0,
 			waiting: waiting[index] ?? 0,
 			virtualTime: virtualTimes[index] ?? 0,
+			...(asked.length > 0 && {asked: asked[index] ?? 0}),
 		})));
 }
 
 function columnsOf(entries: readonly ServiceEntry[]): PoolServices[] {
 	const pools = new Map<string, PoolServices>();
-	for (const {pool, workspace, service, waiting, virtualTime} of entries) {
+	for (const {pool, workspace, service, waiting, virtualTime, asked} of entries) {
 		const columns = pools.get(pool) ?? create(PoolServicesSchema, {pool});
 		pools.set(pool, columns);
 		columns.workspaces.push(workspace);
 		columns.services.push(service);
 		columns.waiting.push(waiting);
 		columns.virtualTimes.push(virtualTime);
+		if (asked !== undefined) {
+			columns.asked.push(asked);
+		}
 	}
 
 	return [...pools.values()];
