Take an answer without a length for broken when its connection was reset, also where the reset reads as an end

Ruled out: an error event that comes after the end (none came); a length that undici dropped (the heads have none).

Change: an end at which the connection has no peer counts as a reset. It only decides for answers without a length.

--- a/packages/router/src/gateway/target-pools.ts
+++ b/packages/router/src/gateway/target-pools.ts
@@ -32,20 +32,28 @@
 	const connector = buildConnector({timeout: connectTimeoutMs, noDelay: true});
 	let isResetting = false;
 
-	/** Notes errors of a connection before undici hears of them: it then ends the answer within the same event. */
-	function watchErrors(socket: Socket) {
-		socket.once('error', () => {
-			isResetting = true;
-			queueMicrotask(() => {
-				isResetting = false;
-			});
+	function noteReset() {
+		isResetting = true;
+		queueMicrotask(() => {
+			isResetting = false;
+		});
+	}
+
+	/** Notes resets of a connection before undici hears of them: it then ends the answer within the same event. */
+	function watchResets(socket: Socket) {
+		socket.once('error', noteReset);
+		socket.once('end', () => {
+			// A reset that another call on the socket has reported reads as an end; the connection then has no peer any more.
+			if (socket.remoteAddress === undefined) {
+				noteReset();
+			}
 		});
 	}
 
 	const connect: buildConnector.connector = (options, callback) => {
 		connector(options, (...result) => {
 			if (result[1]) {
-				watchErrors(result[1]);
+				watchResets(result[1]);
 			}
 
 			callback(...result);
