--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -131,6 +131,10 @@
 /** Keeps this instance registered with its present state. */
 export function registrationSystem(gateway: Gateway) {
 	const {limits, now, self, state, instances} = gateway;
+	if (gateway.stopPhase === StopPhase.Done) {
+		return;
+	}
+
 	const isListed = instances.get(self.id)?.incarnation === self.incarnation;
 	const isCurrent = isListed && gateway.registeredState === state;
 	const wasChanged = gateway.registeredState !== state;
@@ -156,7 +160,7 @@
 	const rows = [...gateway.instances.rows()];
 	const heard = rows.filter(instance => isHeard(gateway, instance));
 	const gone = rows.filter(instance => !isHeard(gateway, instance) && now - Math.max(instance.heardAt, instance.listedAt) > limits.goneMs);
-	if (2 * heard.length <= rows.length - gone.length) {
+	if (2 * heard.length <= rows.length) {
 		return;
 	}
 
--- a/packages/core/src/gateway/shares.ts
+++ b/packages/core/src/gateway/shares.ts
@@ -6,7 +6,7 @@
 import {second} from '../units.ts';
 import {due} from '../world.ts';
 import type {Gateway} from './gateway.ts';
-import type {Call} from './rows.ts';
+import type {Call, Usage} from './rows.ts';
 import {usedBy} from './usage.ts';
 
 /** Period at which levels are reckoned anew, in milliseconds. */
@@ -15,6 +15,9 @@
 /** How much more than it served of late a pool is taken to serve, so that the level can rise. */
 const growth = 1.1;
 
+/** Part of the level below which a workspace lacks its share: what is closer is noise of the measurement. */
+const lackingPart = 0.9;
+
 /**
 The level up to which demands are met from a capacity when none gets more than the others while one lacks.
 
@@ -40,7 +43,14 @@
 	const used = usages.reduce((sum, {own, remote}) => sum + own + remote, 0);
 	const isEngine = gateway.catalogue?.pools.get(pool)?.isEngine ?? false;
 	const known = isEngine ? (gateway.catalogue?.tokensPerSecond ?? 0) * gateway.limits.shareWindowMs / second : 0;
-	return waterLevel(usages.map(({ownAsked, remoteAsked}) => ownAsked + remoteAsked), Math.max(known, used * growth));
+	const level = waterLevel(usages.map(({ownAsked, remoteAsked}) => ownAsked + remoteAsked), Math.max(known, used * growth));
+	return usages.some(usage => lacks(usage, level)) ? level : Number.POSITIVE_INFINITY;
+}
+
+/** Whether a workspace is well below the level though it asks for more than it gets. */
+function lacks({own, remote, ownAsked, remoteAsked}: Usage, level: number): boolean {
+	const used = own + remote;
+	return used < level * lackingPart && ownAsked + remoteAsked > used * growth;
 }
 
 /** Reckons the level of each pool that is in use. */
--- /dev/null
+++ b/packages/core/test/gateway/cold-limits.test.ts
@@ -0,0 +1,51 @@
+import fc from 'fast-check';
+import {coldShare} from '../../src/gateway/cold-limits.ts';
+import {SendEnd} from '../../src/gateway/ports.ts';
+import {
+	benchOf, itemsOf, promptOf, targetOf,
+} from '../support/gateways.ts';
+
+const engine = targetOf('e1', {pool: 'engines', slots: 64, coldForMs: 60_000});
+
+test('the members\' parts of a cold target\'s rate never exceed it, and leave none of it unused', () => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 60}), fc.integer({min: 1, max: 40}), fc.string({minLength: 1}), (members, rate, id) => {
+		const ids = Array.from({length: members}, (_, index) => `m${index}`);
+		const parts = ids.map(self => {
+			const bench = benchOf({instances: [self, ...ids.filter(other => other !== self)], targets: [targetOf(id, {pool: 'engines'})]});
+			return coldShare(bench.gateway, bench.gateway.targets.get(id)!, rate);
+		});
+		expect(parts.reduce((sum, part) => sum + part, 0)).toBe(rate);
+	}), {seed: 7, numRuns: 30});
+});
+
+test('a fleet sends a cold target no more in any second than its rate, also when no member hears another', () => {
+	const ids = ['m1', 'm2', 'm3', 'm4', 'm5'];
+	const benches = ids.map(self => benchOf({instances: [self, ...ids.filter(other => other !== self)], targets: [engine]}));
+	const sends: number[] = [];
+	for (let tick = 0; tick < 300; tick += 1) {
+		for (const bench of benches) {
+			const outbox = [...bench.wait(10), ...bench.call({path: '/chat/x', prompt: promptOf('p', 100)})];
+			for (const sent of itemsOf(outbox, 'send')) {
+				sends.push(bench.gateway.now);
+				bench.step({
+					kind: 'sendEnded', call: sent.call, send: sent.send, end: SendEnd.Whole, load: undefined, detail: '',
+				});
+			}
+		}
+	}
+
+	for (const start of sends) {
+		expect(sends.filter(at => at >= start && at < start + 1000).length).toBeLessThanOrEqual(16);
+	}
+
+	expect(sends.length).toBeGreaterThan(30);
+});
+
+test('a target whose connections break counts as cold before the platform lists it anew', () => {
+	const bench = benchOf({targets: [targetOf('e1', {pool: 'engines', slots: 64}), targetOf('e2', {pool: 'engines', slots: 64})]});
+	const sent = itemsOf(bench.call({path: '/chat/x', prompt: promptOf('p', 100)}), 'send')[0]!;
+	bench.step({
+		kind: 'sendEnded', call: sent.call, send: sent.send, end: SendEnd.Broken, load: undefined, detail: '',
+	});
+	expect(bench.gateway.targets.get(sent.target)!.coldUntil).toBe(bench.gateway.now + 3000);
+});
--- /dev/null
+++ b/packages/core/test/gateway/shares.test.ts
@@ -0,0 +1,77 @@
+import fc from 'fast-check';
+import {waterLevel} from '../../src/gateway/shares.ts';
+import {type ServiceEntry, MemberState} from '../../src/messages.ts';
+import {
+	benchOf, itemsOf, promptOf, registrationOf, targetOf,
+} from '../support/gateways.ts';
+
+test('the level meets all demands when it can, and fills the capacity when it can\'t', () => {
+	expect(waterLevel([1, 2, 3], 6)).toBe(Number.POSITIVE_INFINITY);
+	expect(waterLevel([10, 1, 10], 11)).toBe(5);
+	expect(waterLevel([], 5)).toBe(Number.POSITIVE_INFINITY);
+	fc.assert(fc.property(fc.array(fc.integer({min: 0, max: 1000}), {minLength: 1}), fc.integer({min: 1, max: 5000}), (demands, capacity) => {
+		const level = waterLevel(demands, capacity);
+		const served = demands.reduce((sum, demand) => sum + Math.min(demand, level), 0);
+		const total = demands.reduce((sum, demand) => sum + demand, 0);
+		expect(served).toBeCloseTo(Math.min(total, capacity));
+	}), {seed: 3});
+});
+
+/** What another instance tells of the engines' pool. */
+function digestOf(entries: Array<Partial<ServiceEntry> & {workspace: string}>) {
+	return {
+		kind: 'digest' as const,
+		from: 'other',
+		incarnation: 'other-1',
+		digest: {
+			kind: 'digest' as const,
+			state: MemberState.Active,
+			failureDomain: 'suva',
+			callerUrl: '',
+			peerUrl: '',
+			revision: 1,
+			leaseSequence: 0,
+			storeAgeMs: -1,
+			services: entries.map(entry => ({
+				pool: 'engines', service: 0, waiting: 0, virtualTime: 0, asked: 0, ...entry,
+			})),
+			pools: [],
+			heard: [],
+		},
+	};
+}
+
+test('a workspace above its share starts nothing while another, at another instance, lacks its own', () => {
+	const bench = benchOf({
+		instances: ['self', 'other'], targets: [targetOf('e1', {pool: 'engines', slots: 64})], limits: {heardMs: 60_000},
+	});
+	bench.step(digestOf([{workspace: 'a', service: 100_000, asked: 200_000}, {workspace: 'b', service: 10_000, asked: 200_000}]));
+	bench.wait(600);
+	bench.wait(200);
+	const arrival = {path: '/chat/x', prompt: promptOf('p', 100)};
+	expect(itemsOf(bench.call({...arrival, key: 'key-a'}), 'send')).toEqual([]);
+	expect(itemsOf(bench.call({...arrival, key: 'key-b'}), 'send')).toHaveLength(1);
+});
+
+test('nothing is withheld while there is enough for all', () => {
+	const bench = benchOf({
+		instances: ['self', 'other'], targets: [targetOf('e1', {pool: 'engines', slots: 64})], limits: {heardMs: 60_000},
+	});
+	bench.step(digestOf([{workspace: 'a', service: 100_000, asked: 100_000}, {workspace: 'b', service: 1000, asked: 1000}]));
+	bench.wait(600);
+	bench.wait(200);
+	expect(itemsOf(bench.call({path: '/chat/x', prompt: promptOf('p', 100), key: 'key-a'}), 'send')).toHaveLength(1);
+});
+
+test('a workspace that asks alone is never held back', () => {
+	const bench = benchOf({targets: [targetOf('e1', {pool: 'engines', slots: 64})]});
+	const sent = Array.from({length: 20}, () => [...bench.wait(50), ...bench.call({path: '/chat/x', prompt: promptOf('p', 100)})]).flat();
+	expect(itemsOf(sent, 'send')).toHaveLength(20);
+});
+
+test('a digest of an earlier start of an instance is not taken', () => {
+	const bench = benchOf({instances: ['self', 'other']});
+	bench.step({kind: 'registrations', registrations: [registrationOf('self'), registrationOf('other', {incarnation: 'other-2'})]});
+	bench.step(digestOf([{workspace: 'a', service: 5}]));
+	expect(bench.gateway.instances.get('other')!.services).toEqual([]);
+});
--- /dev/null
+++ b/packages/core/test/support/gateways.ts
@@ -0,0 +1,143 @@
+/*
+Gateways for tests: a catalogue with one engine pool and one service pool, targets, and calls, stepped by hand.
+*/
+import {
+	CallKind, createCatalogue, type CallRoute, type Catalogue, type CatalogueOptions,
+} from '../../src/gateway/catalogue.ts';
+import {createGateway, type Gateway} from '../../src/gateway/gateway.ts';
+import type {GatewayLimits} from '../../src/gateway/limits.ts';
+import type {
+	GatewayInbound, GatewayOutbound, GatewayOutboundOf, Registration,
+} from '../../src/gateway/ports.ts';
+import {
+	TargetStanding, type CallArrival, type ListedTarget, type Prompt,
+} from '../../src/gateway/rows.ts';
+import {gatewayStep} from '../../src/gateway/step.ts';
+import {MemberState} from '../../src/messages.ts';
+
+export const host = 'desk.example';
+
+export function routeOf(options: Partial<CallRoute> & {pathPrefix: string}): CallRoute {
+	return {
+		name: options.pathPrefix,
+		host,
+		kind: CallKind.Repeatable,
+		isResumable: false,
+		shares: [{pool: 'desk', weight: 1}],
+		maxAttempts: 2,
+		timeoutMs: 1000,
+		objectiveMs: 400,
+		priority: 1,
+		needsKey: true,
+		...options,
+	};
+}
+
+export function catalogueOf(options: Partial<CatalogueOptions> = {}): Catalogue {
+	return createCatalogue({
+		version: 1,
+		routes: [
+			routeOf({pathPrefix: '/look/'}),
+			routeOf({pathPrefix: '/book/', kind: CallKind.Once, maxAttempts: 1}),
+			routeOf({
+				pathPrefix: '/chat/', kind: CallKind.Streamed, isResumable: true, shares: [{pool: 'engines', weight: 1}],
+			}),
+			routeOf({
+				pathPrefix: '/plan/', kind: CallKind.Streamed, maxAttempts: 1, shares: [{pool: 'engines', weight: 1}],
+			}),
+		],
+		pools: [
+			{
+				name: 'desk', coldPerSecond: 0, coldMs: 0, connections: 100, isEngine: false,
+			},
+			{
+				name: 'engines', coldPerSecond: 16, coldMs: 3000, connections: 300, isEngine: true,
+			},
+		],
+		keys: new Map([
+			['key-a', {workspace: 'a', priority: undefined}],
+			['key-b', {workspace: 'b', priority: undefined}],
+			['key-c', {workspace: 'c', priority: 5}],
+		]),
+		limits: {
+			headerBytes: 16_384, bodyBytes: 1_000_000, headersTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+		tokensPerSecond: 0,
+		...options,
+	});
+}
+
+export function targetOf(id: string, options: Partial<ListedTarget> = {}): ListedTarget {
+	return {
+		id, pool: 'desk', address: `10.0.0.1:${id.length}`, failureDomain: 'suva', standing: TargetStanding.Ready, slots: 6, coldForMs: 0, start: '1', revision: 1, ...options,
+	};
+}
+
+export function registrationOf(id: string, options: Partial<Registration> = {}): Registration {
+	return {
+		id, incarnation: `${id}-1`, failureDomain: 'suva', callerAddress: `${id}:80`, peerUrl: `http://${id}:7400`, state: MemberState.Active, ...options,
+	};
+}
+
+export type Bench = {
+	gateway: Gateway;
+	/** Takes a step at the present time, and returns what the edges are to do. */
+	step(...inbox: GatewayInbound[]): GatewayOutbound[];
+	/** Moves the time on, and takes a step. */
+	wait(ms: number): GatewayOutbound[];
+	call(arrival: Partial<CallArrival>): GatewayOutbound[];
+};
+
+export type BenchOptions = {
+	targets?: ListedTarget[];
+	/** Ids of the instances, the gateway's own first. */
+	instances?: string[];
+	catalogue?: Catalogue;
+	limits?: Partial<GatewayLimits>;
+	seed?: number;
+};
+
+/** A gateway that knows its catalogue, targets and fleet. */
+export function benchOf({
+	targets = [targetOf('t1')], instances = ['self'], catalogue = catalogueOf(), limits, seed = 1,
+}: BenchOptions = {}): Bench {
+	let now = 10_000;
+	let calls = 0;
+	const self = registrationOf(instances[0]!);
+	const gateway = createGateway({
+		self, seed, now, limits: {...limits},
+	});
+	const step = (...inbox: GatewayInbound[]) => gatewayStep(gateway, now, inbox);
+	step(
+		{kind: 'catalogue', catalogue},
+		{kind: 'targets', targets},
+		{kind: 'registrations', registrations: instances.map(id => registrationOf(id))},
+		{kind: 'domainsOut', domains: []},
+	);
+	return {
+		gateway,
+		step,
+		wait(ms) {
+			now += ms;
+			return step();
+		},
+		call(arrival) {
+			calls += 1;
+			return step({
+				kind: 'callArrived',
+				call: {
+					id: `c${calls}`, host, path: '/look/x', key: 'key-a', remainingMs: 1000, prompt: undefined, ...arrival,
+				},
+			});
+		},
+	};
+}
+
+export function promptOf(id: string, sharedTokens: number, ownTokens = 500): Prompt {
+	return {inputTokens: sharedTokens + ownTokens, outputTokens: 100, parts: [{id, tokens: sharedTokens}, {id: `${id}-own`, tokens: ownTokens}]};
+}
+
+/** The items of one kind in an outbox. */
+export function itemsOf<Kind extends GatewayOutbound['kind']>(outbox: GatewayOutbound[], kind: Kind): Array<GatewayOutboundOf<Kind>> {
+	return outbox.filter((item): item is GatewayOutboundOf<Kind> => item.kind === kind);
+}
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -16,7 +16,7 @@
 import {EdgePart, type Log} from '../log.ts';
 import {createPeerClient} from '../peers/peer-client.ts';
 import {startPeerServer} from '../peers/peer-server.ts';
-import {createTimer, type Timer} from '../timer.ts';
+import type {Timer} from '../timer.ts';
 import {createTraffic} from '../traffic.ts';
 import {
 	deliver, endRefused, writeRefusal, type CallExchange,
@@ -24,6 +24,7 @@
 import type {CallFormat} from './call-format.ts';
 import {listenForCallers} from './caller-listener.ts';
 import {requestHeaders} from './connection-headers.ts';
+import type {GatewayMetrics} from './gateway-metrics.ts';
 import {createTargetPools} from './target-pools.ts';
 import {cancelSend, sendToTarget} from './target-send.ts';
 
@@ -44,13 +45,13 @@
 	format: CallFormat;
 	registry: Registry;
 	log: Log;
-	onRefused: (refusal: Refusal) => void;
+	metrics: GatewayMetrics;
+	timer: Timer;
 	onStopped: () => void;
 };
 
 export type GatewayRouter = {
 	gateway: Gateway;
-	timer: Timer;
 	/** Tells the core. */
 	push(inbound: GatewayInbound): void;
 	stop(): void;
@@ -59,12 +60,13 @@
 };
 
 /** Period of the core's steps while nothing arrives, in milliseconds: the precision of timeouts. */
-const tickMs = 20;
+export const tickMs = 20;
 
 /** Starts a router; rejects when one of its addresses can't be bound. */
 export async function startGatewayRouter(options: GatewayRouterOptions): Promise<GatewayRouter> {
-	const {format, registry, log} = options;
-	const timer = createTimer({resolutionMs: tickMs});
+	const {
+		format, registry, log, metrics, timer,
+	} = options;
 	const gateway = createGateway({
 		self: {...options.self, incarnation: randomBytes(4).toString('hex')},
 		seed: randomBytes(4).readInt32LE(),
@@ -76,7 +78,9 @@
 	const traffic = createTraffic();
 	let nextCall = 1;
 	let closing: Promise<void> | undefined;
+	let withdrawal: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
+		metrics.countInbound(inbound, timer.now());
 		loop.push(inbound);
 	};
 
@@ -123,7 +127,7 @@
 			},
 			refuse({call, refusal}) {
 				const exchange = exchanges.get(call);
-				options.onRefused(refusal);
+				metrics.countRefusal(refusal);
 				if (exchange) {
 					cancelSend(exchange);
 					endRefused(exchange, refusal);
@@ -145,7 +149,7 @@
 				closing = listener.close();
 			},
 			withdraw() {
-				void registry.withdraw();
+				withdrawal = registry.withdraw();
 			},
 			remove({instance, incarnation}) {
 				registry.remove(instance, incarnation);
@@ -168,7 +172,7 @@
 		const reading = format.readCall({url: request.url ?? '/', headers: request.headers});
 		if (reading.kind === 'malformed') {
 			const refusal: Refusal = {kind: RefusalKind.MalformedBody, outcome: Outcome.NotRun, detail: reading.detail};
-			options.onRefused(refusal);
+			metrics.countRefusal(refusal);
 			writeRefusal(response, refusal);
 			return;
 		}
@@ -219,7 +223,6 @@
 
 	return {
 		gateway,
-		timer,
 		push,
 		stop() {
 			push({kind: 'stopRequested'});
@@ -227,6 +230,7 @@
 		async close() {
 			await Promise.race([closing ?? listener.close(), sleep(closeMs)]);
 			listener.closeAll();
+			await withdrawal;
 			loop.stop();
 			timer.stop();
 			peers.close();
--- a/packages/router/test/support/deployment.ts
+++ b/packages/router/test/support/deployment.ts
@@ -166,7 +166,7 @@
 	return response.ok;
 }
 
-async function freePort(): Promise<number> {
+export async function freePort(): Promise<number> {
 	return new Promise(resolve => {
 		const server = createServer().listen(0, host, () => {
 			const address = server.address();
--- a/packages/router/test/support/program.ts
+++ b/packages/router/test/support/program.ts
@@ -37,14 +37,26 @@
 	end: () => Promise<void>;
 };
 
-/** Bundles the program. */
-export async function bundleRouter(): Promise<Program> {
-	const directory = await mkdtemp(path.join(tmpdir(), 'shallotloom-router-'));
-	const file = path.join(directory, 'router.cjs');
+/** Bundles a program into one file. */
+export async function bundleProgram(entry: string, file: string, format: 'cjs' | 'esm') {
 	const bundler = spawn('node_modules/.bin/esbuild', [
-		'packages/router/src/cli/main.ts', '--bundle', '--platform=node', '--target=node20', '--format=cjs', '--log-level=error', `--outfile=${file}`,
+		entry,
+		'--bundle',
+		'--platform=node',
+		'--target=node20',
+		`--format=${format}`,
+		'--log-level=error',
+		`--outfile=${file}`,
+		...(format === 'esm' ? ['--banner:js=import {createRequire as __createRequire} from "node:module"; const require = __createRequire(import.meta.url);'] : []),
 	], {stdio: 'inherit'});
 	await once(bundler, 'close');
+}
+
+/** Bundles the router. */
+export async function bundleRouter(): Promise<Program> {
+	const directory = await mkdtemp(path.join(tmpdir(), 'shallotloom-router-'));
+	const file = path.join(directory, 'router.cjs');
+	await bundleProgram('packages/router/src/cli/main.ts', file, 'cjs');
 
 	function launch(args: string[]) {
 		const child = spawn(process.execPath, [file, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
