End a resumed stream that is answered with a failure, and reset the connections of cancelled requests

Ruled out: a late cancel (the callers' close had reached the router at once).

Change: a failure that follows part of a stream breaks the answer off; a cancelled request resets its connection.

Measured: a test of each that fails without its change (the second: "end" in place of ECONNRESET); npx jest packages/router/test/gateway packages/core/test/gateway 83 of 83.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -405,6 +405,12 @@
 			return;
 		}
 
+		if (call.isAnswered) {
+			// The caller has part of a stream, to which the failure can't be added.
+			refuse(gateway, call, failed(gateway, call, detail));
+			return;
+		}
+
 		gateway.outbox.push({kind: 'deliverFailure', call: call.id});
 		note(gateway, {
 			part: LogPart.Request, level: 'warn', text: 'failed by its target', request: call.id, fields: {
--- a/packages/router/src/gateway/target-pools.ts
+++ b/packages/router/src/gateway/target-pools.ts
@@ -26,6 +26,9 @@
 /** Idle connections are closed so much before the target would, in milliseconds: a request must not cross its close. */
 const keepAliveMarginMs = 1000;
 
+/** Message of the error with which undici destroys the connection of a request that was aborted. */
+const abortMessage = 'aborted';
+
 /** Creates the pools. */
 export function createTargetPools(): TargetPools {
 	const pools = new Map<string, Pool>();
@@ -50,10 +53,26 @@
 		});
 	}
 
+	/**
+	Lets a cancelled request end with a reset of its connection. A plain close would still deliver what waits to be sent, and
+	a target that comes back would run a request whose caller is gone.
+	*/
+	function resetWhenAborted(socket: Socket) {
+		const destroy = socket.destroy.bind(socket);
+		socket.destroy = error => {
+			if (error?.message === abortMessage && !socket.destroyed) {
+				socket.resetAndDestroy();
+			}
+
+			return destroy(error);
+		};
+	}
+
 	const connect: buildConnector.connector = (options, callback) => {
 		connector(options, (...result) => {
 			if (result[1]) {
 				watchResets(result[1]);
+				resetWhenAborted(result[1]);
 			}
 
 			callback(...result);
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -289,6 +289,10 @@
 				return {end: SendEnd.Broken, detail: `status ${head.status} of a target that may have run it`};
 			}
 
+			if (exchange.response.headersSent) {
+				return {end: SendEnd.Broken, detail: `status ${head.status} in place of the rest of a stream`};
+			}
+
 			const answer = {...head, body: Buffer.concat(chunks)};
 			if (head.status >= firstErrorStatus) {
 				exchange.failure = answer;
--- a/packages/router/test/gateway/answers.test.ts
+++ b/packages/router/test/gateway/answers.test.ts
@@ -171,6 +171,24 @@
 		expect(await ask(callers, '/chat/x')).toMatchObject({status: 200, body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', isWhole: true});
 	});
 
+	test('one whose rest is answered with a failure breaks off, and harms no other', async () => {
+		const script = (request: RawRequest) => {
+			if (/last-event-id/iv.test(request.head)) {
+				request.socket.write(`HTTP/1.1 500 Oops\r\nX-Request-Id: ${request.id}\r\nContent-Length: 3\r\n\r\nbad`);
+				return;
+			}
+
+			streamHead(request);
+			chunk(request, 'id: 1\ndata: a\n\n');
+			setTimeout(() => {
+				request.socket.destroy();
+			}, 20);
+		};
+		const callers = await start(script, script);
+		expect(await ask(callers, '/chat/x')).toMatchObject({status: 200, body: 'id: 1\ndata: a\n\n', isWhole: false});
+		expect(started!.router.gateway.calls.size).toBe(0);
+	});
+
 	test('one that may not be resumed ends so that it isn\'t taken for whole', async () => {
 		const callers = await start(request => {
 			streamHead(request);
@@ -193,11 +211,14 @@
 	});
 });
 
-test('a caller that leaves closes the connection to the target that works for it', async () => {
-	const closed = new Promise<void>(resolve => {
+test('a caller that leaves resets the connection to the target that works for it, so that nothing more is delivered', async () => {
+	const closed = new Promise<string>(resolve => {
 		void start(({socket}) => {
-			socket.once('close', () => {
-				resolve();
+			socket.once('error', error => {
+				resolve((error as NodeJS.ErrnoException).code ?? '');
+			});
+			socket.once('end', () => {
+				resolve('end');
 			});
 		}).then(async callers => {
 			const [host, port] = callers.split(':');
@@ -208,7 +229,7 @@
 			socket.destroy();
 		});
 	});
-	await closed;
+	expect(await closed).toBe('ECONNRESET');
 });
 
 describe('bad input', () => {
