--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -15,7 +15,7 @@
 import {note, paceOf, type Gateway} from './gateway.ts';
 import {adjustLimit} from './engine-limits.ts';
 import {
-	countEnd, countSend, loadOf, takeLoad,
+	countEnd, countSend, loadOf, placesOf, takeLoad,
 } from './loads.ts';
 import {soundTargets, type Choice} from './placement.ts';
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
@@ -23,9 +23,11 @@
 import {countCall, countStart, spendRetry} from './retries.ts';
 import {CallState, type Call, type CallArrival} from './rows.ts';
 import {noteEnd} from './target-health.ts';
-import {chargeCall, noteAsked, refundCall} from './usage.ts';
 import {
-	comeBackAfter, enterWaiting, leaveWaiting, noPlace, overflowOf, startWaiting,
+	chargeCall, noteAsked, refundCall, usedBy,
+} from './usage.ts';
+import {
+	comeBackAfter, enterWaiting, leaveWaiting, noPlace, overflowOf, startWaiting, waitingCount,
 } from './waiting.ts';
 
 /** Weight of a sample in the running means. */
@@ -195,15 +197,30 @@
 	});
 	note(gateway, {
 		part: LogPart.Request,
-		level: 'debug',
 		text: 'sent',
 		request: call.id,
 		fields: {
-			target: target.id, pool: target.pool, route: route.name, send: call.sends, costMs: Math.round(costMs), unreadTokens, candidates, version: gateway.catalogue?.version,
+			target: target.id,
+			pool: target.pool,
+			route: route.name,
+			send: call.sends,
+			costMs: Math.round(costMs),
+			unreadTokens,
+			candidates,
+			load: loadOf(gateway, target),
+			loadAgeMs: ageOf(gateway, target.reportedAt),
+			places: Math.round(placesOf(gateway, target)),
+			waitedMs: Math.round(gateway.now - call.arrivedAt),
+			version: gateway.catalogue?.version,
 		},
 	});
 }
 
+/** How old what is known since `at` is, for the log; undefined for what is not known. */
+function ageOf({now}: Gateway, at: number): number | undefined {
+	return at === Number.NEGATIVE_INFINITY ? undefined : Math.round(now - at);
+}
+
 /** Forgets a call of which nothing more is to be said. */
 function close(gateway: Gateway, call: Call) {
 	gateway.calls.delete(call.id);
@@ -256,6 +273,9 @@
 		target: call.target,
 		sends: call.sends,
 		afterMs: Math.round(gateway.now - call.arrivedAt),
+		waiting: waitingCount(gateway, call.pool),
+		used: Math.round(usedBy(gateway, call.pool, call.workspace)),
+		level: Math.round(gateway.levels.get(call.pool) ?? Number.POSITIVE_INFINITY),
 		version: gateway.catalogue?.version,
 	});
 	close(gateway, call);
@@ -365,7 +385,6 @@
 	[SendEnd.Whole](gateway, call) {
 		note(gateway, {
 			part: LogPart.Request,
-			level: 'debug',
 			text: 'served',
 			request: call.id,
 			fields: {target: call.target, sends: call.sends, tookMs: Math.round(gateway.now - call.arrivedAt)},
--- a/packages/core/src/gateway/loads.ts
+++ b/packages/core/src/gateway/loads.ts
@@ -15,15 +15,19 @@
 		: target.running + target.remoteRunning;
 }
 
+/** Most requests at once at a target. */
+export function placesOf(gateway: Gateway, target: PoolTarget): number {
+	const isEngine = gateway.catalogue?.pools.get(target.pool)?.isEngine ?? false;
+	return isEngine ? engineLimit(gateway, target) : target.slots;
+}
+
 /** Whether a target has a place for one more request, by estimate. */
 export function hasPlace(gateway: Gateway, target: PoolTarget): boolean {
 	if (gateway.now < target.fullUntil) {
 		return false;
 	}
 
-	const isEngine = gateway.catalogue?.pools.get(target.pool)?.isEngine ?? false;
-	const limit = isEngine ? engineLimit(gateway, target) : target.slots;
-	return loadOf(gateway, target) < limit;
+	return loadOf(gateway, target) < placesOf(gateway, target);
 }
 
 /** Takes a report that came with an answer. */
--- a/packages/router/src/bounded-log.ts
+++ b/packages/router/src/bounded-log.ts
@@ -20,9 +20,9 @@
 	linesPerSecond: Record<LogLevel, number>;
 };
 
-/** At most some 70 lines a second and instance: 20 KB/s. */
+/** At most 80 lines a second and instance: some 25 KB/s. */
 export const linesPerSecondDefaults: Record<LogLevel, number> = {
-	error: 20, warn: 30, info: 20, debug: 0,
+	error: 20, warn: 30, info: 30, debug: 0,
 };
 
 const periodMs = 1000;
--- a/packages/router/src/log-pipe.ts
+++ b/packages/router/src/log-pipe.ts
@@ -82,6 +82,7 @@
 			return count;
 		},
 		flush() {
+			clearTimeout(timer);
 			try {
 				for (const line of waiting) {
 					writeSync(descriptor, line);
--- /dev/null
+++ b/packages/router/test/bounded-log.test.ts
@@ -0,0 +1,102 @@
+import {
+	closeSync, openSync, readFileSync, unlinkSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {LogPart} from '@shallotloom/core/ports.ts';
+import {createBoundedLog} from '../src/bounded-log.ts';
+import type {LogLine} from '../src/log.ts';
+import {createLogPipe} from '../src/log-pipe.ts';
+
+function setUp() {
+	const lines: LogLine[] = [];
+	const beats: Array<() => void> = [];
+	let dropped = 0;
+	const log = createBoundedLog({
+		log: {
+			write(line) {
+				lines.push(line);
+			},
+			async close() {
+				// Nothing is open.
+			},
+		},
+		timer: {
+			now: () => 0,
+			subscribe(_periodMs, run) {
+				beats.push(() => {
+					run(0);
+				});
+				return () => {
+					// Never ended in these tests.
+				};
+			},
+			stop() {
+				// Never started.
+			},
+		},
+		takeDropped() {
+			const count = dropped;
+			dropped = 0;
+			return count;
+		},
+		linesPerSecond: {
+			error: 1, warn: 2, info: 3, debug: 0,
+		},
+	});
+	return {
+		lines,
+		log,
+		drop(count: number) {
+			dropped = count;
+		},
+		second() {
+			for (const beat of beats) {
+				beat();
+			}
+		},
+	};
+}
+
+function write(log: ReturnType<typeof setUp>['log'], level: LogLine['level'], count: number) {
+	for (let index = 0; index < count; index += 1) {
+		log.write({part: LogPart.Request, level, text: `${level} ${index}`});
+	}
+}
+
+test('served calls never use up the lines of refused ones, and what is left out is counted', () => {
+	const {log, lines, second} = setUp();
+	write(log, 'info', 10);
+	write(log, 'warn', 3);
+	expect(lines.map(({level}) => level)).toEqual(['info', 'info', 'info', 'warn', 'warn']);
+	second();
+	expect(lines.at(-1)).toMatchObject({text: 'lines left out', fields: {info: 7, warn: 1, dropped: 0}});
+	expect(log.omitted()).toBe(8);
+	write(log, 'info', 1);
+	expect(lines.at(-1)).toMatchObject({text: 'info 0'});
+});
+
+test('lines that the reader was too slow for are told of', () => {
+	const {log, lines, second, drop} = setUp();
+	drop(4);
+	second();
+	expect(lines.at(-1)).toMatchObject({fields: {dropped: 4}});
+	expect(log.omitted()).toBe(4);
+});
+
+test('a pipe gathers lines, drops what is beyond its bound, and writes the rest at the end', () => {
+	const file = path.join(tmpdir(), `shallotloom-pipe-${process.pid}`);
+	const descriptor = openSync(file, 'w');
+	const pipe = createLogPipe({descriptor, waitingBytes: 10, gatherMs: 60_000});
+	for (const line of ['one\n', 'two\n', 'three\n']) {
+		pipe.stream.write(line);
+	}
+
+	expect(pipe.takeDropped()).toBe(1);
+	expect(pipe.takeDropped()).toBe(0);
+	pipe.flush();
+	expect(readFileSync(file, 'utf8')).toBe('one\ntwo\n');
+	closeSync(descriptor);
+	unlinkSync(file);
+});
--- a/packages/router/test/gateway/answers.test.ts
+++ b/packages/router/test/gateway/answers.test.ts
@@ -184,6 +184,7 @@
 				request.socket.destroy();
 			}, 20);
 		};
+
 		const callers = await start(script, script);
 		expect(await ask(callers, '/chat/x')).toMatchObject({status: 200, body: 'id: 1\ndata: a\n\n', isWhole: false});
 		expect(started!.router.gateway.calls.size).toBe(0);
