--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -138,8 +138,8 @@
 }
 
 /**
-Sends a call to a target, lets it wait for a place, or refuses it. It never overtakes a waiting call that deserves the place
-more.
+Sends a call to a target, lets it wait for a place, or refuses it. It never overtakes a waiting call of a workspace that has
+used less.
 */
 function place(gateway: Gateway, call: Call) {
 	const targets = soundTargets(gateway, call.pool);
@@ -462,7 +462,7 @@
 	endHandlers[end](gateway, call, detail);
 }
 
-/** Starts waiting calls, and gives up those whose time has come. */
+/** Starts the waiting calls that find a place by now. */
 export function callsSystem(gateway: Gateway) {
 	for (const pool of gateway.waiting.keys()) {
 		startCalls(gateway, pool);
--- a/packages/router/src/gateway/target-pools.ts
+++ b/packages/router/src/gateway/target-pools.ts
@@ -17,7 +17,7 @@
 	close(): Promise<void>;
 };
 
-/** Time for connecting to a target, in milliseconds: well within the shortest objective's retries. */
+/** Time for connecting to a target, in milliseconds: half of what callers allow for a connection of their own. */
 const connectTimeoutMs = 500;
 
 /** Idle connections are closed after this where a target doesn't say when, in milliseconds. */
