Have one piece of code send a call again, and one end the reading of its prompt

Cause: the last reading of the change found the steps of a re-send twice in gateway/calls.ts (after a failure and after a break), the release of unread tokens twice, and Gateway.startedAt, which nothing read.

Ruled out: dropping isRepeatable from the order to send, since a test asserts it.

Change: sendAgain and endReading serve both places; startedAt is gone. Decisions stay as they were; a call sent again after a failure now names whether it is resumed, and no target while it waits, in the log.

Measured: types and lint clean; npx jest packages/core packages/router/test/gateway platform 394 of 394.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -21,7 +21,9 @@
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
 import {rememberParts} from './prompt-parts.ts';
 import {countCall, countStart, spendRetry} from './retries.ts';
-import {CallState, type Call, type CallArrival} from './rows.ts';
+import {
+	CallState, type Call, type CallArrival, type PoolTarget,
+} from './rows.ts';
 import {noteEnd} from './target-health.ts';
 import {
 	chargeCall, noteAsked, refundCall, usedBy,
@@ -242,9 +244,13 @@
 	const target = gateway.targets.get(call.target);
 	if (target) {
 		countEnd(target);
-		target.unreadTokens = Math.max(0, target.unreadTokens - call.unreadTokens);
+		endReading(target, call);
 	}
+}
 
+/** Counts the prompt of a call as read by its target. */
+function endReading(target: PoolTarget, call: Call) {
+	target.unreadTokens = Math.max(0, target.unreadTokens - call.unreadTokens);
 	call.unreadTokens = 0;
 }
 
@@ -312,8 +318,7 @@
 	}
 
 	measureFirstByte(gateway, call, target.unreadTokens);
-	target.unreadTokens = Math.max(0, target.unreadTokens - call.unreadTokens);
-	call.unreadTokens = 0;
+	endReading(target, call);
 }
 
 function measureFirstByte(gateway: Gateway, call: Call, backlog: number) {
@@ -362,20 +367,27 @@
 		: refusal(RefusalKind.NoCapacity, call.pool, comeBackAfter(gateway, call.pool));
 }
 
-function resendOrRefuse(gateway: Gateway, call: Call, detail: string) {
+/** Places a call anew if that is allowed; says whether it was. */
+function sendAgain(gateway: Gateway, call: Call, detail: string): boolean {
 	call.tried.push(call.target);
-	if (mayResend(gateway, call)) {
-		note(gateway, {
-			part: LogPart.Request, text: 'sent again', request: call.id, fields: {
-				target: call.target, reason: detail, attempts: call.attempts, isResumed: call.isAnswered,
-			},
-		});
-		call.target = '';
-		place(gateway, call);
-		return;
+	if (!mayResend(gateway, call)) {
+		return false;
 	}
 
-	refuse(gateway, call, failed(gateway, call, detail));
+	note(gateway, {
+		part: LogPart.Request, text: 'sent again', request: call.id, fields: {
+			target: call.target, reason: detail, attempts: call.attempts, isResumed: call.isAnswered,
+		},
+	});
+	call.target = '';
+	place(gateway, call);
+	return true;
+}
+
+function resendOrRefuse(gateway: Gateway, call: Call, detail: string) {
+	if (!sendAgain(gateway, call, detail)) {
+		refuse(gateway, call, failed(gateway, call, detail));
+	}
 }
 
 type EndHandler = (gateway: Gateway, call: Call, detail: string) => void;
@@ -415,12 +427,7 @@
 	},
 	[SendEnd.Failed](gateway, call, detail) {
 		call.mayHaveRun = true;
-		call.tried.push(call.target);
-		if (mayResend(gateway, call)) {
-			note(gateway, {
-				part: LogPart.Request, text: 'sent again', request: call.id, fields: {target: call.target, reason: detail, attempts: call.attempts},
-			});
-			place(gateway, call);
+		if (sendAgain(gateway, call, detail)) {
 			return;
 		}
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -43,7 +43,6 @@
 	readonly limits: GatewayLimits;
 	/** Monotonic time of the current step. */
 	now: number;
-	startedAt: number;
 	state: MemberState;
 	/** When a stop was requested; undefined while none was. */
 	stopAt: number | undefined;
@@ -89,7 +88,6 @@
 		self,
 		limits: {...gatewayLimitDefaults, ...limits},
 		now,
-		startedAt: now,
 		state: MemberState.Active,
 		stopAt: undefined,
 		stopPhase: StopPhase.Lingering,
