Hold nothing against a workspace that it used while there was enough for all

Ruled out: the condition that somebody lacks his share. Change: use above 1.1 of the level is forgiven when the level is reckoned, and the level is in force whenever two workspaces ask, which drops the condition and its two constants. The test fails without the change.

--- a/packages/core/src/gateway/shares.ts
+++ b/packages/core/src/gateway/shares.ts
@@ -1,7 +1,7 @@
 /*
 Max-min shares of a pool. Every instance hears what the workspaces have asked for and used everywhere, fills the pool's
-capacity up to one level, and lets no workspace that is above the level start a call while others ask for what is left of it. So
-a workspace gets its share also where its callers all use one instance, and nothing is withheld while there is enough for all.
+capacity up to one level, and lets no workspace that is above the level start a call while others ask too. So a workspace gets
+its share also where its callers all use one instance, and nothing is withheld while there is enough for all.
 */
 import {second} from '../units.ts';
 import {due} from '../world.ts';
@@ -15,8 +15,8 @@
 /** How much more than it served of late a pool is taken to serve, so that the level can rise. */
 const growth = 1.1;
 
-/** Part of the level below which a workspace lacks its share: what is closer is noise of the measurement. */
-const lackingPart = 0.9;
+/** How far above the level the use of a workspace counts. */
+const debt = 1.1;
 
 /**
 The level up to which demands are met from a capacity when none gets more than the others while one lacks.
@@ -44,13 +44,20 @@
 	const isEngine = gateway.catalogue?.pools.get(pool)?.isEngine ?? false;
 	const known = isEngine ? (gateway.catalogue?.tokensPerSecond ?? 0) * gateway.limits.shareWindowMs / second : 0;
 	const level = waterLevel(usages.map(({ownAsked, remoteAsked}) => ownAsked + remoteAsked), Math.max(known, used * growth));
-	return usages.some(usage => lacks(usage, level)) ? level : Number.POSITIVE_INFINITY;
+	return usages.length > 1 ? level : Number.POSITIVE_INFINITY;
 }
 
-/** Whether a workspace is well below the level though it asks for more than it gets. */
-function lacks({own, remote, ownAsked, remoteAsked}: Usage, level: number): boolean {
-	const used = own + remote;
-	return used < level * lackingPart && ownAsked + remoteAsked > used * growth;
+/**
+Forgives what a workspace has used above the level: it dates from when there was enough for all, and to make up for it the
+workspace would get nothing for seconds.
+*/
+function forgive(usage: Usage, level: number) {
+	const most = level * debt;
+	const used = usage.own + usage.remote;
+	if (used > most) {
+		usage.own *= most / used;
+		usage.remote *= most / used;
+	}
 }
 
 /** Reckons the level of each pool that is in use. */
@@ -61,7 +68,11 @@
 
 	gateway.levels.clear();
 	for (const pool of gateway.usages.groups()) {
-		gateway.levels.set(pool, levelOf(gateway, pool));
+		const level = levelOf(gateway, pool);
+		gateway.levels.set(pool, level);
+		for (const usage of gateway.usages.group(pool)) {
+			forgive(usage, level);
+		}
 	}
 }
 
--- a/packages/core/test/gateway/shares.test.ts
+++ b/packages/core/test/gateway/shares.test.ts
@@ -53,6 +53,27 @@
 	expect(itemsOf(bench.call({...arrival, key: 'key-b'}), 'send')).toHaveLength(1);
 });
 
+test('what a workspace used while there was enough for all keeps it from its share for a moment only', () => {
+	const bench = benchOf({
+		instances: ['self', 'other'], targets: [targetOf('e1', {pool: 'engines', slots: 64})], limits: {heardMs: 60_000},
+	});
+	bench.gateway.usages.set({
+		pool: 'engines', workspace: 'a', own: 1_300_000, remote: 0, ownAsked: 1_300_000, remoteAsked: 0, at: bench.gateway.now,
+	});
+	const others = digestOf(['b', 'c', 'd'].map(workspace => ({workspace, service: 300_000, asked: 600_000})));
+	const arrival = {path: '/chat/x', prompt: promptOf('p', 100), key: 'key-a'};
+	bench.step(others);
+	bench.wait(600);
+	bench.wait(100);
+	expect(itemsOf(bench.call(arrival), 'send')).toEqual([]);
+	for (let round = 0; round < 12; round += 1) {
+		bench.step(others);
+		bench.wait(100);
+	}
+
+	expect(itemsOf(bench.call(arrival), 'send')).toHaveLength(1);
+});
+
 test('nothing is withheld while there is enough for all', () => {
 	const bench = benchOf({
 		instances: ['self', 'other'], targets: [targetOf('e1', {pool: 'engines', slots: 64})], limits: {heardMs: 60_000},
