Drop a target at once that left while only this instance missed the platform

Cause: after a cut an instance keeps a target that is no longer listed for 2.2 s, since its entry may have lapsed with the store. Ruled out: a shorter time for listing again; after an outage of the store live targets need it. Change: digests tell for how long their sender has reached the platform without a break. A peer that reached it since before this instance's last answer from it shows that the list is not doubtful.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -38,6 +38,17 @@
 	Done = 'done',
 }
 
+/** Whether the platform answers. */
+export type PlatformReach = {
+	isReached: boolean;
+	/** Since when it answers, or doesn't. */
+	since: number;
+	/** When it answered last. */
+	answeredAt: number;
+	/** When it had answered last before it was lost; undefined while it never was. */
+	answeredBefore: number | undefined;
+};
+
 export type Gateway = {
 	readonly self: GatewaySelf;
 	readonly limits: GatewayLimits;
@@ -53,8 +64,7 @@
 	targetsListed: boolean;
 	targets: Table<PoolTarget>;
 	domainsOut: Set<string>;
-	/** Whether the platform answers, and since when. */
-	platform: {isReached: boolean; since: number};
+	platform: PlatformReach;
 	calls: Table<Call>;
 	/** Ids of the calls that wait for a place, by pool, oldest first. */
 	waiting: Map<string, Set<string>>;
@@ -95,7 +105,9 @@
 		targetsListed: false,
 		targets: createTable<PoolTarget>({key: target => target.id, index: target => target.pool}),
 		domainsOut: new Set(),
-		platform: {isReached: true, since: Number.NEGATIVE_INFINITY},
+		platform: {
+			isReached: true, since: now, answeredAt: now, answeredBefore: undefined,
+		},
 		calls: createTable<Call>({key: call => call.id}),
 		waiting: new Map(),
 		usages: createTable<Usage>({key: usage => `${usage.pool}/${usage.workspace}`, index: usage => usage.pool}),
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -22,7 +22,8 @@
 	return id === self.id;
 }
 
-function isHeard(gateway: Gateway, instance: Instance): boolean {
+/** Whether an instance told of itself of late. */
+export function isHeard(gateway: Gateway, instance: Instance): boolean {
 	return isSelf(gateway, instance) || gateway.now - instance.heardAt <= gateway.limits.heardMs;
 }
 
@@ -60,6 +61,7 @@
 		listedAt: gateway.now,
 		// At the first list nothing is known of how fresh an entry is.
 		heardAt: Number.NEGATIVE_INFINITY,
+		platformSince: undefined,
 		services: [],
 		loads: [],
 	});
@@ -84,12 +86,13 @@
 
 	instance.heardAt = gateway.now;
 	instance.state = digest.state;
+	instance.platformSince = digest.platformReachedMs === undefined ? undefined : gateway.now - digest.platformReachedMs;
 	instance.services = digest.services;
 	instance.loads = digest.pools;
 }
 
 function createDigest(gateway: Gateway): Digest {
-	const {self, state, catalogue} = gateway;
+	const {self, state, catalogue, platform, targetsListed, now} = gateway;
 	return {
 		kind: 'digest',
 		state,
@@ -102,6 +105,7 @@
 		services: ownServices(gateway),
 		pools: [...ownRunning(gateway), ...ownLimits(gateway)],
 		heard: [],
+		platformReachedMs: platform.isReached && targetsListed ? Math.floor(now - platform.since) : undefined,
 	};
 }
 
@@ -190,7 +194,7 @@
 	const named: Instance[] = [...gateway.instances.rows()].filter(instance => isNamed(gateway, instance) && (!isSelf(gateway, instance) || isReady(gateway)));
 	if (isReady(gateway) && !named.some(instance => isSelf(gateway, instance))) {
 		named.push({
-			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, services: [], loads: [],
+			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, platformSince: undefined, services: [], loads: [],
 		});
 	}
 
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -163,6 +163,8 @@
 	listedAt: number;
 	/** When its last digest arrived; -Infinity before the first. */
 	heardAt: number;
+	/** Since when it has reached the platform without a break, by its last digest; undefined when it doesn't. */
+	platformSince: number | undefined;
 	/** What its callers have used of late, by its last digest. */
 	services: ServiceEntry[];
 	/** By its last digest: requests of it that targets have, where `pool` names the target, and its limits at engines. */
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -4,6 +4,7 @@
 */
 import {LogPart} from '../ports.ts';
 import {note, type Gateway} from './gateway.ts';
+import {isHeard} from './instances.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {TargetStanding, type ListedTarget, type PoolTarget} from './rows.ts';
 
@@ -68,9 +69,20 @@
 	logTarget(gateway, `gone: ${reason}`, target);
 }
 
+/** Whether another instance has reached the platform without a break since a time. */
+function isReachedElsewhere(gateway: Gateway, since: number): boolean {
+	return [...gateway.instances.rows()].some(instance =>
+		instance.id !== gateway.self.id && isHeard(gateway, instance) && instance.platformSince !== undefined && instance.platformSince < since);
+}
+
 /** Whether entries may be missing only since the platform was away. */
-function isListDoubtful({platform, now, limits}: Gateway): boolean {
-	return !platform.isReached || now < platform.since + limits.relistMs;
+function isListDoubtful(gateway: Gateway): boolean {
+	const {platform: {isReached, since, answeredBefore}, now, limits} = gateway;
+	if (!isReached) {
+		return true;
+	}
+
+	return answeredBefore !== undefined && now < since + limits.relistMs && !isReachedElsewhere(gateway, answeredBefore);
 }
 
 export function onTargets(gateway: Gateway, {targets}: GatewayInboundOf<'targets'>) {
@@ -115,10 +127,17 @@
 }
 
 export function onPlatformReach(gateway: Gateway, {isReached}: GatewayInboundOf<'platformReach'>) {
-	if (isReached !== gateway.platform.isReached) {
-		gateway.platform = {isReached, since: gateway.now};
+	const {platform, now} = gateway;
+	if (isReached !== platform.isReached) {
+		platform.isReached = isReached;
+		platform.since = now;
+		platform.answeredBefore = isReached ? platform.answeredBefore : platform.answeredAt;
 		note(gateway, {part: LogPart.Membership, level: isReached ? 'info' : 'warn', text: isReached ? 'platform reached again' : 'platform lost'});
 	}
+
+	if (isReached) {
+		platform.answeredAt = now;
+	}
 }
 
 export function onCatalogue(gateway: Gateway, {catalogue}: GatewayInboundOf<'catalogue'>) {
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -194,6 +194,8 @@
 	services: ServiceEntry[];
 	pools: PoolEntry[];
 	heard: HeardEntry[];
+	/** For how long the sender has reached the platform without a break; undefined when it doesn't reach it. */
+	platformReachedMs?: number | undefined;
 };
 
 /** Asks a peer for the release notes after a revision. */
--- a/packages/core/test/gateway/targets.test.ts
+++ b/packages/core/test/gateway/targets.test.ts
@@ -1,4 +1,6 @@
+import type {GatewayInbound} from '../../src/gateway/ports.ts';
 import {TargetStanding} from '../../src/gateway/rows.ts';
+import {MemberState} from '../../src/messages.ts';
 import {benchOf, itemsOf, targetOf} from '../support/gateways.ts';
 
 const both = [targetOf('t1'), targetOf('t2')];
@@ -34,6 +36,42 @@
 	expect(bench.gateway.targets.has('t2')).toBe(false);
 });
 
+/** The digest of another instance that has reached the platform for a while. */
+function digestOf(platformReachedMs: number | undefined): GatewayInbound {
+	return {
+		kind: 'digest',
+		from: 'other',
+		incarnation: 'other-1',
+		digest: {
+			kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: '', peerUrl: '', revision: 1, leaseSequence: 0, storeAgeMs: -1,
+			services: [], pools: [], heard: [], platformReachedMs,
+		},
+	};
+}
+
+/** An instance that missed the platform for 5 s, in which t2 went, and then hears of another that tells its own reach. */
+function afterLoss(platformReachedMs: number | undefined) {
+	const bench = benchOf({targets: both, instances: ['self', 'other']});
+	bench.step({kind: 'platformReach', isReached: true});
+	bench.wait(2000);
+	bench.step({kind: 'platformReach', isReached: false});
+	bench.wait(5000);
+	bench.step({kind: 'targets', targets: [targetOf('t1')]}, {kind: 'platformReach', isReached: true});
+	bench.step(digestOf(platformReachedMs));
+	return bench.gateway.targets.has('t2');
+}
+
+test('a target that went while only this instance missed the platform is not kept', () => {
+	expect(afterLoss(60_000)).toBe(false);
+});
+
+test('a peer that lost the platform too, or reached it again since, is no reason to drop a target', () => {
+	expect(afterLoss(undefined)).toBe(true);
+	expect(afterLoss(4000)).toBe(true);
+	// It reached the platform before this instance noticed, but after its last answer.
+	expect(afterLoss(6000)).toBe(true);
+});
+
 test('a target that was leaving is not kept over an outage', () => {
 	const bench = benchOf({targets: [targetOf('t1'), targetOf('t2', {standing: TargetStanding.Leaving})]});
 	bench.step({kind: 'platformReach', isReached: false});
--- a/packages/router/test/codec.test.ts
+++ b/packages/router/test/codec.test.ts
@@ -11,7 +11,7 @@
 
 function digestOf(services: ServiceEntry[]): PeerMessage {
 	return {
-		kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: 'http://a', peerUrl: 'http://b', revision: 3, leaseSequence: 4, storeAgeMs: -1, services, pools: [], heard: [],
+		kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: 'http://a', peerUrl: 'http://b', revision: 3, leaseSequence: 4, storeAgeMs: -1, services, pools: [], heard: [], platformReachedMs: 1500,
 	};
 }
 
