--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -44,6 +44,8 @@
 	homes: number;
 	/** Most targets over which a shared part spreads while its homes are full. */
 	homesMax: number;
+	/** Waiting calls with a part from which on it is read at one more target, since they share what that costs. */
+	spreadCalls: number;
 	/** Shared tokens from which a call goes to the homes of its part only. */
 	boundTokens: number;
 	/** Weight of reading a shared token once more against reading one of the call's own. */
@@ -94,6 +96,7 @@
 	engineLoadMs: 2,
 	homes: 1,
 	homesMax: 2,
+	spreadCalls: 2,
 	boundTokens: 1000,
 	rereadWeight: 5,
 	crossDomainMs: 3,
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -46,9 +46,11 @@
 	return {target, unreadTokens, costMs: readMs + (loadOf(gateway, target) * gateway.limits.engineLoadMs)};
 }
 
-/** Engines that a call may go to now. A long shared part stays at its homes, and spreads in their order while those are full. */
+/** Engines that a call may go to now. A long shared part stays at its homes, and spreads in their order while those are full and several calls wait for it. */
 function engineCandidates(gateway: Gateway, call: Call, targets: PoolTarget[]): Candidate[] {
-	const {homes, homesMax, boundTokens} = gateway.limits;
+	const {
+		homes, homesMax, boundTokens, spreadCalls,
+	} = gateway.limits;
 	const prompt = call.prompt!;
 	const key = sharedKey(prompt);
 	const ranked = key === undefined ? targets : homesOf(gateway, call.pool, key, targets);
@@ -65,10 +67,25 @@
 		return near.map(target => engineCandidate(gateway, call, target, true));
 	}
 
+	if (sharingCalls(gateway, call.pool, key) < spreadCalls) {
+		return [];
+	}
+
 	const next = ranked.slice(homes, homesMax).find(target => isFree(target));
 	return next ? [engineCandidate(gateway, call, next, false)] : [];
 }
 
+/** Waiting calls whose prompts have a shared part. */
+function sharingCalls({waiting, calls}: Gateway, pool: string, key: string): number {
+	let count = 0;
+	for (const id of waiting.get(pool) ?? []) {
+		const {prompt} = calls.get(id)!;
+		count += prompt && sharedKey(prompt) === key ? 1 : 0;
+	}
+
+	return count;
+}
+
 /** Whether a call may be sent to a target now. */
 function hasRoom(gateway: Gateway, call: Call, target: PoolTarget): boolean {
 	return !call.tried.includes(target.id) && hasPlace(gateway, target) && hasColdRoom(gateway, target);
--- a/packages/core/test/gateway/placement.test.ts
+++ b/packages/core/test/gateway/placement.test.ts
@@ -24,6 +24,13 @@
 	expect(used).toContain(undefined);
 });
 
+test('a single call waits for the home of its part rather than have the part read at another engine', () => {
+	const bench = benchOf({targets: engines, limits: {patience: 1}});
+	const used = Array.from({length: 3}, () => sendTo(bench, 'p1'));
+	expect(used).toEqual([used[0], used[0], undefined]);
+	expect(bench.gateway.waiting.get('engines')!.size).toBe(1);
+});
+
 test('a part keeps its home when other engines come or go', () => {
 	const home = sendTo(benchOf({targets: engines}), 'p1');
 	const without = engines.filter(({id}) => id !== engines.find(({id: other}) => other !== home)!.id);
