Lower use only along with a level that falls

Levels were besides reckoned from uses that were not faded to the same moment. Change: when the level falls, use above it falls by the same factor; a slowly rising reference keeps a level that varies a little from lowering use each time. Uses are faded before the level is reckoned.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -73,6 +73,8 @@
 	usages: Table<Usage>;
 	/** Use by a workspace up to which a pool's capacity goes round, by pool. */
 	levels: Map<string, number>;
+	/** Level against which past use is measured, by pool. */
+	levelReferences: Map<string, number>;
 	sendCounts: Map<string, SendCount[]>;
 	paces: Table<Pace>;
 	instances: Table<Instance>;
@@ -115,6 +117,7 @@
 		waiting: new Map(),
 		usages: createTable<Usage>({key: usage => `${usage.pool}/${usage.workspace}`, index: usage => usage.pool}),
 		levels: new Map(),
+		levelReferences: new Map(),
 		sendCounts: new Map(),
 		paces: createTable<Pace>({key: pace => pace.pool}),
 		instances: createTable<Instance>({key: instance => instance.id}),
--- a/packages/core/src/gateway/shares.ts
+++ b/packages/core/src/gateway/shares.ts
@@ -7,7 +7,7 @@
 import {due} from '../world.ts';
 import type {Gateway} from './gateway.ts';
 import type {Call, Usage} from './rows.ts';
-import {usedBy} from './usage.ts';
+import {fade, usedBy} from './usage.ts';
 
 /** Period at which levels are reckoned anew, in milliseconds. */
 const levelMs = 100;
@@ -15,8 +15,11 @@
 /** How much more than it served of late a pool is taken to serve, so that the level can rise. */
 const growth = 1.1;
 
-/** How far above the level the use of a workspace counts. */
-const debt = 1.1;
+/** How far above a level that falls past use counts: those below the level come first. */
+const debt = 1.05;
+
+/** Factor by which the level against which use is measured follows a rising level, each time that levels are reckoned. */
+const referenceRise = 1.03;
 
 /**
 The level up to which demands are met from a capacity when none gets more than the others while one lacks.
@@ -40,6 +43,10 @@
 
 function levelOf(gateway: Gateway, pool: string): number {
 	const usages = [...gateway.usages.group(pool)];
+	for (const usage of usages) {
+		fade(gateway, usage);
+	}
+
 	const used = usages.reduce((sum, {own, remote}) => sum + own + remote, 0);
 	const isEngine = gateway.catalogue?.pools.get(pool)?.isEngine ?? false;
 	const known = isEngine ? (gateway.catalogue?.tokensPerSecond ?? 0) * gateway.limits.shareWindowMs / second : 0;
@@ -48,18 +55,30 @@
 }
 
 /**
-Forgives what a workspace has used above the level: it dates from when there was enough for all, and to make up for it the
-workspace would get nothing for seconds.
+Lowers use along with a level that has fallen, though not below it. What a workspace used while there was more for each would
+otherwise keep it from its share for seconds.
 */
-function forgive(usage: Usage, level: number) {
-	const most = level * debt;
+function lowerUse(usage: Usage, level: number, reference: number) {
 	const used = usage.own + usage.remote;
-	if (used > most) {
-		usage.own *= most / used;
-		usage.remote *= most / used;
+	const left = Math.max(Math.min(used, level * debt), used * level / reference);
+	if (left < used) {
+		usage.own *= left / used;
+		usage.remote *= left / used;
 	}
 }
 
+/** Follows a level: down at once, up slowly, so that use isn't lowered again and again under a level that varies a little. */
+function updateReference(gateway: Gateway, pool: string, level: number) {
+	const reference = gateway.levelReferences.get(pool) ?? Number.POSITIVE_INFINITY;
+	if (level < reference) {
+		for (const usage of gateway.usages.group(pool)) {
+			lowerUse(usage, level, reference);
+		}
+	}
+
+	gateway.levelReferences.set(pool, level === Number.POSITIVE_INFINITY ? level : Math.min(level, reference * referenceRise));
+}
+
 /** Reckons the level of each pool that is in use. */
 export function levelsSystem(gateway: Gateway) {
 	if (!due(gateway, 'levels', levelMs)) {
@@ -70,9 +89,7 @@
 	for (const pool of gateway.usages.groups()) {
 		const level = levelOf(gateway, pool);
 		gateway.levels.set(pool, level);
-		for (const usage of gateway.usages.group(pool)) {
-			forgive(usage, level);
-		}
+		updateReference(gateway, pool, level);
 	}
 }
 
--- a/packages/core/src/gateway/usage.ts
+++ b/packages/core/src/gateway/usage.ts
@@ -9,7 +9,8 @@
 /** Use below this is forgotten, in weighted tokens. */
 const leastUse = 0.01;
 
-function fade({now, limits}: Gateway, usage: Usage) {
+/** Brings a usage up to date: what is older counts less. */
+export function fade({now, limits}: Gateway, usage: Usage) {
 	if (usage.at === now) {
 		return;
 	}
