Play the gateway's decisions against model engines in simulated time

Change: `npm run bench -- placement`: the product's own cores, engines that batch, read in chunks and keep parts, callers who come back once, workspaces that flood, engines that crash; ten fleets, two of them unlike the users' sheets. It tells worth, refusals, tokens read again and spans in which a workspace falls far behind.

--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -10,6 +10,7 @@
 import {domainCrash} from './domain-crash.ts';
 import {fairness} from './fairness.ts';
 import {overhead} from './overhead.ts';
+import {placement} from './placement.ts';
 import {rollingRestart} from './rolling-restart.ts';
 import type {Scenario} from './scenario.ts';
 import {streaming} from './streaming.ts';
@@ -27,6 +28,7 @@
 	control,
 	'core-size': coreSize,
 	overhead,
+	placement,
 	stop,
 	'rolling-restart': rollingRestart,
 	configuration,
