Keep what was sent to a cold target across its start and a member's own

Ruled out: the split of the rate; the members' parts add up to 16. Change: sends of late are kept when a target is listed after a start; an instance sends a cold target nothing in its first second. Two tests, each fails without its part.

--- a/packages/core/src/gateway/cold-limits.ts
+++ b/packages/core/src/gateway/cold-limits.ts
@@ -1,7 +1,8 @@
 /*
 The rate at which a cold target may be sent requests. The bound is on the whole fleet, in touch or not, so it is split: each
 member has an equal part, and the remainder goes to the members that rendezvous hashing picks for the target. A member
-that can't hear the others keeps its part, so the sum never exceeds the bound.
+that can't hear the others keeps its part, so the sum never exceeds the bound. A member that has just started doesn't know what
+the process before it sent, and waits until that no longer counts.
 */
 import {rendezvousScore} from '../hash.ts';
 import {second} from '../units.ts';
@@ -50,6 +51,10 @@
 		return true;
 	}
 
+	if (gateway.now < gateway.startedAt + second) {
+		return false;
+	}
+
 	forgetOldSends(gateway, target);
 	return target.coldSends.length < coldShare(gateway, target, rate);
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -52,6 +52,7 @@
 export type Gateway = {
 	readonly self: GatewaySelf;
 	readonly limits: GatewayLimits;
+	readonly startedAt: number;
 	/** Monotonic time of the current step. */
 	now: number;
 	state: MemberState;
@@ -101,6 +102,7 @@
 	return {
 		self,
 		limits: {...gatewayLimitDefaults, ...limits},
+		startedAt: now,
 		now,
 		state: MemberState.Active,
 		stopAt: undefined,
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -52,9 +52,9 @@
 	}
 
 	if (listed.start !== target.start || listed.pool !== target.pool || listed.address !== target.address) {
-		// Another process: nothing that was known of the one before holds.
-		const {running} = target;
-		gateway.targets.set({...createTarget(gateway, listed), running});
+		// Another process: nothing that was known of the one before holds. What was sent of late may have reached it already.
+		const {running, coldSends} = target;
+		gateway.targets.set({...createTarget(gateway, listed), running, coldSends});
 		logTarget(gateway, 'listed again after a start', listed);
 		return;
 	}
--- a/packages/core/test/gateway/cold-limits.test.ts
+++ b/packages/core/test/gateway/cold-limits.test.ts
@@ -49,3 +49,24 @@
 	});
 	expect(bench.gateway.targets.get(sent.target)!.coldUntil).toBe(bench.gateway.now + 3000);
 });
+
+test('an instance that has just started sends a cold target nothing for a second', () => {
+	const bench = benchOf({targets: [engine]});
+	expect(itemsOf(bench.call({path: '/chat/x', prompt: promptOf('p', 100)}), 'send')).toEqual([]);
+	bench.wait(1000);
+	expect(itemsOf(bench.call({path: '/chat/x', prompt: promptOf('p', 100)}), 'send')).toHaveLength(1);
+});
+
+test('what was sent to a target just before it is listed after a start counts', () => {
+	const bench = benchOf({targets: [targetOf('e1', {pool: 'engines', slots: 64})]});
+	bench.wait(1000);
+	bench.gateway.targets.get('e1')!.coldUntil = Number.POSITIVE_INFINITY;
+	const call = () => itemsOf(bench.call({path: '/chat/x', prompt: promptOf('p', 100)}), 'send').length;
+	expect(Array.from({length: 20}, call).reduce((sum, count) => sum + count, 0)).toBe(16);
+	bench.step({
+		kind: 'targets', targets: [targetOf('e1', {
+			pool: 'engines', slots: 64, start: '2', revision: 2, coldForMs: 3000,
+		})],
+	});
+	expect(call()).toBe(0);
+});
