Explore fleets of gateway cores at random

Change: `npm run explore`: several cores, a platform and peers that each may be cut off, late and lost digests, targets that answer, fail, leave and start again cold, instances that are killed; eight rules are watched, and fast-check shrinks what breaks one.

--- a/packages/bench/src/cli/main.ts
+++ b/packages/bench/src/cli/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
 /*
-Command line of the bench: `demo`, `run` and `matrix`.
+Command line of the bench: `demo`, `run`, `explore` and `matrix`.
 */
 import process from 'node:process';
 import sade from 'sade';
 import {killAll} from '../deployment/child.ts';
 import {demo} from './demo.ts';
+import {runExploration} from './explore.ts';
 import {matrix} from './matrix.ts';
 import {run} from './run.ts';
 
@@ -36,6 +37,19 @@
 		json: options.json ?? false,
 	})));
 
+program
+	.command('explore')
+	.describe('Explores fleets of gateway cores at random; prints the shortest sequence that breaks a rule.')
+	.option('--seed', 'Seed of the first sequences', 1)
+	.option('--minutes', 'Time to explore', 1)
+	.option('--instances', 'Instances of a fleet', 3)
+	.example('explore --minutes 5 --seed 7')
+	.action(async (options: {seed: number; minutes: number; instances: number}) => finish(Promise.resolve(runExploration({
+		seed: Number(options.seed),
+		minutes: Number(options.minutes),
+		instances: Number(options.instances),
+	}))));
+
 program
 	.command('matrix')
 	.describe('Runs the tests of the fault matrix and prints it.')
