Keep a log line's severity when a field has its name

Cause: found by reading logs with a program: refusals carried the share of their pool as `level`, which took the place of the line's severity ("level":887002). Ruled out: the bound on lines, which counts before the line is written. Change: what every line has goes before its fields; the share is called `share`.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -281,7 +281,7 @@
 		afterMs: Math.round(gateway.now - call.arrivedAt),
 		waiting: waitingCount(gateway, call.pool),
 		used: Math.round(usedBy(gateway, call.pool, call.workspace)),
-		level: Math.round(gateway.levels.get(call.pool) ?? Number.POSITIVE_INFINITY),
+		share: Math.round(gateway.levels.get(call.pool) ?? Number.POSITIVE_INFINITY),
 		version: gateway.catalogue?.version,
 	});
 	close(gateway, call);
--- a/packages/router/src/log.ts
+++ b/packages/router/src/log.ts
@@ -87,11 +87,15 @@
 };
 
 const forms: Record<LogOptions['format'], (record: LogRecord) => string> = {
-	json: ({
+	json({
 		at, level, part, message, request, fields,
-	}) => JSON.stringify({
-		at: at.toISOString(), level, part, text: message, request, ...fields,
-	}),
+	}) {
+		const head = {
+			at: at.toISOString(), level, part, text: message, request,
+		};
+		// A field must not take the place of what every line has.
+		return JSON.stringify({...head, ...fields, ...head});
+	},
 	text({
 		at, level, part, message, request, fields,
 	}) {
--- a/packages/router/test/log.test.ts
+++ b/packages/router/test/log.test.ts
@@ -56,3 +56,14 @@
 	const text = 'lease lease/suva-1 renewed at version 7, key space of 3 targets';
 	expect(redact(text)).toBe(text);
 });
+
+test('a field doesn\'t take the place of what every line has', async () => {
+	const line = await written('json', {
+		part: EdgePart.Callers, level: 'warn', text: 'refused', request: 'r1', fields: {level: 500, at: 'desk', reason: 'full'},
+	});
+	const parsed = JSON.parse(line) as Record<string, unknown>;
+	expect(parsed).toMatchObject({
+		level: 'warn', text: 'refused', request: 'r1', reason: 'full',
+	});
+	expect(parsed.at).not.toBe('desk');
+});
