Tell a request's way and an incident's course from logs

Cause: on-call engineers had `grep` and a page; the way of a request lies over several instances' logs, and what was said of its targets meanwhile under other ids. Change: `shallotloom explain REQUEST FILE...` and `shallotloom summary FILE...`; neither asks a router. Lines that a collector has put words before are read; what is no line is counted and told. Conclusion: kept; not yet tried on an incident by somebody who knows only its symptoms.

--- a/packages/cli/src/cli/arguments.ts
+++ b/packages/cli/src/cli/arguments.ts
@@ -101,7 +101,8 @@
 		return `"${name}" needs ${names.slice(given.length).map(missing => missing.toUpperCase()).join(' and ')}`;
 	}
 
-	return given.length > names.length ? `"${name}" doesn't take "${given[names.length]}"` : undefined;
+	const takesMore = names.at(-1)?.endsWith('...') ?? false;
+	return given.length > names.length && !takesMore ? `"${name}" doesn't take "${given[names.length]}"` : undefined;
 }
 
 function optionProblem(command: Command, options: Partial<Record<string, string>>): string | undefined {
--- a/packages/cli/src/cli/command.ts
+++ b/packages/cli/src/cli/command.ts
@@ -38,12 +38,14 @@
 };
 
 export type Command = {
-	/** Name and positionals, for example `release check <file>`. */
+	/** Name and positionals, for example `release check <file>`; the last may be several, as `<file...>`. */
 	usage: string;
 	describe: string;
 	/** Example without the program's name. */
 	example: string;
 	options?: CommandOption[];
+	/** Whether it asks no router. */
+	isLocal?: boolean;
 	run(input: CommandInput): Promise<Result<Report>>;
 };
 
--- a/packages/cli/src/cli/commands.ts
+++ b/packages/cli/src/cli/commands.ts
@@ -4,11 +4,13 @@
 import type {Command} from './command.ts';
 import {audit} from './commands/audit.ts';
 import {domainIn, domainList, domainOut} from './commands/domain.ts';
+import {explain} from './commands/explain.ts';
 import {releaseApply} from './commands/release-apply.ts';
 import {releaseCheck} from './commands/release-check.ts';
 import {releaseHistory} from './commands/release-history.ts';
 import {releaseStatus} from './commands/release-status.ts';
 import {routerList} from './commands/router.ts';
+import {summary} from './commands/summary.ts';
 import {targetDrain, targetList, targetShow} from './commands/target.ts';
 import {top} from './commands/top.ts';
 import {workspaceList, workspaceShow} from './commands/workspace.ts';
@@ -29,4 +31,6 @@
 	routerList,
 	audit,
 	top,
+	explain,
+	summary,
 ];
--- a/packages/cli/src/cli/program.ts
+++ b/packages/cli/src/cli/program.ts
@@ -64,13 +64,12 @@
 }
 
 async function runCommand({command, positionals, options, json}: Invocation, {environment, terminal}: Surroundings): Promise<Result<Report>> {
-	const router = options.router ?? environment.SHALLOTLOOM_ROUTER;
-	const key = options.key ?? environment.SHALLOTLOOM_KEY;
-	if (!router) {
+	const {router = environment.SHALLOTLOOM_ROUTER ?? '', key = environment.SHALLOTLOOM_KEY ?? ''} = options;
+	if (!command.isLocal && router === '') {
 		return failed({kind: 'missingOption', option: 'router', variable: 'SHALLOTLOOM_ROUTER'});
 	}
 
-	if (!key) {
+	if (!command.isLocal && key === '') {
 		return failed({kind: 'missingOption', option: 'key', variable: 'SHALLOTLOOM_KEY'});
 	}
 
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -20,6 +20,9 @@
 	= | {kind: 'usage'; message: string}
 		| {kind: 'missingOption'; option: string; variable: string}
 		| {kind: 'badFile'; file: string; problems: Problem[]}
+		| {kind: 'unreadableFile'; file: string; reason: string}
+	/** No line of the logs names the request. */
+		| {kind: 'notLogged'; request: string; lines: number; unreadable: number}
 	/** No connection; nothing was sent. */
 		| {kind: 'unreachable'; url: string; reason: string}
 	/** Sent, but no answer to a question came. */
@@ -65,6 +68,16 @@
 		message: error => `${error.file} can't be used:\n${describeProblems(error.problems)}`,
 		hint: () => 'Correct the file; docs/SETTINGS.md lists the options.',
 	},
+	unreadableFile: {
+		exitCode: ExitCode.Usage,
+		message: ({file, reason}) => `${file} can't be read: ${reason}`,
+		hint: () => 'Name files with routers\' logs, or - for standard input.',
+	},
+	notLogged: {
+		exitCode: ExitCode.Failed,
+		message: ({request, lines, unreadable}) => `no line names the request ${request}; ${lines} lines were read, ${unreadable} were none of the log`,
+		hint: () => 'Check that the logs of all routers and the right time are given; "lines left out" in them tells of lines that were not written.',
+	},
 	unreachable: {
 		exitCode: ExitCode.Failed,
 		message: error => `no connection to ${error.url}: ${error.reason}`,
