Say once what an engine's pool and a heard instance are

Cause: found in the reading of the whole change: the look-up of a pool's kind stood in three modules, "heard within heardMs" in four, and a function of the registry only called another. Change: `isEnginePool` and `wasHeard` in gateway.ts; the registry's function goes. Ruled out: a change of behaviour; an instance's own row is never heard, so leaving it out by name was not needed.

--- a/packages/core/src/gateway/engine-limits.ts
+++ b/packages/core/src/gateway/engine-limits.ts
@@ -7,7 +7,7 @@
 every place.
 */
 import type {PoolEntry} from '../messages.ts';
-import {paceOf, type Gateway} from './gateway.ts';
+import {paceOf, wasHeard, type Gateway} from './gateway.ts';
 import type {Call, PoolTarget} from './rows.ts';
 
 /** Part of an engine's slots that is used before anything was measured. */
@@ -48,7 +48,7 @@
 	for (const pace of gateway.paces.rows()) {
 		const known = pace.limit > 0 ? [pace.limit] : [];
 		for (const instance of gateway.instances.rows()) {
-			const entry = gateway.now - instance.heardAt <= gateway.limits.heardMs ? instance.loads.find(({pool, budget}) => pool === pace.pool && budget > 0) : undefined;
+			const entry = wasHeard(gateway, instance) ? instance.loads.find(({pool, budget}) => pool === pace.pool && budget > 0) : undefined;
 			if (entry) {
 				known.push(entry.budget / limitScale);
 			}
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -146,6 +146,16 @@
 	return pace;
 }
 
+/** Whether the targets of a pool are model engines; not, while no catalogue names the pool. */
+export function isEnginePool({catalogue}: Gateway, pool: string): boolean {
+	return catalogue?.pools.get(pool)?.isEngine ?? false;
+}
+
+/** Whether another instance has told of itself of late. */
+export function wasHeard({now, limits}: Gateway, {heardAt}: Pick<Instance, 'heardAt'>): boolean {
+	return now - heardAt <= limits.heardMs;
+}
+
 type Note = {
 	part: LogPart;
 	level?: 'debug' | 'info' | 'warn' | 'error';
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -8,7 +8,9 @@
 import {rendezvousScore} from '../hash.ts';
 import {due} from '../world.ts';
 import {ownLimits, shareLimits} from './engine-limits.ts';
-import {note, StopPhase, type Gateway} from './gateway.ts';
+import {
+	note, StopPhase, wasHeard, type Gateway,
+} from './gateway.ts';
 import type {GatewayInboundOf, Registration} from './ports.ts';
 import type {Instance} from './rows.ts';
 import {ownRunning, updateRemoteRunning} from './loads.ts';
@@ -22,9 +24,8 @@
 	return id === self.id;
 }
 
-/** Whether an instance told of itself of late. */
-export function isHeard(gateway: Gateway, instance: Instance): boolean {
-	return isSelf(gateway, instance) || gateway.now - instance.heardAt <= gateway.limits.heardMs;
+function isHeard(gateway: Gateway, instance: Instance): boolean {
+	return isSelf(gateway, instance) || wasHeard(gateway, instance);
 }
 
 /** Whether an instance may be named to callers. */
--- a/packages/core/src/gateway/loads.ts
+++ b/packages/core/src/gateway/loads.ts
@@ -4,7 +4,7 @@
 */
 import type {PoolEntry} from '../messages.ts';
 import {engineLimit} from './engine-limits.ts';
-import type {Gateway} from './gateway.ts';
+import {isEnginePool, wasHeard, type Gateway} from './gateway.ts';
 import type {LoadReport, PoolTarget} from './rows.ts';
 
 /** Requests that a target runs or keeps waiting, by estimate. */
@@ -17,8 +17,7 @@
 
 /** Most requests at once at a target. */
 export function placesOf(gateway: Gateway, target: PoolTarget): number {
-	const isEngine = gateway.catalogue?.pools.get(target.pool)?.isEngine ?? false;
-	return isEngine ? engineLimit(gateway, target) : target.slots;
+	return isEnginePool(gateway, target.pool) ? engineLimit(gateway, target) : target.slots;
 }
 
 /** Whether a target has a place for one more request, by estimate. */
@@ -76,7 +75,7 @@
 	}
 
 	for (const instance of gateway.instances.rows()) {
-		if (gateway.now - instance.heardAt > gateway.limits.heardMs) {
+		if (!wasHeard(gateway, instance)) {
 			continue;
 		}
 
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -5,7 +5,7 @@
 */
 import {random} from '../world.ts';
 import {hasColdRoom} from './cold-limits.ts';
-import {paceOf, type Gateway} from './gateway.ts';
+import {isEnginePool, paceOf, type Gateway} from './gateway.ts';
 import {hasPlace, loadOf} from './loads.ts';
 import {
 	homesOf, ownTokens, sharedKey, sharedTokens, unreadTokensAt,
@@ -131,7 +131,7 @@
 
 /** Chooses one of the sound targets for a call; undefined while none has a place. */
 export function choose(gateway: Gateway, call: Call, targets: PoolTarget[]): Choice | undefined {
-	const isEngine = call.prompt !== undefined && (gateway.catalogue?.pools.get(call.pool)?.isEngine ?? false);
+	const isEngine = call.prompt !== undefined && isEnginePool(gateway, call.pool);
 	const candidates = isEngine
 		? engineCandidates(gateway, call, targets)
 		: targets.filter(target => hasRoom(gateway, call, target)).map(target => serviceCandidate(gateway, target));
--- a/packages/core/src/gateway/shares.ts
+++ b/packages/core/src/gateway/shares.ts
@@ -5,7 +5,7 @@
 */
 import {second} from '../units.ts';
 import {due} from '../world.ts';
-import type {Gateway} from './gateway.ts';
+import {isEnginePool, type Gateway} from './gateway.ts';
 import type {Call, Usage} from './rows.ts';
 import {fade, usedBy} from './usage.ts';
 
@@ -48,8 +48,7 @@
 	}
 
 	const used = usages.reduce((sum, {own, remote}) => sum + own + remote, 0);
-	const isEngine = gateway.catalogue?.pools.get(pool)?.isEngine ?? false;
-	const known = isEngine ? (gateway.catalogue?.tokensPerSecond ?? 0) * gateway.limits.shareWindowMs / second : 0;
+	const known = isEnginePool(gateway, pool) ? (gateway.catalogue?.tokensPerSecond ?? 0) * gateway.limits.shareWindowMs / second : 0;
 	const level = waterLevel(usages.map(({ownAsked, remoteAsked}) => ownAsked + remoteAsked), Math.max(known, used * growth));
 	return usages.length > 1 ? level : Number.POSITIVE_INFINITY;
 }
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -3,8 +3,7 @@
 from an outage may its entry have lapsed though it lives, and it is kept until the time for listing it again is over.
 */
 import {LogPart} from '../ports.ts';
-import {note, type Gateway} from './gateway.ts';
-import {isHeard} from './instances.ts';
+import {note, wasHeard, type Gateway} from './gateway.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {TargetStanding, type ListedTarget, type PoolTarget} from './rows.ts';
 
@@ -72,7 +71,7 @@
 /** Whether another instance has reached the platform without a break since a time. */
 function isReachedElsewhere(gateway: Gateway, since: number): boolean {
 	return [...gateway.instances.rows()].some(instance =>
-		instance.id !== gateway.self.id && isHeard(gateway, instance) && instance.platformSince !== undefined && instance.platformSince < since);
+		wasHeard(gateway, instance) && instance.platformSince !== undefined && instance.platformSince < since);
 }
 
 /** Whether entries may be missing only since the platform was away. */
