Order log lines by one function

Cause: the comparison of times stood in log-lines.ts and explain.ts. Change: `inOrder`, used by both. Ruled out: a change of order. Figures: the 5 tests of logs pass unchanged. Conclusion: none beyond.

--- a/packages/cli/src/cli/commands/explain.ts
+++ b/packages/cli/src/cli/commands/explain.ts
@@ -2,7 +2,7 @@
 `explain`: the way of one request through the logs of the routers, decision by decision, and its cause in one sentence.
 */
 import {failed} from '../../errors.ts';
-import {readLogs, type LogEntry} from '../../log-lines.ts';
+import {inOrder, readLogs, type LogEntry} from '../../log-lines.ts';
 import {report, type Command} from '../command.ts';
 
 /** Inputs of a decision, as they are printed. */
@@ -90,7 +90,7 @@
 
 		const cause = causeOf(own);
 		const context = contextOf(entries, own);
-		const way = [...own, ...context].toSorted((a, b) => a.at < b.at ? -1 : Number(a.at > b.at));
+		const way = inOrder([...own, ...context]);
 		return report([...way.map(entry => lineOf(entry)), '', `${request}: ${cause}`].join('\n'), {request, cause, lines: way});
 	},
 };
--- a/packages/cli/src/log-lines.ts
+++ b/packages/cli/src/log-lines.ts
@@ -67,6 +67,11 @@
 	}
 }
 
+/** Lines in the order of their times; those of one time as they were. */
+export function inOrder(entries: readonly LogEntry[]): LogEntry[] {
+	return entries.toSorted((a, b) => a.at < b.at ? -1 : Number(a.at > b.at));
+}
+
 /** Reads files, or standard input for `-`; all lines in the order of their times. */
 export async function readLogs(files: readonly string[]): Promise<Result<LogText>> {
 	const texts: LogText[] = [];
@@ -81,7 +86,7 @@
 	return {
 		kind: 'ok',
 		value: {
-			entries: texts.flatMap(({entries}) => entries).toSorted((a, b) => a.at < b.at ? -1 : Number(a.at > b.at)),
+			entries: inOrder(texts.flatMap(({entries}) => entries)),
 			unreadable: texts.reduce((sum, {unreadable}) => sum + unreadable, 0),
 		},
 	};
