Part the exploration's rules from its fleet, and use the bench's own measures

Change: rules.ts; a table of weights, with functions for the three kinds that do more; `percentile` and `mean` of measure/figures.ts (a fleet that served nothing now has no percentile, where it had 0); a dead field and an export go.

--- a/packages/bench/src/exploration/explore.ts
+++ b/packages/bench/src/exploration/explore.ts
@@ -12,121 +12,65 @@
 const endsAtOnce = 40;
 
 /** What can happen, and how often against the rest. */
-const actions: Record<string, {weight: number; run: (fleet: ExplorationFleet, a: number, b: number) => void}> = {
-	call: {
-		weight: 12,
-		run(fleet, a, b) {
-			fleet.call(a, b);
-		},
-	},
-	calls: {
-		weight: 3,
-		run(fleet, a, b) {
-			// A burst of one kind over all instances.
-			for (let index = 0; index < burst; index += 1) {
-				fleet.call(a + index, b);
-			}
-		},
-	},
-	wait: {
-		weight: 8,
-		run(fleet, a) {
-			fleet.wait(20 + (a % 600));
-		},
-	},
-	end: {
-		weight: 10,
-		run(fleet, a, b) {
-			fleet.end(a, b);
-		},
-	},
-	fail: {
-		weight: 3,
-		run(fleet, a, b) {
-			for (let index = 0; index < endsAtOnce; index += 1) {
-				fleet.end(a + index, b);
-			}
-		},
-	},
-	leave: {
-		weight: 2,
-		run(fleet, a) {
-			fleet.leave(a);
-		},
-	},
-	kill: {
-		weight: 1,
-		run(fleet, a) {
-			fleet.kill(a);
-		},
-	},
-	restart: {
-		weight: 2,
-		run(fleet, a) {
-			fleet.restart(a);
-		},
-	},
-	cutStore: {
-		weight: 1,
-		run(fleet, a) {
-			fleet.cutStore(a);
-		},
-	},
-	cutPeers: {
-		weight: 1,
-		run(fleet, a) {
-			fleet.cutPeers(a);
-		},
-	},
-	heal: {
-		weight: 3,
-		run(fleet, a) {
-			fleet.heal(a);
-		},
-	},
-	loseDigests: {
-		weight: 1,
-		run(fleet) {
-			fleet.loseDigests();
-		},
-	},
-	restartTarget: {
-		weight: 2,
-		run(fleet, a) {
-			fleet.restartTarget(a);
-		},
-	},
-	drainTarget: {
-		weight: 1,
-		run(fleet, a) {
-			fleet.drainTarget(a);
-		},
-	},
-	removeTarget: {
-		weight: 1,
-		run(fleet, a) {
-			fleet.removeTarget(a);
-		},
+const weights = {
+	call: 12,
+	calls: 3,
+	wait: 8,
+	end: 10,
+	fail: 3,
+	leave: 2,
+	kill: 1,
+	restart: 2,
+	cutStore: 1,
+	cutPeers: 1,
+	heal: 3,
+	loseDigests: 1,
+	restartTarget: 2,
+	drainTarget: 1,
+	removeTarget: 1,
+	toggleDomain: 1,
+	configure: 1,
+};
+
+type Kind = keyof typeof weights;
+
+type Run = (fleet: ExplorationFleet, a: number, b: number) => void;
+
+/** Kinds that are more than a call of the fleet's function of that name. */
+const composed: Record<Exclude<Kind, keyof ExplorationFleet> | 'wait', Run> = {
+	calls(fleet, a, b) {
+		// A burst of one kind over all instances.
+		for (let index = 0; index < burst; index += 1) {
+			fleet.call(a + index, b);
+		}
 	},
-	toggleDomain: {
-		weight: 1,
-		run(fleet, a) {
-			fleet.toggleDomain(a);
-		},
+	wait(fleet, a) {
+		fleet.wait(20 + (a % 600));
 	},
-	configure: {
-		weight: 1,
-		run(fleet, a) {
-			fleet.configure(a);
-		},
+	fail(fleet, a, b) {
+		for (let index = 0; index < endsAtOnce; index += 1) {
+			fleet.end(a + index, b);
+		}
 	},
 };
 
-type Action = {kind: string; a: number; b: number};
+function isComposed(kind: Kind): kind is keyof typeof composed {
+	return kind in composed;
+}
+
+function act(fleet: ExplorationFleet, {kind, a, b}: Action) {
+	if (isComposed(kind)) {
+		composed[kind](fleet, a, b);
+	} else {
+		fleet[kind](a, b);
+	}
+}
+
+export type Action = {kind: Kind; a: number; b: number};
 
-const kinds = fc.oneof(...Object.entries(actions).map(([kind, {weight}]) => ({weight, arbitrary: fc.constant(kind)})));
+const kinds = fc.oneof(...(Object.entries(weights) as Array<[Kind, number]>).map(([kind, weight]) => ({weight, arbitrary: fc.constant(kind)})));
 
-const action: fc.Arbitrary<Action> = fc.record({kind: kinds, a: fc.nat({max: 1000}), b: fc.nat({max: 1000})});
+const actions: fc.Arbitrary<Action> = fc.record({kind: kinds, a: fc.nat({max: 1000}), b: fc.nat({max: 1000})});
 
 const longestSequence = 120;
 
@@ -139,8 +83,8 @@
 /** Plays one sequence; returns what broke. */
 export function playSequence(sequence: Action[], options: Partial<ExplorationOptions> = {}): string[] {
 	const fleet = createExplorationFleet(options);
-	for (const {kind, a, b} of sequence) {
-		actions[kind]!.run(fleet, a, b);
+	for (const action of sequence) {
+		act(fleet, action);
 		if (fleet.faults.length > 0) {
 			break;
 		}
@@ -151,7 +95,7 @@
 
 /** Plays random sequences. */
 export function explore({seed, sequences, ...options}: {seed: number; sequences: number} & Partial<ExplorationOptions>): Exploration {
-	const result = fc.check(fc.property(fc.array(action, {maxLength: longestSequence, size: 'max'}), sequence => playSequence(sequence, options).length === 0), {seed, numRuns: sequences});
+	const result = fc.check(fc.property(fc.array(actions, {maxLength: longestSequence, size: 'max'}), sequence => playSequence(sequence, options).length === 0), {seed, numRuns: sequences});
 	const sequence = result.counterexample?.[0];
 	return {
 		sequences: result.numRuns,
--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -15,6 +15,7 @@
 import {gatewayStep} from '@shallotloom/core/gateway/step.ts';
 import {MemberState} from '@shallotloom/core/messages.ts';
 import {Outcome} from '@shallotloom/core/refusal.ts';
+import {coldPerSecond, createRules, type WatchedCall} from './rules.ts';
 
 export type ExplorationOptions = {
 	instances: number;
@@ -28,17 +29,8 @@
 	instances: 3, targets: 3, seed: 1, limits: {},
 };
 
-/** Requests a second that a cold target takes, and what the users' rule allows beyond: 1.5 times that and 5. */
-const coldPerSecond = 16;
-const allowedColdPerSecond = (coldPerSecond * 1.5) + 5;
-
 const coldMs = 3000;
 
-/** The users' rule for requests that are sent again: this part of a pool's calls and so many more, in any window. */
-const retryRatio = 0.2;
-const retryExtra = 56;
-const retryWindowMs = 10_000;
-
 const tickMs = 20;
 
 /** Time of a call until its final answer is due, and how much later it may come: a step and its tick. */
@@ -48,12 +40,10 @@
 /** Longest way of a digest, in milliseconds. */
 const digestMs = 300;
 
-const second = 1000;
-
 const host = 'host';
 
 /** Paths of the routes by kind of call. */
-export const paths = ['/look/', '/book/', '/chat/', '/plan/'] as const;
+const paths = ['/look/', '/book/', '/chat/', '/plan/'] as const;
 
 function routeOf(pathPrefix: string, options: Partial<CallRoute>): CallRoute {
 	return {
@@ -114,18 +104,13 @@
 	connections: Map<string, string>;
 };
 
-type OpenCall = {
+type OpenCall = WatchedCall & {
 	node: Node;
-	id: string;
 	path: string;
 	arrivedAt: number;
-	/** Sends that a target may have run, and all that targets took. */
-	ran: number;
-	taken: number;
-	finals: number;
 	isClosed: boolean;
 	/** The send that runs; undefined while none does. */
-	sent: {send: number; target: string; start: string} | undefined;
+	sent: {send: number; target: string} | undefined;
 };
 
 export type ExplorationFleet = {
@@ -157,24 +142,19 @@
 /** Creates a fleet whose instances know each other, the targets and the catalogue. */
 export function createExplorationFleet(options: Partial<ExplorationOptions> = {}): ExplorationFleet {
 	const {instances, targets: targetCount, seed, limits} = {...explorationDefaults, ...options};
-	const faults: string[] = [];
 	const registrations = new Map<string, Registration>();
 	const targets = new Map<string, ListedTarget>();
 	const domainsOut = new Set<string>();
 	const calls: OpenCall[] = [];
 	const nodes: Node[] = [];
 	let digests: Array<{at: number; from: Node; to: string; inbound: GatewayInbound}> = [];
-	const coldUntil = new Map<string, number>();
-	const coldArrivals = new Map<string, number[]>();
-	const arrivals = new Map<string, {calls: number[]; resends: number[]}>();
 	let now = 1000;
 	let version = 1;
 	let starts = 0;
 	let nextCall = 0;
 
-	function fault(text: string) {
-		faults.push(`${now}: ${text}`);
-	}
+	const rules = createRules(() => now);
+	const {fault} = rules;
 
 	function createNode(id: string, start: number): Gateway {
 		return createGateway({
@@ -224,17 +204,23 @@
 		}
 	}
 
+	/** Tells all instances what the platform holds, and what follows. */
+	function publish() {
+		tellAll();
+		settle();
+	}
+
 	const edges: {[Kind in GatewayOutbound['kind']]?: (node: Node, item: GatewayOutboundOf<Kind>) => void} = {
 		send: onSend,
 		cancel(node, {call}) {
 			openCall(node, call).sent = undefined;
 		},
 		deliverFailure(node, {call}) {
-			countFinal(openCall(node, call));
+			rules.onFinal(openCall(node, call));
 		},
 		refuse(node, {call: id, refusal}) {
 			const call = openCall(node, id);
-			countFinal(call);
+			rules.onFinal(call);
 			if (refusal.outcome === Outcome.NotRun && (call.ran > 0 || call.sent)) {
 				fault(`${id} is refused as not run, but ${call.ran} targets may have run it`);
 			}
@@ -284,13 +270,6 @@
 		return calls.find(call => call.id === id && call.node === node)!;
 	}
 
-	function countFinal(call: OpenCall) {
-		call.finals += 1;
-		if (call.finals > 1) {
-			fault(`${call.id} has ${call.finals} final answers`);
-		}
-	}
-
 	function onSend(node: Node, {call: id, send, target: targetId, pool}: GatewayOutboundOf<'send'>) {
 		const call = openCall(node, id);
 		const listed = node.listed.get(targetId);
@@ -320,39 +299,9 @@
 		}
 
 		node.connections.set(targetId, target.start);
-		call.sent = {send, target: targetId, start: target.start};
+		call.sent = {send, target: targetId};
 		call.taken += 1;
-		if (call.taken > node.gateway.calls.get(id)!.route.maxAttempts) {
-			fault(`${id} is sent to ${call.taken} targets`);
-		}
-
-		countArrival(pool, call);
-		countCold(targetId);
-	}
-
-	function countArrival(pool: string, call: OpenCall) {
-		const counts = arrivals.get(pool)!;
-		if (call.taken > 1) {
-			counts.resends.push(now);
-		}
-
-		const since = (times: number[], ms: number) => times.filter(at => at > now - ms).length;
-		const allowed = (retryRatio * since(counts.calls, retryWindowMs)) + retryExtra;
-		if (since(counts.resends, retryWindowMs) > allowed) {
-			fault(`${since(counts.resends, retryWindowMs)} sends again to ${pool}, ${allowed} are allowed`);
-		}
-	}
-
-	function countCold(target: string) {
-		if (now >= (coldUntil.get(target) ?? 0)) {
-			return;
-		}
-
-		const times = [...(coldArrivals.get(target) ?? []), now].filter(at => at > now - second);
-		coldArrivals.set(target, times);
-		if (times.length > allowedColdPerSecond) {
-			fault(`${target} is cold and gets ${times.length} requests in a second`);
-		}
+		rules.onTaken(call, {pool, target: targetId, maxAttempts: node.gateway.calls.get(id)!.route.maxAttempts});
 	}
 
 	function nodeAt(place: number): Node {
@@ -373,7 +322,7 @@
 		}
 
 		if (end === SendEnd.Whole) {
-			countFinal(call);
+			rules.onFinal(call);
 		}
 
 		tell(call.node, {
@@ -385,8 +334,7 @@
 	function putTarget(id: string, fields: Partial<ListedTarget>) {
 		starts += 1;
 		targets.set(id, {...targets.get(id)!, revision: starts, ...fields});
-		tellAll();
-		settle();
+		publish();
 	}
 
 	for (let index = 0; index < targetCount; index += 1) {
@@ -395,7 +343,6 @@
 			targets.set(id, {
 				id, pool, address: id, failureDomain: `d${index % 2}`, standing: TargetStanding.Ready, slots: 64, coldForMs: 0, start: '0', revision: 0,
 			});
-			arrivals.set(pool, {calls: [], resends: []});
 		}
 	}
 
@@ -407,8 +354,7 @@
 		registrations.set(id, {...nodes[index]!.gateway.self, state: MemberState.Active});
 	}
 
-	tellAll();
-	settle();
+	publish();
 
 	function tick() {
 		now += tickMs;
@@ -435,7 +381,7 @@
 	}
 
 	return {
-		faults,
+		faults: rules.faults,
 		call(place, path) {
 			const node = nodeAt(place);
 			if (!node.isUp) {
@@ -449,7 +395,7 @@
 			calls.push({
 				node, id, path: pathPrefix, arrivedAt: now, ran: 0, taken: 0, finals: 0, isClosed: false, sent: undefined,
 			});
-			arrivals.get(isEngine ? 'engines' : 'desk')!.calls.push(now);
+			rules.onArrival(isEngine ? 'engines' : 'desk');
 			tell(node, {
 				kind: 'callArrived',
 				call: {
@@ -528,9 +474,7 @@
 				return;
 			}
 
-			coldUntil.set(target.id, now + coldMs);
-			// The rule is for one start of a target.
-			coldArrivals.delete(target.id);
+			rules.onTargetStart(target.id, coldMs);
 			starts += 1;
 			const start = String(starts);
 			targets.set(target.id, {
@@ -543,8 +487,7 @@
 				}
 			}
 
-			tellAll();
-			settle();
+			publish();
 		},
 		drainTarget(place) {
 			const target = targetAt(place);
@@ -556,8 +499,7 @@
 			const target = targetAt(place);
 			if (target && targets.size > 2) {
 				targets.delete(target.id);
-				tellAll();
-				settle();
+				publish();
 			}
 		},
 		toggleDomain(place) {
@@ -566,14 +508,12 @@
 				domainsOut.add(domain);
 			}
 
-			tellAll();
-			settle();
+			publish();
 		},
 		configure(back) {
 			// Now and then an older version comes late.
 			version = Math.max(1, version + (back % 4 === 0 ? -1 : 2));
-			tellAll();
-			settle();
+			publish();
 		},
 	};
 }
--- a/packages/bench/src/fleet-model/worth.ts
+++ b/packages/bench/src/fleet-model/worth.ts
@@ -3,6 +3,7 @@
 of request and the worst workspaces, less what tokens cost that were read again.
 */
 import {waterLevel} from '@shallotloom/core/gateway/shares.ts';
+import {mean, percentile} from '../measure/figures.ts';
 import {CallEnd, type CallRecord, type FleetRun} from './fleet.ts';
 
 export type Worth = {
@@ -23,7 +24,7 @@
 	tokensPerSecond: number;
 	/** Spans of six seconds in which a workspace that waited throughout got less than half of what it asked or the best got. */
 	unfairSpans: number;
-	/** 99th percentile of the time to the first byte of what was served, in milliseconds. */
+	/** 99th percentile of the time to the first byte of what was served, in milliseconds; NaN when nothing was. */
 	firstP99Ms: number;
 };
 
@@ -129,10 +130,7 @@
 	/** What a workspace earns in a window beyond what it is owed counts for nothing. */
 	const credited = (rows: CallRecord[]) => sumOf(groupsOf(rows, row => `${windowOf(row)} ${row.request.workspace}`), calls => Math.min(owed(calls), sumOf(calls, earned)));
 	const ratio = (rows: CallRecord[]) => credited(rows) / Math.max(1e-9, owed(rows));
-	const worstOf = (groups: CallRecord[][], count: number) => {
-		const ratios = groups.map(rows => ratio(rows)).toSorted((a, b) => a - b).slice(0, count);
-		return sumOf(ratios, value => value) / ratios.length;
-	};
+	const worstOf = (groups: CallRecord[][], count: number) => mean(groups.map(rows => ratio(rows)).toSorted((a, b) => a - b).slice(0, count));
 
 	const workspaces = groupsOf(records, ({request}) => request.workspace);
 	const whole = ratio(records);
@@ -141,7 +139,6 @@
 	const worstWorkspaces = worstOf(workspaces, Math.ceil(workspaces.length * worstPart));
 	const rereads = rereadPrice * rereadTokens / 1000 / owed(records);
 	const count = (end: CallEnd) => records.filter(record => record.end === end).length;
-	const firsts = records.flatMap(({firstMs}) => firstMs ?? []).toSorted((a, b) => a - b);
 	return {
 		worth: (weights.whole * whole) + (weights.windows * windows) + (weights.kind * kind) + (weights.workspaces * worstWorkspaces) - rereads,
 		whole,
@@ -156,6 +153,6 @@
 		refused: count(CallEnd.Refused),
 		tokensPerSecond: sumOf(begun, ({request}) => request.cost) / seconds,
 		unfairSpans: unfairSpans({records, begun}),
-		firstP99Ms: firsts[Math.floor(firsts.length * 0.99)] ?? 0,
+		firstP99Ms: percentile(records.flatMap(({firstMs}) => firstMs ?? []), 99),
 	};
 }
