Tell of cold targets in digests, and doubt targets while the platform is lost

Ruled out: limiting every target by its cold share throughout an outage (most members of a large fleet have no share); suspicion told in digests as well (a warm target would be cold for all).

Change: digests have entries for targets: requests of the sender, and for how long the target is cold by first-hand knowledge. An instance that has lost the platform counts a target that hasn't answered it for a second as cold for the time of a start, at its share of the rate or one request a second. Load of targets moves from the pools' entries to those of targets.

--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -110,7 +110,7 @@
 	arrivedAt: number;
 	isClosed: boolean;
 	/** The send that runs; undefined while none does. */
-	sent: {send: number; target: string} | undefined;
+	sent: {send: number; target: string; pool: string; at: number} | undefined;
 };
 
 export type ExplorationFleet = {
@@ -299,7 +299,9 @@
 		}
 
 		node.connections.set(targetId, target.start);
-		call.sent = {send, target: targetId};
+		call.sent = {
+			send, target: targetId, pool, at: now,
+		};
 		call.taken += 1;
 		rules.onTaken(call, {pool, target: targetId, maxAttempts: node.gateway.calls.get(id)!.route.maxAttempts});
 	}
@@ -313,8 +315,12 @@
 	}
 
 	function endSend(call: OpenCall, end: SendEnd) {
-		const {send} = call.sent!;
+		const {send, pool, at} = call.sent!;
 		call.sent = undefined;
+		if (end === SendEnd.NotSent) {
+			rules.onNotTaken(call, {pool, at});
+		}
+
 		if (runEnds.has(end)) {
 			call.ran += 1;
 		} else {
--- a/packages/bench/src/exploration/rules.ts
+++ b/packages/bench/src/exploration/rules.ts
@@ -33,6 +33,8 @@
 	onFinal(call: WatchedCall): void;
 	/** A target takes a send; `taken` counts it already. */
 	onTaken(call: WatchedCall, send: {pool: string; target: string; maxAttempts: number}): void;
+	/** No connection was made for a send, so the target never took it. */
+	onNotTaken(call: WatchedCall, send: {pool: string; at: number}): void;
 	/** A target starts and is cold for a time, in milliseconds. */
 	onTargetStart(target: string, coldMs: number): void;
 };
@@ -100,6 +102,13 @@
 			checkRetries(pool);
 			checkCold(target);
 		},
+		onNotTaken({taken}, {pool, at}) {
+			const {resends} = countsOf(pool);
+			const index = resends.indexOf(at);
+			if (taken > 1 && index !== -1) {
+				resends.splice(index, 1);
+			}
+		},
 		onTargetStart(target, coldMs) {
 			coldUntil.set(target, now() + coldMs);
 			// The rule is for one start of a target.
--- a/packages/bench/test/exploration.test.ts
+++ b/packages/bench/test/exploration.test.ts
@@ -10,6 +10,12 @@
 	'a target that starts again between two bursts': [
 		['removeTarget', 284], ['removeTarget', 389], ['calls', 0, 462], ['removeTarget', 185], ['restartTarget', 979], ['fail', 0, 483], ['calls', 0, 342],
 	],
+	'a target that starts while an instance is cut off from the platform': [
+		['toggleDomain'], ['cutStore'], ['restartTarget', 423], ['calls', 0, 166], ['calls', 0, 106],
+	],
+	'a call sent again to a target that makes no connection': [
+		['calls'], ['restartTarget', 274], ['fail', 0, 751], ['kill'], ['fail', 206, 133],
+	],
 	'instances that all start after a burst': [['restartTarget', 754], ['calls'], ['restart', 1], ['restart', 0], ['restart', 146], ['calls']],
 } as const;
 
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -176,8 +176,8 @@
 	});
 	call.attempts += 1;
 	call.sends += 1;
-	countSend(target, unreadTokens);
 	countColdSend(gateway, target);
+	countSend(target, unreadTokens);
 	if (call.prompt) {
 		rememberParts(gateway, target, call.prompt);
 	}
@@ -311,6 +311,7 @@
 		return;
 	}
 
+	target.contactAt = gateway.now;
 	const expectedLoad = loadOf(gateway, target);
 	takeLoad(gateway, target, load);
 	if (call.prompt) {
--- a/packages/core/src/gateway/engine-limits.ts
+++ b/packages/core/src/gateway/engine-limits.ts
@@ -48,7 +48,7 @@
 	for (const pace of gateway.paces.rows()) {
 		const known = pace.limit > 0 ? [pace.limit] : [];
 		for (const instance of gateway.instances.rows()) {
-			const entry = wasHeard(gateway, instance) ? instance.loads.find(({pool, budget}) => pool === pace.pool && budget > 0) : undefined;
+			const entry = wasHeard(gateway, instance) ? instance.pools.find(({pool, budget}) => pool === pace.pool && budget > 0) : undefined;
 			if (entry) {
 				known.push(entry.budget / limitScale);
 			}
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -13,7 +13,8 @@
 } from './gateway.ts';
 import type {GatewayInboundOf, Registration} from './ports.ts';
 import type {Instance} from './rows.ts';
-import {ownRunning, updateRemoteRunning} from './loads.ts';
+import {noteColdElsewhere} from './cold-limits.ts';
+import {ownTargets, updateRemoteRunning} from './loads.ts';
 import {ownServices, updateRemoteUse} from './usage.ts';
 
 function registrationOf({self, state}: Gateway): Registration {
@@ -64,7 +65,8 @@
 		heardAt: Number.NEGATIVE_INFINITY,
 		platformSince: undefined,
 		services: [],
-		loads: [],
+		pools: [],
+		targets: [],
 	});
 	note(gateway, {
 		part: LogPart.Membership,
@@ -89,7 +91,9 @@
 	instance.state = digest.state;
 	instance.platformSince = digest.platformReachedMs === undefined ? undefined : gateway.now - digest.platformReachedMs;
 	instance.services = digest.services;
-	instance.loads = digest.pools;
+	instance.pools = digest.pools;
+	instance.targets = digest.targets ?? [];
+	noteColdElsewhere(gateway, instance);
 }
 
 function createDigest(gateway: Gateway): Digest {
@@ -104,9 +108,10 @@
 		leaseSequence: 0,
 		storeAgeMs: -1,
 		services: ownServices(gateway),
-		pools: [...ownRunning(gateway), ...ownLimits(gateway)],
+		pools: ownLimits(gateway),
 		heard: [],
 		platformReachedMs: platform.isReached && targetsListed ? Math.floor(now - platform.since) : undefined,
+		targets: ownTargets(gateway),
 	};
 }
 
@@ -195,7 +200,7 @@
 	const named: Instance[] = [...gateway.instances.rows()].filter(instance => isNamed(gateway, instance) && (!isSelf(gateway, instance) || isReady(gateway)));
 	if (isReady(gateway) && !named.some(instance => isSelf(gateway, instance))) {
 		named.push({
-			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, platformSince: undefined, services: [], loads: [],
+			...registrationOf(gateway), listedAt: gateway.now, heardAt: gateway.now, platformSince: undefined, services: [], pools: [], targets: [],
 		});
 	}
 
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -34,6 +34,8 @@
 	fullMs: number;
 	/** A load report that is older no longer counts. */
 	loadReportMs: number;
+	/** Without the platform, a target that hasn't answered for this long may have started again: less than it takes to start. */
+	contactMs: number;
 	/** Time for which a part of a prompt counts as kept by the target that read it. */
 	keptPartMs: number;
 	/** Parts of prompts that are remembered for a target. */
@@ -91,6 +93,7 @@
 	failuresInRow: 3,
 	fullMs: 100,
 	loadReportMs: second,
+	contactMs: second,
 	keptPartMs: 30 * second,
 	keptParts: 4096,
 	engineLoadMs: 2,
--- a/packages/core/src/gateway/loads.ts
+++ b/packages/core/src/gateway/loads.ts
@@ -2,7 +2,7 @@
 Estimates of how busy targets are. An answer tells how many requests its target had; until the next one, what this instance
 has sent and seen end since is added. Without a recent report the sum of what the instances tell each other counts.
 */
-import type {PoolEntry} from '../messages.ts';
+import type {TargetEntry} from '../messages.ts';
 import {engineLimit} from './engine-limits.ts';
 import {isEnginePool, wasHeard, type Gateway} from './gateway.ts';
 import type {LoadReport, PoolTarget} from './rows.ts';
@@ -54,14 +54,12 @@
 	target.endedSince += 1;
 }
 
-/** Requests of this instance that targets have, for its digests. */
-export function ownRunning(gateway: Gateway): PoolEntry[] {
-	const entries: PoolEntry[] = [];
-	for (const {id, running} of gateway.targets.rows()) {
-		if (running > 0) {
-			entries.push({
-				pool: id, free: 0, budget: 0, waiting: running, frontier: -1,
-			});
+/** What this instance knows first-hand of targets that it uses or that are cold, for its digests. */
+export function ownTargets({now, targets}: Gateway): TargetEntry[] {
+	const entries: TargetEntry[] = [];
+	for (const {id, running, coldUntil} of targets.rows()) {
+		if (running > 0 || now < coldUntil) {
+			entries.push({target: id, running, coldForMs: Math.max(0, Math.ceil(coldUntil - now))});
 		}
 	}
 
@@ -79,7 +77,7 @@
 			continue;
 		}
 
-		for (const {pool: id, waiting: running} of instance.loads) {
+		for (const {target: id, running} of instance.targets) {
 			const target = gateway.targets.get(id);
 			if (target) {
 				target.remoteRunning += running;
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -1,7 +1,9 @@
 /*
 Rows of the tables of routed calls. Times are in milliseconds of the local monotonic clock.
 */
-import type {MemberState, PoolEntry, ServiceEntry} from '../messages.ts';
+import type {
+	MemberState, PoolEntry, ServiceEntry, TargetEntry,
+} from '../messages.ts';
 import type {CallRoute} from './catalogue.ts';
 
 /** Part of a prompt, by which engines keep what they have read. */
@@ -105,7 +107,13 @@
 /** Target as this instance knows it. */
 export type PoolTarget = ListedTarget & {
 	coldUntil: number;
-	/** When requests were sent while it was cold, oldest first. */
+	/** The same by the digests of other instances. */
+	coldUntilElsewhere: number;
+	/** It may have started again unnoticed, and counts as cold here until then. */
+	doubtUntil: number;
+	/** When it last answered this instance. */
+	contactAt: number;
+	/** When requests were sent while it was or might be cold, oldest first. */
 	coldSends: number[];
 	/** Requests of this instance that it has. */
 	running: number;
@@ -171,6 +179,8 @@
 	platformSince: number | undefined;
 	/** What its callers have used of late, by its last digest. */
 	services: ServiceEntry[];
-	/** By its last digest: requests of it that targets have, where `pool` names the target, and its limits at engines. */
-	loads: PoolEntry[];
+	/** Its limits at engines, by its last digest. */
+	pools: PoolEntry[];
+	/** What it knows of targets, by its last digest. */
+	targets: TargetEntry[];
 };
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -11,6 +11,9 @@
 	return {
 		...listed,
 		coldUntil: now + listed.coldForMs,
+		coldUntilElsewhere: Number.NEGATIVE_INFINITY,
+		doubtUntil: Number.NEGATIVE_INFINITY,
+		contactAt: Number.NEGATIVE_INFINITY,
 		coldSends: [],
 		running: 0,
 		remoteRunning: 0,
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -155,6 +155,15 @@
 	started?: number;
 };
 
+/** What an instance knows first-hand of a target. */
+export type TargetEntry = {
+	target: string;
+	/** Requests of the instance that it has. */
+	running: number;
+	/** How much longer it is cold; 0 for one that isn't. */
+	coldForMs: number;
+};
+
 /** Load of one pool at one owner. */
 export type PoolEntry = {
 	pool: string;
@@ -198,6 +207,8 @@
 	heard: HeardEntry[];
 	/** For how long the sender has reached the platform without a break; undefined when it doesn't reach it. */
 	platformReachedMs?: number | undefined;
+	/** Targets that are in use at the sender or cold; left out where targets have owners. */
+	targets?: TargetEntry[];
 };
 
 /** Asks a peer for the release notes after a revision. */
--- a/packages/core/test/gateway/cold-limits.test.ts
+++ b/packages/core/test/gateway/cold-limits.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {coldShare} from '../../src/gateway/cold-limits.ts';
 import {SendEnd} from '../../src/gateway/ports.ts';
+import {MemberState} from '../../src/messages.ts';
 import {
 	benchOf, itemsOf, promptOf, targetOf,
 } from '../support/gateways.ts';
@@ -70,3 +71,55 @@
 	});
 	expect(call()).toBe(0);
 });
+
+/** Sends of one burst to the target of a bench. */
+function burst(bench: ReturnType<typeof benchOf>, calls: number): number {
+	const sent = Array.from({length: calls}, () => itemsOf(bench.call({path: '/chat/x', prompt: promptOf('p', 100)}), 'send').length);
+	return sent.reduce((sum, count) => sum + count, 0);
+}
+
+const warm = targetOf('e1', {pool: 'engines', slots: 64});
+
+function cutOff(instances: string[]) {
+	const bench = benchOf({instances, targets: [warm]});
+	bench.wait(1000);
+	bench.step({kind: 'platformReach', isReached: false});
+	return bench;
+}
+
+test('without the platform, a target that an instance has had no contact with may have started again: it gets a part of its rate', () => {
+	expect(burst(cutOff(['self', 'b', 'c', 'd']), 20)).toBe(4);
+	expect(burst(cutOff(Array.from({length: 100}, (_, index) => `m${index}`)), 20)).toBe(1);
+});
+
+test('without the platform, a target in use is sent what comes', () => {
+	const bench = benchOf({instances: ['self', 'b', 'c', 'd'], targets: [warm]});
+	bench.wait(1000);
+	const sent = itemsOf(bench.call({path: '/chat/x', prompt: promptOf('p', 100)}), 'send')[0]!;
+	bench.step({
+		kind: 'answerStarted', call: sent.call, send: sent.send, load: undefined,
+	}, {kind: 'platformReach', isReached: false});
+	expect(burst(bench, 20)).toBe(20);
+});
+
+test('an instance that doesn\'t reach the platform hears of cold targets in digests', () => {
+	const bench = benchOf({instances: ['self', 'b', 'c', 'd'], targets: [warm]});
+	bench.wait(1000);
+	bench.step({
+		kind: 'digest', from: 'b', incarnation: 'b-1', digest: {
+			kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: '', peerUrl: '', revision: 1, leaseSequence: 0, storeAgeMs: -1, services: [], pools: [], heard: [],
+			targets: [{target: 'e1', running: 0, coldForMs: 900}],
+		},
+	});
+	expect(burst(bench, 20)).toBe(4);
+	bench.wait(950);
+	expect(burst(bench, 20)).toBe(20);
+});
+
+test('digests tell first-hand of cold targets, not what others told', () => {
+	const told = (bench: ReturnType<typeof benchOf>) => itemsOf(bench.wait(600), 'sendDigest')[0]!.digest.targets;
+	const bench = benchOf({instances: ['self', 'b'], targets: [warm, targetOf('e2', {pool: 'engines'})]});
+	bench.gateway.targets.get('e1')!.coldUntilElsewhere = Number.POSITIVE_INFINITY;
+	bench.gateway.targets.get('e2')!.coldUntil = bench.gateway.now + 2000;
+	expect(told(bench)).toEqual([{target: 'e2', running: 0, coldForMs: 1400}]);
+});
