--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -204,6 +204,7 @@
 		fields: {
 			target: target.id,
 			pool: target.pool,
+			workspace: call.workspace,
 			route: route.name,
 			send: call.sends,
 			costMs: Math.round(costMs),
