--- a/packages/router/src/bounded-log.ts
+++ b/packages/router/src/bounded-log.ts
@@ -1,6 +1,7 @@
 /*
-Bounds the rate of a log. Warnings and errors have an allowance of their own, so that under load the failed and refused calls
-are written before the served ones. One line a second says how many lines were left out.
+Bounds the rate of a log. Under load the failed and refused calls are written before the served ones, and lines about no call, such
+as a stop or a lost dependency, whatever the calls: each of these has an allowance of its own. One line a second says how many
+lines were left out.
 */
 import {LogPart} from '@shallotloom/core/ports.ts';
 import type {Log, LogLevel} from './log.ts';
@@ -11,18 +12,21 @@
 	omitted(): number;
 };
 
+/** What a line counts against: `state` for lines about no request, its level for others. */
+export type Allowance = LogLevel | 'state';
+
 export type BoundedLogOptions = {
 	log: Log;
 	timer: Timer;
 	/** Lines that the destination dropped since it was last asked. */
 	takeDropped: () => number;
-	/** Lines a second, by level. */
-	linesPerSecond: Record<LogLevel, number>;
+	/** Lines a second, by allowance; a level that has none is not written at all. */
+	linesPerSecond: Record<Allowance, number>;
 };
 
-/** At most 80 lines a second and instance: some 25 KB/s. */
-export const linesPerSecondDefaults: Record<LogLevel, number> = {
-	error: 20, warn: 30, info: 30, debug: 0,
+/** At most 120 lines a second and instance: some 35 KB/s, when all happens at once. */
+export const linesPerSecondDefaults: Record<Allowance, number> = {
+	error: 20, warn: 30, info: 30, debug: 0, state: 40,
 };
 
 const periodMs = 1000;
@@ -30,7 +34,7 @@
 /** Creates the bounded log. */
 export function createBoundedLog({log, timer, takeDropped, linesPerSecond}: BoundedLogOptions): BoundedLog {
 	let left = {...linesPerSecond};
-	let omitted: Partial<Record<LogLevel, number>> = {};
+	let omitted: Partial<Record<Allowance, number>> = {};
 	let total = 0;
 	timer.subscribe(periodMs, () => {
 		const dropped = takeDropped();
@@ -51,13 +55,14 @@
 				return;
 			}
 
-			if (left[line.level] <= 0) {
-				omitted[line.level] = (omitted[line.level] ?? 0) + 1;
+			const allowance: Allowance = line.request === undefined ? 'state' : line.level;
+			if (left[allowance] <= 0) {
+				omitted[allowance] = (omitted[allowance] ?? 0) + 1;
 				total += 1;
 				return;
 			}
 
-			left[line.level] -= 1;
+			left[allowance] -= 1;
 			log.write(line);
 		},
 		close: async () => log.close(),
--- a/packages/router/test/bounded-log.test.ts
+++ b/packages/router/test/bounded-log.test.ts
@@ -42,7 +42,7 @@
 			return count;
 		},
 		linesPerSecond: {
-			error: 1, warn: 2, info: 3, debug: 0,
+			error: 1, warn: 2, info: 3, debug: 0, state: 2,
 		},
 	});
 	return {
@@ -61,7 +61,9 @@
 
 function write(log: ReturnType<typeof setUp>['log'], level: LogLine['level'], count: number) {
 	for (let index = 0; index < count; index += 1) {
-		log.write({part: LogPart.Request, level, text: `${level} ${index}`});
+		log.write({
+			part: LogPart.Request, level, text: `${level} ${index}`, request: `r${index}`,
+		});
 	}
 }
 
@@ -77,6 +79,18 @@
 	expect(lines.at(-1)).toMatchObject({text: 'info 0'});
 });
 
+test('a stop is told of, however many calls are', () => {
+	const {log, lines, second} = setUp();
+	write(log, 'info', 10);
+	for (const text of ['stop requested', 'platform lost', 'platform reached again']) {
+		log.write({part: LogPart.Stop, level: 'info', text});
+	}
+
+	expect(lines.slice(3).map(({text}) => text)).toEqual(['stop requested', 'platform lost']);
+	second();
+	expect(lines.at(-1)).toMatchObject({fields: {info: 7, state: 1}});
+});
+
 test('lines that the reader was too slow for are told of', () => {
 	const {log, lines, second, drop} = setUp();
 	drop(4);
