Build the digests of the gateway's tests in one place

Cause: four test files wrote a whole digest by hand, the latest of them cold-limits.test.ts.

Ruled out: changing what they check; all expectations are as they were.

Change: `heardFrom` in the tests' support. A comment of Usage said "both" of what are three pairs now.

--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -147,7 +147,7 @@
 	/** What callers asked for, served or not. */
 	ownAsked: number;
 	remoteAsked: number;
-	/** When both were last brought up to date. */
+	/** When all of them were last brought up to date. */
 	at: number;
 };
 
--- a/packages/core/test/gateway/cold-limits.test.ts
+++ b/packages/core/test/gateway/cold-limits.test.ts
@@ -1,9 +1,8 @@
 import fc from 'fast-check';
 import {coldShare} from '../../src/gateway/cold-limits.ts';
 import {SendEnd} from '../../src/gateway/ports.ts';
-import {MemberState} from '../../src/messages.ts';
 import {
-	benchOf, itemsOf, promptOf, targetOf,
+	benchOf, heardFrom, itemsOf, promptOf, targetOf,
 } from '../support/gateways.ts';
 
 const engine = targetOf('e1', {pool: 'engines', slots: 64, coldForMs: 60_000});
@@ -105,12 +104,7 @@
 test('an instance that doesn\'t reach the platform hears of cold targets in digests', () => {
 	const bench = benchOf({instances: ['self', 'b', 'c', 'd'], targets: [warm]});
 	bench.wait(1000);
-	bench.step({
-		kind: 'digest', from: 'b', incarnation: 'b-1', digest: {
-			kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: '', peerUrl: '', revision: 1, leaseSequence: 0, storeAgeMs: -1, services: [], pools: [], heard: [],
-			targets: [{target: 'e1', running: 0, coldForMs: 900}],
-		},
-	});
+	bench.step(heardFrom('b', {targets: [{target: 'e1', running: 0, coldForMs: 900}]}));
 	expect(burst(bench, 20)).toBe(4);
 	bench.wait(950);
 	expect(burst(bench, 20)).toBe(20);
--- a/packages/core/test/gateway/instances.test.ts
+++ b/packages/core/test/gateway/instances.test.ts
@@ -1,19 +1,11 @@
 import {callerAddresses, isReady} from '../../src/gateway/instances.ts';
-import {MemberState, type Digest} from '../../src/messages.ts';
+import {MemberState} from '../../src/messages.ts';
 import {
-	benchOf, itemsOf, registrationOf, type Bench,
+	benchOf, heardFrom, itemsOf, registrationOf, type Bench,
 } from '../support/gateways.ts';
 
-function digestOf(state = MemberState.Active): Digest {
-	return {
-		kind: 'digest', state, failureDomain: 'suva', callerUrl: '', peerUrl: '', revision: 1, leaseSequence: 0, storeAgeMs: -1, services: [], pools: [], heard: [],
-	};
-}
-
 function hear(bench: Bench, from: string, state = MemberState.Active) {
-	return bench.step({
-		kind: 'digest', from, incarnation: `${from}-1`, digest: digestOf(state),
-	});
+	return bench.step(heardFrom(from, {state}));
 }
 
 const fleet = ['self', 'b', 'c', 'd'];
--- a/packages/core/test/gateway/shares.test.ts
+++ b/packages/core/test/gateway/shares.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import {waterLevel} from '../../src/gateway/shares.ts';
-import {type ServiceEntry, MemberState} from '../../src/messages.ts';
+import type {ServiceEntry} from '../../src/messages.ts';
 import {
-	benchOf, itemsOf, promptOf, registrationOf, targetOf,
+	benchOf, heardFrom, itemsOf, promptOf, registrationOf, targetOf,
 } from '../support/gateways.ts';
 
 test('the level meets all demands when it can, and fills the capacity when it can\'t', () => {
@@ -19,26 +19,11 @@
 
 /** What another instance tells of the engines' pool. */
 function digestOf(entries: Array<Partial<ServiceEntry> & {workspace: string}>) {
-	return {
-		kind: 'digest' as const,
-		from: 'other',
-		incarnation: 'other-1',
-		digest: {
-			kind: 'digest' as const,
-			state: MemberState.Active,
-			failureDomain: 'suva',
-			callerUrl: '',
-			peerUrl: '',
-			revision: 1,
-			leaseSequence: 0,
-			storeAgeMs: -1,
-			services: entries.map(entry => ({
-				pool: 'engines', service: 0, waiting: 0, virtualTime: 0, asked: 0, ...entry,
-			})),
-			pools: [],
-			heard: [],
-		},
-	};
+	return heardFrom('other', {
+		services: entries.map(entry => ({
+			pool: 'engines', service: 0, waiting: 0, virtualTime: 0, asked: 0, ...entry,
+		})),
+	});
 }
 
 /** A call of 800 weighted tokens. */
--- a/packages/core/test/gateway/targets.test.ts
+++ b/packages/core/test/gateway/targets.test.ts
@@ -1,7 +1,7 @@
-import type {GatewayInbound} from '../../src/gateway/ports.ts';
 import {TargetStanding} from '../../src/gateway/rows.ts';
-import {MemberState} from '../../src/messages.ts';
-import {benchOf, itemsOf, targetOf} from '../support/gateways.ts';
+import {
+	benchOf, heardFrom, itemsOf, targetOf,
+} from '../support/gateways.ts';
 
 const both = [targetOf('t1'), targetOf('t2')];
 
@@ -36,19 +36,6 @@
 	expect(bench.gateway.targets.has('t2')).toBe(false);
 });
 
-/** The digest of another instance that has reached the platform for a while. */
-function digestOf(platformReachedMs: number | undefined): GatewayInbound {
-	return {
-		kind: 'digest',
-		from: 'other',
-		incarnation: 'other-1',
-		digest: {
-			kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: '', peerUrl: '', revision: 1, leaseSequence: 0, storeAgeMs: -1,
-			services: [], pools: [], heard: [], platformReachedMs,
-		},
-	};
-}
-
 /** An instance that missed the platform for 5 s, in which t2 went, and then hears of another that tells its own reach. */
 function afterLoss(platformReachedMs: number | undefined) {
 	const bench = benchOf({targets: both, instances: ['self', 'other']});
@@ -57,7 +44,7 @@
 	bench.step({kind: 'platformReach', isReached: false});
 	bench.wait(5000);
 	bench.step({kind: 'targets', targets: [targetOf('t1')]}, {kind: 'platformReach', isReached: true});
-	bench.step(digestOf(platformReachedMs));
+	bench.step(heardFrom('other', {platformReachedMs}));
 	return bench.gateway.targets.has('t2');
 }
 
--- a/packages/core/test/support/gateways.ts
+++ b/packages/core/test/support/gateways.ts
@@ -7,13 +7,13 @@
 import {createGateway, type Gateway} from '../../src/gateway/gateway.ts';
 import type {GatewayLimits} from '../../src/gateway/limits.ts';
 import type {
-	GatewayInbound, GatewayOutbound, GatewayOutboundOf, Registration,
+	GatewayInbound, GatewayInboundOf, GatewayOutbound, GatewayOutboundOf, Registration,
 } from '../../src/gateway/ports.ts';
 import {
 	TargetStanding, type CallArrival, type ListedTarget, type Prompt,
 } from '../../src/gateway/rows.ts';
 import {gatewayStep} from '../../src/gateway/step.ts';
-import {MemberState} from '../../src/messages.ts';
+import {MemberState, type Digest} from '../../src/messages.ts';
 
 export const host = 'desk.example';
 
@@ -79,6 +79,18 @@
 	};
 }
 
+/** What an instance hears of another. */
+export function heardFrom(from: string, digest: Partial<Digest> = {}): GatewayInboundOf<'digest'> {
+	return {
+		kind: 'digest',
+		from,
+		incarnation: `${from}-1`,
+		digest: {
+			kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: '', peerUrl: '', revision: 1, leaseSequence: 0, storeAgeMs: -1, services: [], pools: [], heard: [], ...digest,
+		},
+	};
+}
+
 export type Bench = {
 	gateway: Gateway;
 	/** Takes a step at the present time, and returns what the edges are to do. */
