--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -7,8 +7,8 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {TargetKind} from '@shallotloom/core/configuration.ts';
+import {allocatePort} from '@shallotloom/standin/free-port.ts';
 import {stopChild, startChild, type Child} from './child.ts';
-import {allocatePort} from './free-port.ts';
 import {waitUntil} from './http.ts';
 import {
 	getFleetStatus, countOwnedTargets, postRelease, type ReleaseNote,
--- a/packages/bench/test/load.test.ts
+++ b/packages/bench/test/load.test.ts
@@ -47,20 +47,29 @@
 	};
 }
 
-async function runLoad(entry: string, retries = 0, drainMs = 5000) {
+async function runLoad(entry: string, {retries = 0, drainMs = 5000, durationMs = 100} = {}) {
 	return startLoad({
-		arrivals: [arrivalAt(entry)], durationMs: 100, workspaces, retries, drainMs,
+		arrivals: [arrivalAt(entry)], durationMs, workspaces, retries, drainMs,
 	}).finished;
 }
 
 test('a whole answer is recorded, and its tokens are counted by weight', async () => {
-	const {records, series} = await runLoad(await serve(answer));
+	// The series covers the duration of the load, so the answer has to arrive within it.
+	const {records, series} = await runLoad(await serve(answer), {durationMs: 3000});
 	expect(records[0]).toMatchObject({ending: Ending.Whole, outputTokens: 2, status: 200});
 	expect(series.get('one').reduce((sum, service) => sum + service, 0)).toBe((30 + 2) / 2);
 });
 
+test('an answer that arrives after the duration of the load is recorded, but not part of its series', async () => {
+	const {records, series} = await runLoad(await serve(response => {
+		setTimeout(answer, 200, response);
+	}));
+	expect(records[0]).toMatchObject({ending: Ending.Whole, outputTokens: 2});
+	expect(series.get('one').every(service => service === 0)).toBe(true);
+});
+
 test('a refusal with outcome not-run is retried', async () => {
-	const {records} = await runLoad(await serve(refuse, answer), 1);
+	const {records} = await runLoad(await serve(refuse, answer), {retries: 1});
 	expect(records[0]).toMatchObject({ending: Ending.Whole, attempts: 2});
 });
 
@@ -74,7 +83,7 @@
 	const {records} = await runLoad(await serve(response => {
 		response.writeHead(429, {'retry-after': '3600'});
 		response.end('{"error":{"kind":"queue-full","outcome":"not-run"}}');
-	}), 1, 0);
+	}), {retries: 1, drainMs: 0});
 	expect(records[0]).toMatchObject({ending: Ending.Unfinished});
 });
 
--- a/packages/router/test/support/deployment.ts
+++ b/packages/router/test/support/deployment.ts
@@ -3,12 +3,12 @@
 writes itself. All run in this process and listen on real sockets.
 */
 import {createHash} from 'node:crypto';
-import {createServer} from 'node:net';
 import {PassThrough} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {parseSettings} from '@shallotloom/settings/load.ts';
 import {routerSettingsSchema} from '@shallotloom/settings/router-settings.ts';
 import {createEngineStandin, type EngineStandin} from '@shallotloom/standin/engine-standin.ts';
+import {allocatePort} from '@shallotloom/standin/free-port.ts';
 import {createPlatformStandin, type PlatformStandin} from '@shallotloom/standin/platform-standin.ts';
 import {createServiceStandin, type ServiceStandin} from '@shallotloom/standin/service-standin.ts';
 import {createLog} from '../../src/log.ts';
@@ -55,8 +55,7 @@
 	});
 	const scripted = await startScriptedTarget();
 	const [{url: platformUrl}, {url: engineUrl}, {url: serviceUrl}] = await Promise.all([platform.start(), engine.start(), service.start()]);
-	// Different addresses, since `freePort` may return the same port twice.
-	const [callers, peers, operators] = [`127.0.0.2:${await freePort()}`, `127.0.0.3:${await freePort()}`, `127.0.0.4:${await freePort()}`];
+	const [callers, peers, operators] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const router = await startRouter({
 		settings: createSettings({callers, peers, operators}, platformUrl),
 		log: createLog({destination: new PassThrough().resume()}),
@@ -67,7 +66,7 @@
 		[Pool.Service]: serviceUrl,
 		[Pool.ScriptedEngine]: scripted.url,
 		[Pool.ScriptedService]: scripted.url,
-		[Pool.Absent]: `http://${host}:${await freePort()}`,
+		[Pool.Absent]: `http://${host}:${await allocatePort(host)}`,
 	};
 	await waitUntil('the first release', async () => postRelease(operators, urls));
 	await waitUntil('ownership of all targets', async () => router.world.budgets.size === Object.keys(urls).length);
@@ -164,15 +163,3 @@
 	await response.body?.cancel();
 	return response.ok;
 }
-
-/** Returns a port that was free on loopback; another process may take it before it is used. */
-export async function freePort(): Promise<number> {
-	return new Promise(resolve => {
-		const server = createServer().listen(0, host, () => {
-			const address = server.address();
-			server.close(() => {
-				resolve(typeof address === 'object' ? address!.port : 0);
-			});
-		});
-	});
-}
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -8,12 +8,14 @@
 import type {Registration} from '@shallotloom/core/gateway/ports.ts';
 import {TargetStanding} from '@shallotloom/core/gateway/rows.ts';
 import {MemberState} from '@shallotloom/core/messages.ts';
+import {allocatePort} from '@shallotloom/standin/free-port.ts';
 import type {CallFormat} from '../../src/gateway/call-format.ts';
 import {startGatewayRouter, type GatewayRouter} from '../../src/gateway/gateway-router.ts';
 import {createGatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
 import {createLog} from '../../src/log.ts';
 import {createTimer} from '../../src/timer.ts';
-import {freePort} from './deployment.ts';
+
+const host = '127.0.0.1';
 
 /** Call format of the tests; targets report that a call was not run with the header X-Not-Run. */
 export const testCallFormat: CallFormat = {
@@ -58,7 +60,7 @@
 
 /** Starts a router in front of targets at these addresses. */
 export async function startTestRouter(addresses: string[], timeoutMs = 2000): Promise<TestRouter> {
-	const [callers, peers] = [`127.0.0.1:${await freePort()}`, `127.0.0.1:${await freePort()}`];
+	const [callers, peers] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const router = await startGatewayRouter({
 		self: {
 			id: 'self', failureDomain: 'suva', callerAddress: callers, peerUrl: `http://${peers}`,
--- a/packages/standin/src/object-store-standin.ts
+++ b/packages/standin/src/object-store-standin.ts
@@ -55,6 +55,7 @@
 	const sockets = new Set<Socket>();
 	/** Callbacks of the waiting watches. */
 	const waiting = new Set<() => void>();
+	const waitTimers = new Set<NodeJS.Timeout>();
 	let history: Change[] = [];
 	/** Lowest revision from which a watch is answered. */
 	let historyStart = 0;
@@ -121,8 +122,10 @@
 				};
 
 				const timer = setTimeout(finish, waitMs);
+				waitTimers.add(timer);
 				function finish() {
 					clearTimeout(timer);
+					waitTimers.delete(timer);
 					waiting.delete(wake);
 					resolve();
 				}
@@ -236,6 +239,10 @@
 			Object.assign(faults, changed);
 		},
 		async stop() {
+			for (const timer of waitTimers) {
+				clearTimeout(timer);
+			}
+
 			for (const socket of sockets) {
 				socket.destroy();
 			}
