--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -19,6 +19,7 @@
 import {startPeerServer} from '../peers/peer-server.ts';
 import type {Timer} from '../timer.ts';
 import {createControlTraffic} from '../control-traffic.ts';
+import {createLoopStalls, runAfterNextPoll} from '../loop-stalls.ts';
 import {
 	sendBufferedAnswer, endWithRefusal, writeRefusal, type CallExchange,
 } from './call-exchange.ts';
@@ -81,6 +82,7 @@
 	const exchanges = new Map<string, CallExchange>();
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
+	const stalls = createLoopStalls({timer, tickMs});
 	let nextCallId = 1;
 	let listenerClosed: Promise<void> | undefined;
 	let withdrawal: Promise<void> | undefined;
@@ -214,13 +216,39 @@
 			failedAnswer: undefined,
 		};
 		exchanges.set(id, exchange);
-		response.once('close', () => {
-			if (!exchange.isFinished) {
-				exchange.isFinished = true;
+		let hasArrived = false;
+		const handleCallerGone = () => {
+			if (exchange.isFinished) {
+				return;
+			}
+
+			exchange.isFinished = true;
+			if (hasArrived) {
 				push({kind: 'callerGone', call: id});
+			} else {
+				exchanges.delete(id);
+			}
+		};
+
+		const arrive = () => {
+			if (!exchange.isFinished) {
+				hasArrived = true;
+				push({kind: 'callArrived', call: {...parsed.call, id}});
 			}
+		};
+
+		// The end of the connection is seen sooner at the socket than at the response, which closes after its last write.
+		request.socket.once('end', handleCallerGone);
+		response.once('close', () => {
+			request.socket.off('end', handleCallerGone);
+			handleCallerGone();
 		});
-		push({kind: 'callArrived', call: {...parsed.call, id}});
+		if (stalls.isRecovering()) {
+			// The caller may have left during the stall; the end of its connection is read after its request.
+			runAfterNextPoll(arrive);
+		} else {
+			arrive();
+		}
 	}
 
 	const listener = await listenForCallers({
@@ -252,6 +280,7 @@
 			listener.closeAllConnections();
 			await withdrawal;
 			loop.stop();
+			stalls.stop();
 			timer.stop();
 			peers.close();
 			await Promise.all([peerServer.close(), connectionPools.destroyAll()]);
