Tell overload from silence, and send callers away from overloaded instances

Cause: an instance whose event loop stands still reads the digests of the others late, takes them for gone, and answers address look-ups with itself alone, so that more callers come to it. The time of its stalls, two seconds at most, no longer counts as silence of the others. After a stall of 200 ms an instance counts as overloaded for 2 s; digests tell, and it isn't advertised while most others aren't overloaded.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -107,6 +107,8 @@
 	registerRequestedState: MemberState | undefined;
 	periodStartedAt: Map<string, number>;
 	randomGenerator: RandomGenerator;
+	/** Time until which this instance counts as overloaded. */
+	overloadedUntil: number;
 	outbox: GatewayOutbound[];
 };
 
@@ -154,6 +156,7 @@
 		registerRequestedState: undefined,
 		periodStartedAt: new Map(),
 		randomGenerator: xoroshiro128plus(seed),
+		overloadedUntil: Number.NEGATIVE_INFINITY,
 		outbox: [],
 	};
 }
@@ -178,8 +181,8 @@
 }
 
 /** Whether the last digest of another instance is recent. */
-export function isAlive({now, limits}: Gateway, {lastDigestAt}: Pick<Instance, 'lastDigestAt'>): boolean {
-	return now - lastDigestAt <= limits.heartbeatTimeoutMs;
+export function isAlive({now, limits}: Gateway, {lastDigestAt, stalledMs}: Pick<Instance, 'lastDigestAt' | 'stalledMs'>): boolean {
+	return now - lastDigestAt - stalledMs <= limits.heartbeatTimeoutMs;
 }
 
 type LogLine = {
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -16,6 +16,7 @@
 import type {Instance} from './rows.ts';
 import {applyReportedColdTargets} from './cold-limits.ts';
 import {createTargetEntries, updateRemoteRunning} from './loads.ts';
+import {isOverloaded} from './overload.ts';
 import {isDataReturnRecent} from './platform-data.ts';
 import {applyReportedLeavingTargets} from './target-notices.ts';
 import {createServiceEntries, updateRemoteUsage} from './usage.ts';
@@ -104,6 +105,8 @@
 		listedAt: isFormer ? Number.NEGATIVE_INFINITY : gateway.now,
 		// The list doesn't show how old its entries are, so an instance counts as silent until its first digest.
 		lastDigestAt: Number.NEGATIVE_INFINITY,
+		stalledMs: 0,
+		isOverloaded: false,
 		platformReachedSince: undefined,
 		services: [],
 		pools: [],
@@ -129,6 +132,8 @@
 	}
 
 	instance.lastDigestAt = gateway.now;
+	instance.stalledMs = 0;
+	instance.isOverloaded = digest.isOverloaded ?? false;
 	instance.state = digest.state;
 	instance.platformReachedSince = digest.platformReachedMs === undefined ? undefined : gateway.now - digest.platformReachedMs;
 	instance.services = digest.services;
@@ -154,6 +159,7 @@
 		heard: [],
 		platformReachedMs: platform.isReached && hasTargetList ? Math.floor(now - platform.since) : undefined,
 		targets: createTargetEntries(gateway),
+		isOverloaded: isOverloaded(gateway),
 	};
 }
 
@@ -240,17 +246,35 @@
 	return catalogue !== undefined && hasTargetList && hasInstanceList && state === MemberState.Active;
 }
 
+/**
+Leaves out overloaded instances. When these are half of all or more, the load itself is too high, and fewer addresses would
+only overload the rest.
+*/
+function omitOverloaded(gateway: Gateway, advertised: Instance[]): Instance[] {
+	const rest = advertised.filter(instance => isSelf(gateway, instance) ? !isOverloaded(gateway) : !instance.isOverloaded);
+	return 2 * rest.length > advertised.length ? rest : advertised;
+}
+
 /** Addresses for a caller, at most `maxAddresses`; those of its failure domain first. */
 export function getCallerAddresses(gateway: Gateway, failureDomain: string | undefined): string[] {
 	const advertised: Instance[] = [...gateway.instances.rows()].filter(instance => isAdvertised(gateway, instance) && (!isSelf(gateway, instance) || isReady(gateway)));
 	if (isReady(gateway) && !advertised.some(instance => isSelf(gateway, instance))) {
 		advertised.push({
-			...createRegistration(gateway), listedAt: gateway.now, lastDigestAt: gateway.now, platformReachedSince: undefined, services: [], pools: [], targets: [],
+			...createRegistration(gateway),
+			listedAt: gateway.now,
+			lastDigestAt: gateway.now,
+			stalledMs: 0,
+			isOverloaded: false,
+			platformReachedSince: undefined,
+			services: [],
+			pools: [],
+			targets: [],
 		});
 	}
 
-	const sameDomain = advertised.filter(instance => instance.failureDomain === failureDomain);
-	const otherDomains = advertised.filter(instance => instance.failureDomain !== failureDomain);
+	const preferred = omitOverloaded(gateway, advertised);
+	const sameDomain = preferred.filter(instance => instance.failureDomain === failureDomain);
+	const otherDomains = preferred.filter(instance => instance.failureDomain !== failureDomain);
 	return [...sameDomain, ...otherDomains].slice(0, gateway.limits.maxAddresses).map(({callerAddress}) => callerAddress);
 }
 
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -15,6 +15,14 @@
 	digestMs: number;
 	/** An instance without a digest for this long counts as silent and is not advertised to callers. */
 	heartbeatTimeoutMs: number;
+	/**
+	Longest time without digests that is put down to stalls of this instance: others may be gone when it goes on.
+	*/
+	maxStallAllowanceMs: number;
+	/** Length of a stall from which an instance counts as overloaded. */
+	overloadStallMs: number;
+	/** Time without another such stall after which it no longer does. */
+	overloadRecoveryMs: number;
 	/** Time after its registration within which a new instance is advertised though its first digest is yet to come. */
 	joinTimeoutMs: number;
 	/** Time for which callers may cache an address. */
@@ -98,6 +106,9 @@
 	retryBudgetFraction: 0.7,
 	digestMs: 500,
 	heartbeatTimeoutMs: 2 * second,
+	maxStallAllowanceMs: 2 * second,
+	overloadStallMs: 200,
+	overloadRecoveryMs: 2 * second,
 	joinTimeoutMs: 3 * second,
 	addressTtlMs: 2 * second,
 	maxAddresses: 64,
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -52,6 +52,8 @@
 		/** The platform returned with an older copy of its data, which shows in the objects of a kind. */
 		| {kind: 'platformDataReturned'; source: string}
 		| {kind: 'digest'; from: string; incarnation: string; digest: Digest}
+		/** This process stood still for some time, and is about to read what arrived meanwhile. */
+		| {kind: 'stalled'; ms: number}
 		| {kind: 'stopRequested'};
 
 export type GatewayInboundOf<Kind extends GatewayInbound['kind']> = Extract<GatewayInbound, {kind: Kind}>;
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -187,6 +187,10 @@
 	listedAt: number;
 	/** When its last digest arrived; -Infinity before the first. */
 	lastDigestAt: number;
+	/** Time since then in which this instance stood still and could read no digest. */
+	stalledMs: number;
+	/** Whether it is overloaded, by its last digest. */
+	isOverloaded: boolean;
 	/** Start of its current uninterrupted connection to the platform, by its last digest; undefined while it has none. */
 	platformReachedSince: number | undefined;
 	/** Recent usage by its callers, from its last digest. */
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -8,6 +8,7 @@
 import {
 	digestsSystem, onDigest, onRegistrations, onStopRequested, registrationSystem, removalSystem, stopSystem, unlistedInstancesSystem,
 } from './instances.ts';
+import {onStalled} from './overload.ts';
 import {onPlatformDataReturned, onPlatformReach} from './platform-data.ts';
 import type {GatewayInbound, GatewayInboundOf, GatewayOutbound} from './ports.ts';
 import {fairLevelsSystem} from './shares.ts';
@@ -33,6 +34,7 @@
 	platformReach: onPlatformReach,
 	platformDataReturned: onPlatformDataReturned,
 	digest: onDigest,
+	stalled: onStalled,
 	stopRequested: onStopRequested,
 };
 
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -217,6 +217,8 @@
 	platformReachedMs?: number | undefined;
 	/** Targets that are in use at the sender or cold; left out where targets have owners. */
 	targets?: TargetEntry[];
+	/** Whether the sender is overloaded, so that callers should be sent to other instances. */
+	isOverloaded?: boolean;
 };
 
 /** Requests the releases after a revision from a peer. */
--- a/packages/core/test/gateway/instances.test.ts
+++ b/packages/core/test/gateway/instances.test.ts
@@ -99,3 +99,47 @@
 		expect(filterByKind(bench.wait(100), 'stopped')).toHaveLength(1);
 	});
 });
+
+describe('an instance that stood still', () => {
+	test('doesn\'t take the others for gone because it could read no digest meanwhile', () => {
+		const bench = createBench({instances: fleet});
+		bench.wait(5000);
+		sendDigest(bench, 'b');
+		bench.wait(3000);
+		bench.step({kind: 'stalled', ms: 2900});
+		expect(getCallerAddresses(bench.gateway, undefined)).toContain('b:80');
+		bench.wait(1100);
+		expect(getCallerAddresses(bench.gateway, undefined)).not.toContain('b:80');
+	});
+
+	test('puts no more than two seconds of silence down to its stalls', () => {
+		const bench = createBench({instances: fleet});
+		bench.wait(5000);
+		sendDigest(bench, 'b');
+		bench.wait(4100);
+		bench.step({kind: 'stalled', ms: 4000});
+		expect(getCallerAddresses(bench.gateway, undefined)).not.toContain('b:80');
+	});
+
+	test('sends callers to the others until it has recovered, and tells them', () => {
+		const bench = createBench({instances: fleet});
+		sendDigest(bench, 'b');
+		sendDigest(bench, 'c');
+		bench.step({kind: 'stalled', ms: 150});
+		expect(getCallerAddresses(bench.gateway, undefined)).toContain('self:80');
+		bench.step({kind: 'stalled', ms: 300});
+		expect(getCallerAddresses(bench.gateway, undefined)).not.toContain('self:80');
+		expect(filterByKind(bench.wait(600), 'sendDigest')[0]!.digest.isOverloaded).toBe(true);
+		bench.wait(1500);
+		expect(getCallerAddresses(bench.gateway, undefined)).toContain('self:80');
+	});
+});
+
+test('an overloaded instance is not advertised while most others are not overloaded', () => {
+	const bench = createBench({instances: fleet});
+	bench.wait(5000);
+	bench.step(createDigestFrom('b', {isOverloaded: true}), createDigestFrom('c'), createDigestFrom('d'));
+	expect(new Set(getCallerAddresses(bench.gateway, undefined))).toEqual(new Set(['self:80', 'c:80', 'd:80']));
+	bench.step(createDigestFrom('c', {isOverloaded: true}));
+	expect(getCallerAddresses(bench.gateway, undefined)).toHaveLength(4);
+});
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -82,7 +82,6 @@
 	const exchanges = new Map<string, CallExchange>();
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
-	const stalls = createLoopStalls({timer, tickMs});
 	let nextCallId = 1;
 	let listenerClosed: Promise<void> | undefined;
 	let withdrawal: Promise<void> | undefined;
@@ -104,6 +103,14 @@
 		}
 	}
 
+	const stalls = createLoopStalls({
+		timer,
+		tickMs,
+		onStall(ms) {
+			push({kind: 'stalled', ms});
+		},
+	});
+
 	const peers = createPeerClient({
 		sender: gateway.self.id,
 		incarnation: gateway.self.incarnation,
--- a/packages/router/src/loop-stalls.ts
+++ b/packages/router/src/loop-stalls.ts
@@ -17,13 +17,15 @@
 	stallMs?: number;
 	/** Time after a stall within which input may date from it, in milliseconds. */
 	recoveryMs?: number;
+	/** Called at the end of a stall with its length in milliseconds, before the input of that time is read. */
+	onStall?: (ms: number) => void;
 };
 
 export const defaultLoopStallsOptions = {stallMs: 100, recoveryMs: 300} satisfies Partial<LoopStallsOptions>;
 
 export function createLoopStalls(options: LoopStallsOptions): LoopStalls {
 	const {
-		timer, tickMs, stallMs, recoveryMs,
+		timer, tickMs, stallMs, recoveryMs, onStall,
 	} = {...defaultLoopStallsOptions, ...options};
 	let lastTurnAt = timer.now();
 	let lastStallEndedAt = Number.NEGATIVE_INFINITY;
@@ -31,6 +33,7 @@
 	const unsubscribe = timer.subscribe(tickMs, now => {
 		if (now - lastTurnAt > tickMs + stallMs) {
 			lastStallEndedAt = now;
+			onStall?.(now - lastTurnAt - tickMs);
 		}
 
 		lastTurnAt = now;
