Serve callers through a part of a large fleet, and watch the platform from few instances

Change: a serving set by capacity, failure domain and measured processor use; digests go between serving instances, and between these and the standby instances of their domain, which are told who is alive. Limits of the whole fleet are split among the primary instances, which follow from registrations alone. Calls are placed after one more poll, always: a new connection waits for its turn to be accepted, and its caller may have left by then.

--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -160,7 +160,7 @@
 	function createInstanceGateway(id: string, startNumber: number): Gateway {
 		return createGateway({
 			self: {
-				id, incarnation: `${id}.${startNumber}`, failureDomain: 'd0', callerAddress: id, peerUrl: id,
+				id, incarnation: `${id}.${startNumber}`, failureDomain: 'd0', callerAddress: id, peerUrl: id, capacity: 0.1,
 			},
 			seed: seed + startNumber,
 			now,
--- a/packages/bench/src/fleet-model/fleet.ts
+++ b/packages/bench/src/fleet-model/fleet.ts
@@ -152,7 +152,7 @@
 	}
 
 	const registrations: Registration[] = Array.from({length: instances}, (_, index) => ({
-		id: `node-${index}`, incarnation: '1', failureDomain: getFailureDomain(index), callerAddress: `node-${index}`, peerUrl: `node-${index}`, state: MemberState.Active,
+		id: `node-${index}`, incarnation: '1', failureDomain: getFailureDomain(index), callerAddress: `node-${index}`, peerUrl: `node-${index}`, capacity: 0.1, state: MemberState.Active,
 	}));
 	const gateways = new Map<string, Gateway>(registrations.map((self, index) => [self.id, createGateway({
 		self, seed: (seed * 1000) + index, now: 0, limits,
--- a/packages/core/src/gateway/cold-limits.ts
+++ b/packages/core/src/gateway/cold-limits.ts
@@ -1,6 +1,6 @@
 /*
 Rate limit of requests to a cold target. The limit holds for the whole fleet, also while instances can't reach each
-other, so it is split: each instance has an equal share, and the remainder goes to the instances that rendezvous
+other, so it is split: each primary instance has an equal share, and the remainder goes to those that rendezvous
 hashing selects for the target. An instance that receives no digests keeps its share, so the sum never exceeds the
 limit. An instance that has just started doesn't know what its previous process sent, and waits until those sends no
 longer count. Digests report cold targets to instances that can't reach the platform; until one arrives, such an
@@ -10,10 +10,16 @@
 import {second} from '../units.ts';
 import type {Gateway} from './gateway.ts';
 import type {Instance, PoolTarget} from './rows.ts';
+import {getLimitHolders} from './serving-set.ts';
 
 /** Computes the requests per second that this instance may send to a cold target. */
 export function computeColdShare(gateway: Gateway, target: PoolTarget, fleetRate: number): number {
-	const members = Math.max(1, gateway.instances.size);
+	const {holders, isHolder} = getLimitHolders(gateway);
+	if (!isHolder) {
+		return 0;
+	}
+
+	const members = Math.max(1, holders.length);
 	const baseShare = Math.floor(fleetRate / members);
 	const remainder = Math.floor(fleetRate) - (baseShare * members);
 	if (remainder === 0) {
@@ -22,7 +28,7 @@
 
 	const ownScore = computeRendezvousScore(target.id, gateway.self.id);
 	let higherScores = 0;
-	for (const {id} of gateway.instances.rows()) {
+	for (const id of holders) {
 		if (id !== gateway.self.id && computeRendezvousScore(target.id, id) > ownScore) {
 			higherScores += 1;
 		}
--- /dev/null
+++ b/packages/core/src/gateway/data-sources.ts
@@ -0,0 +1,71 @@
+/*
+How closely this instance watches the platform's data. A watch whose connection has gone silent is noticed only when its wait
+is over, so waits bound the time for which data can be out of date; but each end of a wait is a call to the platform. So only
+a few instances wait for a short time. The others wait for long, and learn from digests which changes exist: one that misses a
+change that another instance has asks the platform at once.
+*/
+import {LogPart} from '../ports.ts';
+import {addLogLine, hasRecentDigest, type Gateway} from './gateway.ts';
+import type {GatewayInboundOf} from './ports.ts';
+import type {DataVersion, Instance} from './rows.ts';
+
+/** Kinds of data that the platform holds. */
+export enum DataKind {
+	Configuration = 'configuration',
+	Targets = 'targets',
+	DomainsOut = 'domains-out',
+	Instances = 'instances',
+}
+
+export function onDataVersion({dataVersions, coveredVersions}: Gateway, {version, coveredRevision}: GatewayInboundOf<'dataVersion'>) {
+	dataVersions.set(version.kind, version);
+	coveredVersions.set(version.kind, {...version, revision: coveredRevision});
+}
+
+function isLater(a: DataVersion, b: DataVersion): boolean {
+	return a.era === b.era ? a.revision > b.revision : a.era > b.era;
+}
+
+/** Records the changes that another instance has and this one misses. */
+export function applyReportedVersions(gateway: Gateway, {id}: Instance, versions: DataVersion[]) {
+	for (const reported of versions) {
+		const own = gateway.coveredVersions.get(reported.kind);
+		const missing = gateway.missingData.get(reported.kind);
+		if (own && isLater(reported, own) && (!missing || isLater(reported, missing.version))) {
+			gateway.missingData.set(reported.kind, {version: reported, since: missing?.since ?? gateway.now, source: id});
+		}
+	}
+}
+
+/** Asks the platform for changes that other instances have had for some time. */
+export function missingDataSystem(gateway: Gateway) {
+	const {
+		missingData, coveredVersions, limits, now,
+	} = gateway;
+	for (const [kind, {version, since, source}] of missingData) {
+		const own = coveredVersions.get(kind);
+		if (own && !isLater(version, own)) {
+			missingData.delete(kind);
+		} else if (now - since >= limits.missingDataMs) {
+			// The answer is awaited for as long again before the platform is asked once more.
+			missingData.set(kind, {version, since: now + limits.refreshTimeoutMs, source});
+			gateway.outbox.push({kind: 'refreshData', data: kind});
+			addLogLine(gateway, {
+				part: LogPart.Membership, text: 'platform asked again: another instance has a later change', fields: {data: kind, source},
+			});
+		}
+	}
+}
+
+/** Whether this instance notices silent watches of a kind of data soon, for itself and for those that it tells. */
+export function isWatcher({primaryInstances, watchers, self}: Gateway, kind: DataKind): boolean {
+	// Whoever places calls has to notice every outage in which entries of targets expire.
+	return kind === DataKind.Targets ? primaryInstances.has(self.id) || primaryInstances.size === 0 : watchers.has(self.id) || watchers.size === 0;
+}
+
+/** Whether most instances that report to this one lost the platform recently; it may not have noticed that itself. */
+export function isOutageReported(gateway: Gateway): boolean {
+	const reporting = [...gateway.instances.rows()].filter(instance => instance.id !== gateway.self.id && hasRecentDigest(gateway, instance));
+	const affected = reporting.filter(({platformReachedSince: since}) => since === undefined || gateway.now - since < gateway.limits.relistTimeoutMs);
+	return 2 * affected.length > reporting.length;
+}
--- a/packages/core/src/gateway/engine-limits.ts
+++ b/packages/core/src/gateway/engine-limits.ts
@@ -7,7 +7,7 @@
 one with the highest would take every slot.
 */
 import type {PoolEntry} from '../messages.ts';
-import {getOrCreatePoolEstimates, isAlive, type Gateway} from './gateway.ts';
+import {getOrCreatePoolEstimates, hasRecentDigest, type Gateway} from './gateway.ts';
 import type {Call, PoolTarget} from './rows.ts';
 
 /** Limit before the first sample, as a fraction of an engine's slots. */
@@ -49,7 +49,7 @@
 	for (const estimates of gateway.poolEstimates.rows()) {
 		const limits = estimates.concurrencyLimit > 0 ? [estimates.concurrencyLimit] : [];
 		for (const instance of gateway.instances.rows()) {
-			const entry = isAlive(gateway, instance) ? instance.pools.find(({pool, budget}) => pool === estimates.pool && budget > 0) : undefined;
+			const entry = hasRecentDigest(gateway, instance) ? instance.pools.find(({pool, budget}) => pool === estimates.pool && budget > 0) : undefined;
 			if (entry) {
 				limits.push(entry.budget / limitScale);
 			}
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -8,13 +8,14 @@
 import type {LogPart} from '../ports.ts';
 import {createTable, type Table} from '../table.ts';
 import type {Catalogue} from './catalogue.ts';
+import type {DataKind} from './data-sources.ts';
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
 import type {
-	Call, FormerTarget, Instance, PoolTarget, SendCount, Usage,
+	Call, DataVersion, FormerTarget, Instance, PoolTarget, SendCount, Usage,
 } from './rows.ts';
 
-export type GatewaySelf = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl'>;
+export type GatewaySelf = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl' | 'capacity'>;
 
 /** Running estimates for one pool, from the answers that this instance has seen. */
 export type PoolEstimates = {
@@ -107,6 +108,23 @@
 	registerRequestedState: MemberState | undefined;
 	periodStartedAt: Map<string, number>;
 	randomGenerator: RandomGenerator;
+	/** Ids of the instances to which callers are sent. */
+	servingInstances: Set<string>;
+	/** Ids of the instances that would serve in an idle and healthy fleet. */
+	primaryInstances: Set<string>;
+	/** Ids of the primary instances that watch the platform most closely. */
+	watchers: Set<string>;
+	/** Latest change that this instance has, by kind of data. */
+	dataVersions: Map<DataKind, DataVersion>;
+	/** Revision up to which this instance has all changes, by kind of data. */
+	coveredVersions: Map<DataKind, DataVersion>;
+	/** Changes that another instance has and this one misses, by kind of data. */
+	missingData: Map<DataKind, {version: DataVersion; since: number; source: string}>;
+	/** Processor capacity that this process uses, in cores. */
+	usedCapacity: number;
+	/** Processor use of the fleet for which the serving set is sized, in cores, and when it was computed. */
+	demandCapacity: number;
+	demandUpdatedAt: number;
 	/** Time until which this instance counts as overloaded. */
 	overloadedUntil: number;
 	outbox: GatewayOutbound[];
@@ -156,6 +174,15 @@
 		registerRequestedState: undefined,
 		periodStartedAt: new Map(),
 		randomGenerator: xoroshiro128plus(seed),
+		servingInstances: new Set(),
+		primaryInstances: new Set(),
+		watchers: new Set(),
+		dataVersions: new Map(),
+		coveredVersions: new Map(),
+		missingData: new Map(),
+		usedCapacity: 0,
+		demandCapacity: 0,
+		demandUpdatedAt: now,
 		overloadedUntil: Number.NEGATIVE_INFINITY,
 		outbox: [],
 	};
@@ -180,9 +207,15 @@
 	return catalogue?.pools.get(pool)?.isEngine ?? false;
 }
 
-/** Whether the last digest of another instance is recent. */
-export function isAlive({now, limits}: Gateway, {lastDigestAt, stalledMs}: Pick<Instance, 'lastDigestAt' | 'stalledMs'>): boolean {
-	return now - lastDigestAt - stalledMs <= limits.heartbeatTimeoutMs;
+/** Whether the last digest of another instance, or word of it, is recent. Word of it arrives later than a digest. */
+export function isAlive({now, limits, self, servingInstances}: Gateway, {lastDigestAt, stalledMs}: Pick<Instance, 'lastDigestAt' | 'stalledMs'>): boolean {
+	const isToldByOthers = servingInstances.size > 0 && !servingInstances.has(self.id);
+	return now - lastDigestAt - stalledMs <= limits.heartbeatTimeoutMs + (isToldByOthers ? limits.standbyDigestMs : 0);
+}
+
+/** Whether the last digest of another instance to this one is recent, so that what it reported holds. */
+export function hasRecentDigest({now, limits}: Gateway, {reportedAt, stalledMs}: Pick<Instance, 'reportedAt' | 'stalledMs'>): boolean {
+	return now - reportedAt - stalledMs <= limits.heartbeatTimeoutMs;
 }
 
 type LogLine = {
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -4,10 +4,11 @@
 instance that has been silent for long is removed by one of the instances that receive digests from most of the others.
 So an instance that is cut off from the fleet removes no registration.
 */
-import {MemberState, type Digest} from '../messages.ts';
+import {MemberState, type Digest, type HeardEntry} from '../messages.ts';
 import {LogPart} from '../ports.ts';
 import {computeRendezvousScore} from '../rendezvous-hash.ts';
-import {startPeriodIfDue} from '../world.ts';
+import {randomFraction, startPeriodIfDue} from '../world.ts';
+import {applyReportedVersions} from './data-sources.ts';
 import {createPoolEntries, averageLimits} from './engine-limits.ts';
 import {
 	addLogLine, StopPhase, isAlive, type Gateway,
@@ -18,6 +19,9 @@
 import {createTargetEntries, updateRemoteRunning} from './loads.ts';
 import {isOverloaded} from './overload.ts';
 import {isDataReturnRecent} from './platform-data.ts';
+import {
+	isServing, markReachable, selectDigestRecipients, updateServingSet,
+} from './serving-set.ts';
 import {applyReportedLeavingTargets} from './target-notices.ts';
 import {createServiceEntries, updateRemoteUsage} from './usage.ts';
 
@@ -56,6 +60,8 @@
 			deleteInstance(gateway, instance);
 		}
 	}
+
+	updateServingSet(gateway);
 }
 
 function recordFormerIncarnation({formerIncarnations}: Gateway, {id, incarnation}: Instance) {
@@ -106,6 +112,10 @@
 		// The list doesn't show how old its entries are, so an instance counts as silent until its first digest.
 		lastDigestAt: Number.NEGATIVE_INFINITY,
 		stalledMs: 0,
+		reportedAt: Number.NEGATIVE_INFINITY,
+		usedCapacity: 0,
+		expectedSince: undefined,
+		isUnreachable: false,
 		isOverloaded: false,
 		platformReachedSince: undefined,
 		services: [],
@@ -133,6 +143,10 @@
 
 	instance.lastDigestAt = gateway.now;
 	instance.stalledMs = 0;
+	instance.reportedAt = gateway.now;
+	instance.usedCapacity = digest.usedCapacity ?? 0;
+	markReachable(gateway, instance);
+	applyHeardInstances(gateway, digest);
 	instance.isOverloaded = digest.isOverloaded ?? false;
 	instance.state = digest.state;
 	instance.platformReachedSince = digest.platformReachedMs === undefined ? undefined : gateway.now - digest.platformReachedMs;
@@ -141,6 +155,29 @@
 	instance.targets = digest.targets ?? [];
 	applyReportedColdTargets(gateway, instance);
 	applyReportedLeavingTargets(gateway, instance);
+	applyReportedVersions(gateway, instance, digest.dataVersions ?? []);
+}
+
+/** Applies what a digest tells of the instances that its sender hears. */
+function applyHeardInstances(gateway: Gateway, {heard}: Digest) {
+	const {instances, now} = gateway;
+	for (const {member, incarnation, ageMs} of heard) {
+		const instance = instances.get(member);
+		if (instance?.incarnation === incarnation && now - ageMs > instance.lastDigestAt) {
+			instance.lastDigestAt = now - ageMs;
+			instance.stalledMs = 0;
+			markReachable(gateway, instance);
+		}
+	}
+}
+
+/** Creates the entries that tell standby instances which instances of the serving set are alive. */
+function createHeardEntries(gateway: Gateway): HeardEntry[] {
+	return [...gateway.instances.rows()]
+		.filter(instance => gateway.servingInstances.has(instance.id) && !isSelf(gateway, instance) && isAlive(gateway, instance))
+		.map(({id, incarnation, lastDigestAt}) => ({
+			member: id, incarnation, ageMs: Math.ceil(gateway.now - lastDigestAt), leaseSequence: 0, digestSequence: 0, tenure: '',
+		}));
 }
 
 function createDigest(gateway: Gateway): Digest {
@@ -160,29 +197,36 @@
 		platformReachedMs: platform.isReached && hasTargetList ? Math.floor(now - platform.since) : undefined,
 		targets: createTargetEntries(gateway),
 		isOverloaded: isOverloaded(gateway),
+		usedCapacity: gateway.usedCapacity,
+		dataVersions: [...gateway.dataVersions.values()],
 	};
 }
 
 /** Sends digests, which show that this instance is alive and report its usage, and applies those of the others. */
 export function digestsSystem(gateway: Gateway) {
-	if (!startPeriodIfDue(gateway, 'digests', gateway.limits.digestMs)) {
+	const {limits} = gateway;
+	if (!startPeriodIfDue(gateway, 'digests', limits.digestMs)) {
 		return;
 	}
 
-	sendDigests(gateway);
+	updateServingSet(gateway);
+	const {frequent, infrequent} = selectDigestRecipients(gateway);
+	const digest = createDigest(gateway);
+	sendDigests(gateway, frequent, digest);
+	if (startPeriodIfDue(gateway, 'standbyDigests', limits.standbyDigestMs)) {
+		sendDigests(gateway, infrequent, isServing(gateway) ? {...digest, heard: createHeardEntries(gateway)} : digest);
+	}
+
 	updateRemoteUsage(gateway);
 	updateRemoteRunning(gateway);
 	averageLimits(gateway);
 }
 
-function sendDigests(gateway: Gateway) {
-	const digest = createDigest(gateway);
-	for (const instance of gateway.instances.rows()) {
-		if (!isSelf(gateway, instance)) {
-			gateway.outbox.push({
-				kind: 'sendDigest', to: instance.id, peerUrl: instance.peerUrl, digest,
-			});
-		}
+function sendDigests({outbox}: Gateway, recipients: Instance[], digest: Digest) {
+	for (const {id, peerUrl} of recipients) {
+		outbox.push({
+			kind: 'sendDigest', to: id, peerUrl, digest,
+		});
 	}
 }
 
@@ -204,26 +248,32 @@
 	gateway.registerRequestedState = state;
 	gateway.outbox.push({kind: 'register', registration: createRegistration(gateway)});
 	if (state === MemberState.Leaving) {
-		sendDigests(gateway);
+		sendDigests(gateway, [...instances.rows()].filter(instance => !isSelf(gateway, instance)), createDigest(gateway));
 	}
 }
 
 /** Removes the registrations of instances that have been silent for too long. */
 export function removalSystem(gateway: Gateway) {
 	const {limits, now} = gateway;
-	if (!gateway.platform.isReached || !startPeriodIfDue(gateway, 'removals', limits.minRegisterIntervalMs)) {
+	const isMember = isServing(gateway) || gateway.primaryInstances.has(gateway.self.id);
+	if (!isMember || !gateway.platform.isReached || !startPeriodIfDue(gateway, 'removals', limits.minRegisterIntervalMs)) {
 		return;
 	}
 
-	const rows = [...gateway.instances.rows()];
+	// The instances whose digests reach this one: those of the standby instances only within its failure domain.
+	const rows = [...gateway.instances.rows()].filter(({id, failureDomain}) =>
+		failureDomain === gateway.self.failureDomain || gateway.primaryInstances.has(id) || gateway.servingInstances.has(id));
 	const alive = rows.filter(instance => isSelfOrAlive(gateway, instance));
 	const gone = rows.filter(instance => !isSelfOrAlive(gateway, instance) && now - Math.max(instance.lastDigestAt, instance.listedAt) > limits.removalTimeoutMs);
 	if (2 * alive.length <= rows.length) {
 		return;
 	}
 
+	const members = alive.filter(instance => gateway.servingInstances.has(instance.id));
 	for (const instance of gone) {
-		if (isSelectedToRemove(gateway, instance, alive)) {
+		const isMemberGone = gateway.primaryInstances.has(instance.id) || gateway.servingInstances.has(instance.id);
+		const responsible = isMemberGone ? members : members.filter(({failureDomain}) => failureDomain === instance.failureDomain);
+		if (isSelectedToRemove(gateway, instance, responsible)) {
 			gateway.outbox.push({kind: 'remove', instance: instance.id, incarnation: instance.incarnation});
 			addLogLine(gateway, {
 				part: LogPart.Membership, level: 'warn', text: 'instance removed', fields: {instance: instance.id, unheardMs: Math.round(now - instance.lastDigestAt)},
@@ -255,15 +305,32 @@
 	return 2 * rest.length > advertised.length ? rest : advertised;
 }
 
+/**
+Leaves out instances at random, the more often the less capacity they have: callers pick addresses evenly, and so each instance
+gets load by its capacity.
+*/
+function sampleByCapacity(gateway: Gateway, instances: Instance[]): Instance[] {
+	const largest = Math.max(...instances.map(({capacity}) => capacity));
+	return instances.filter(({capacity}) => capacity >= largest || randomFraction(gateway) * largest < capacity);
+}
+
 /** Addresses for a caller, at most `maxAddresses`; those of its failure domain first. */
 export function getCallerAddresses(gateway: Gateway, failureDomain: string | undefined): string[] {
-	const advertised: Instance[] = [...gateway.instances.rows()].filter(instance => isAdvertised(gateway, instance) && (!isSelf(gateway, instance) || isReady(gateway)));
-	if (isReady(gateway) && !advertised.some(instance => isSelf(gateway, instance))) {
+	const advertised: Instance[] = [...gateway.instances.rows()].filter(instance =>
+		gateway.servingInstances.has(instance.id) && isAdvertised(gateway, instance) && (!isSelf(gateway, instance) || isReady(gateway)));
+	const isIncluded = advertised.some(instance => isSelf(gateway, instance));
+	// An instance whose own registration is yet to be listed serves too, unless the fleet is so large that many stand by.
+	const mustServe = advertised.length === 0 || gateway.servingInstances.size === gateway.instances.size;
+	if (isReady(gateway) && !isIncluded && mustServe) {
 		advertised.push({
 			...createRegistration(gateway),
 			listedAt: gateway.now,
 			lastDigestAt: gateway.now,
 			stalledMs: 0,
+			reportedAt: gateway.now,
+			usedCapacity: 0,
+			expectedSince: undefined,
+			isUnreachable: false,
 			isOverloaded: false,
 			platformReachedSince: undefined,
 			services: [],
@@ -273,8 +340,9 @@
 	}
 
 	const preferred = omitOverloaded(gateway, advertised);
-	const sameDomain = preferred.filter(instance => instance.failureDomain === failureDomain);
-	const otherDomains = preferred.filter(instance => instance.failureDomain !== failureDomain);
+	const sampled = sampleByCapacity(gateway, preferred);
+	const sameDomain = sampled.filter(instance => instance.failureDomain === failureDomain);
+	const otherDomains = sampled.filter(instance => instance.failureDomain !== failureDomain);
 	return [...sameDomain, ...otherDomains].slice(0, gateway.limits.maxAddresses).map(({callerAddress}) => callerAddress);
 }
 
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -13,6 +13,24 @@
 	retryBudgetFraction: number;
 	/** Period of digests to the other instances. */
 	digestMs: number;
+	/** Period of digests between serving and standby instances. */
+	standbyDigestMs: number;
+	/** Minimum number of serving instances in a failure domain. */
+	minServingPerDomain: number;
+	/** Minimum processor capacity of the serving instances of a failure domain, in cores. */
+	minServingCapacity: number;
+	/** Minimum fraction of the processor capacity of a failure domain that serves. */
+	minServingFraction: number;
+	/** Number of primary instances in a failure domain that watch the platform closely. */
+	watchersPerDomain: number;
+	/** Time for which another instance has a change before this one asks the platform for it. */
+	missingDataMs: number;
+	/** Time for which the answer is awaited before the platform is asked once more. */
+	refreshTimeoutMs: number;
+	/** Fraction of the capacity of the serving set that may be in use before it grows. */
+	maxServingUse: number;
+	/** Time constant with which the serving set shrinks when processor use falls. */
+	servingDecayMs: number;
 	/** An instance without a digest for this long counts as silent and is not advertised to callers. */
 	heartbeatTimeoutMs: number;
 	/**
@@ -105,6 +123,15 @@
 	retryWindowMs: 10 * second,
 	retryBudgetFraction: 0.7,
 	digestMs: 500,
+	standbyDigestMs: second,
+	minServingPerDomain: 4,
+	minServingCapacity: 2,
+	minServingFraction: 0.25,
+	watchersPerDomain: 2,
+	missingDataMs: 300,
+	refreshTimeoutMs: 2 * second,
+	maxServingUse: 0.4,
+	servingDecayMs: 20 * second,
 	heartbeatTimeoutMs: 2 * second,
 	maxStallAllowanceMs: 2 * second,
 	overloadStallMs: 200,
--- a/packages/core/src/gateway/loads.ts
+++ b/packages/core/src/gateway/loads.ts
@@ -5,7 +5,7 @@
 */
 import type {TargetEntry} from '../messages.ts';
 import {getEngineLimit} from './engine-limits.ts';
-import {isEnginePool, isAlive, type Gateway} from './gateway.ts';
+import {isEnginePool, hasRecentDigest, type Gateway} from './gateway.ts';
 import type {LoadReport, PoolTarget} from './rows.ts';
 
 /** Estimates the requests that a target runs or has queued. */
@@ -80,7 +80,7 @@
 	}
 
 	for (const instance of gateway.instances.rows()) {
-		if (!isAlive(gateway, instance)) {
+		if (!hasRecentDigest(gateway, instance)) {
 			continue;
 		}
 
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -5,6 +5,7 @@
 count as new.
 */
 import {LogPart} from '../ports.ts';
+import {DataKind, isOutageReported, isWatcher} from './data-sources.ts';
 import {addLogLine, isAlive, type Gateway} from './gateway.ts';
 import type {GatewayInboundOf} from './ports.ts';
 
@@ -59,5 +60,9 @@
 		return true;
 	}
 
+	if (!isWatcher(gateway, DataKind.Targets) && isOutageReported(gateway)) {
+		return true;
+	}
+
 	return lastAnswerBeforeOutageAt !== undefined && now < since + limits.relistTimeoutMs && !isPlatformReachedElsewhere(gateway, lastAnswerBeforeOutageAt);
 }
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -5,8 +5,9 @@
 import type {LogPart} from '../ports.ts';
 import type {Refusal} from '../refusal.ts';
 import type {Catalogue} from './catalogue.ts';
+import type {DataKind} from './data-sources.ts';
 import type {
-	CallArrival, Instance, ListedTarget, LoadReport,
+	CallArrival, DataVersion, Instance, ListedTarget, LoadReport,
 } from './rows.ts';
 
 /** How a send of a call to a target ended. */
@@ -26,7 +27,7 @@
 }
 
 /** Instance as registered with the platform. */
-export type Registration = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl' | 'state'>;
+export type Registration = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl' | 'capacity' | 'state'>;
 
 export type GatewayInbound
 	= | {kind: 'callArrived'; call: CallArrival}
@@ -52,6 +53,10 @@
 		/** The platform returned with an older copy of its data, which shows in the objects of a kind. */
 		| {kind: 'platformDataReturned'; source: string}
 		| {kind: 'digest'; from: string; incarnation: string; digest: Digest}
+		/** The latest change of a kind of the platform's data, and the revision up to which this instance has all changes. */
+		| {kind: 'dataVersion'; version: DataVersion; coveredRevision: number}
+		/** Fraction of its processor capacity that this process used recently. */
+		| {kind: 'processorUse'; fraction: number}
 		/** This process stood still for some time, and is about to read what arrived meanwhile. */
 		| {kind: 'stalled'; ms: number}
 		| {kind: 'stopRequested'};
@@ -89,6 +94,8 @@
 	/** Remove the registration of another instance, which has been silent for too long. */
 	| {kind: 'remove'; instance: string; incarnation: string}
 	| {kind: 'catalogueInForce'; catalogue: Catalogue}
+	/** Ask the platform for changes of a kind of data at once. */
+	| {kind: 'refreshData'; data: DataKind}
 	| {kind: 'log'; part: LogPart; level: 'debug' | 'info' | 'warn' | 'error'; text: string; request?: string; fields?: Record<string, unknown>}
 	| {kind: 'stopped'};
 
--- a/packages/core/src/gateway/retries.ts
+++ b/packages/core/src/gateway/retries.ts
@@ -1,11 +1,12 @@
 /*
 Counts the sends to each pool over a sliding window, and limits retries: the sends after the first one of each call.
 The retry budget of the fleet is a fraction of its calls, which each instance can apply to its own, and a constant, of
-which each instance has an equal share.
+which the primary instances share most and the others the rest.
 */
 import {second} from '../units.ts';
 import type {Gateway} from './gateway.ts';
 import type {SendCount} from './rows.ts';
+import {getLimitHolders} from './serving-set.ts';
 
 /** Number of slices that a retry window is counted in. */
 const slicesPerWindow = 10;
@@ -53,6 +54,21 @@
 	return recent.reduce((sum, {firstSends}) => sum + firstSends, 0) * second / ageMs;
 }
 
+/** Fraction of the constant part of the budget that is split among the instances that stand by. */
+const standbyExtraFraction = 0.2;
+
+/** Computes this instance's share of the constant part of the retry budget. */
+function computeExtraShare(gateway: Gateway): number {
+	const {holders, isHolder} = getLimitHolders(gateway);
+	const {extraRetries} = gateway.limits;
+	const standbyCount = gateway.instances.size - holders.length;
+	if (standbyCount <= 0) {
+		return extraRetries / Math.max(1, holders.length);
+	}
+
+	return isHolder ? extraRetries * (1 - standbyExtraFraction) / holders.length : extraRetries * standbyExtraFraction / standbyCount;
+}
+
 /** Spends one retry of the budget; returns false when none is left. */
 export function trySpendRetry(gateway: Gateway, pool: string): boolean {
 	const {retryRatio, extraRetries, retryBudgetFraction} = gateway.limits;
@@ -64,7 +80,7 @@
 		resends += count.resends;
 	}
 
-	const extraShare = extraRetries / Math.max(1, gateway.instances.size);
+	const extraShare = computeExtraShare(gateway);
 	if (resends + 1 > retryBudgetFraction * ((calls * retryRatio) + extraShare)) {
 		return false;
 	}
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -6,6 +6,7 @@
 	MemberState, PoolEntry, ServiceEntry, TargetEntry,
 } from '../messages.ts';
 import type {CallRoute} from './catalogue.ts';
+import type {DataKind} from './data-sources.ts';
 
 /** Segment of a prompt: the unit by which engines cache prefilled prompts. */
 export type PromptSegment = {
@@ -143,6 +144,14 @@
 	cachedSegments: Map<string, number>;
 };
 
+/** Latest change of a kind of the platform's data. */
+export type DataVersion = {
+	kind: DataKind;
+	/** Rises each time the platform returns with older data, after which it gives out revisions again. */
+	era: number;
+	revision: number;
+};
+
 /** What is kept of a target's process after its row was removed or replaced by that of another process. */
 export type FormerTarget = Pick<PoolTarget, 'hasAnnouncedLeaving' | 'pausedUntil'> & {removedAt: number};
 
@@ -183,12 +192,22 @@
 	callerAddress: string;
 	peerUrl: string;
 	state: MemberState;
+	/** Processor capacity of its machine, in cores. */
+	capacity: number;
 	/** When its registration was first listed. */
 	listedAt: number;
-	/** When its last digest arrived; -Infinity before the first. */
+	/** When it sent the last digest that this instance or another one, which told of it, received; -Infinity before the first. */
 	lastDigestAt: number;
 	/** Time since then in which this instance stood still and could read no digest. */
 	stalledMs: number;
+	/** When its last digest to this instance arrived; -Infinity before the first. */
+	reportedAt: number;
+	/** Processor capacity in use, by its last digest; in cores. */
+	usedCapacity: number;
+	/** Since when digests of it are expected; undefined while they aren't. */
+	expectedSince: number | undefined;
+	/** Whether digests of it were expected and didn't arrive. */
+	isUnreachable: boolean;
 	/** Whether it is overloaded, by its last digest. */
 	isOverloaded: boolean;
 	/** Start of its current uninterrupted connection to the platform, by its last digest; undefined while it has none. */
--- a/packages/core/src/gateway/serving-set.ts
+++ b/packages/core/src/gateway/serving-set.ts
@@ -12,7 +12,9 @@
 import {MemberState} from '../messages.ts';
 import {LogPart} from '../ports.ts';
 import {computeRendezvousScore} from '../rendezvous-hash.ts';
-import {addLogLine, hasRecentDigest, isAlive, type Gateway} from './gateway.ts';
+import {
+	addLogLine, hasRecentDigest, isAlive, type Gateway,
+} from './gateway.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import type {Instance} from './rows.ts';
 
@@ -93,6 +95,14 @@
 	}
 }
 
+/** Takes an instance that is heard again back into consideration. */
+export function markReachable(gateway: Gateway, instance: Instance) {
+	if (instance.isUnreachable) {
+		instance.isUnreachable = false;
+		updateServingSet(gateway);
+	}
+}
+
 /** Whether this instance expects digests of another one, or word of it from those that receive its digests. */
 function isExpected({primaryInstances, servingInstances}: Gateway, {id}: Instance): boolean {
 	return primaryInstances.has(id) || servingInstances.has(id);
@@ -107,12 +117,18 @@
 	const demandPerDomain = gateway.demandCapacity / limits.maxServingUse / Math.max(1, domains.size);
 	const primary = new Set<string>();
 	const serving = new Set<string>();
+	const watchers = new Set<string>();
 	for (const ranked of domains.values()) {
 		const base = computeBaseCapacity(gateway, ranked);
-		for (const {id} of selectPrefix(gateway, ranked, base)) {
+		const primaryOfDomain = selectPrefix(gateway, ranked, base);
+		for (const {id} of primaryOfDomain) {
 			primary.add(id);
 		}
 
+		for (const {id} of primaryOfDomain.slice(0, limits.watchersPerDomain)) {
+			watchers.add(id);
+		}
+
 		const reachable = ranked.filter(instance => isSelf(gateway, instance) ? gateway.state === MemberState.Active : instance.state === MemberState.Active && !instance.isUnreachable);
 		for (const {id} of selectPrefix(gateway, reachable, Math.max(base, demandPerDomain))) {
 			serving.add(id);
@@ -137,6 +153,7 @@
 	}
 
 	gateway.primaryInstances = primary;
+	gateway.watchers = watchers;
 	gateway.servingInstances = serving;
 }
 
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -4,6 +4,7 @@
 import {
 	callsSystem, onAnswerDelivered, onAnswerStarted, onCallArrived, onCallerGone, onSendEnded, timeoutsSystem,
 } from './calls.ts';
+import {missingDataSystem, onDataVersion} from './data-sources.ts';
 import type {Gateway} from './gateway.ts';
 import {
 	digestsSystem, onDigest, onRegistrations, onStopRequested, registrationSystem, removalSystem, stopSystem, unlistedInstancesSystem,
@@ -11,6 +12,7 @@
 import {onStalled} from './overload.ts';
 import {onPlatformDataReturned, onPlatformReach} from './platform-data.ts';
 import type {GatewayInbound, GatewayInboundOf, GatewayOutbound} from './ports.ts';
+import {onProcessorUse} from './serving-set.ts';
 import {fairLevelsSystem} from './shares.ts';
 import {formerTargetsSystem, onTargetLeaving, onTargetPause} from './target-notices.ts';
 import {
@@ -35,12 +37,15 @@
 	platformDataReturned: onPlatformDataReturned,
 	digest: onDigest,
 	stalled: onStalled,
+	processorUse: onProcessorUse,
+	dataVersion: onDataVersion,
 	stopRequested: onStopRequested,
 };
 
 /** The systems in the order in which they run. */
 const systems: Array<(gateway: Gateway) => void> = [
 	targetsSystem,
+	missingDataSystem,
 	formerTargetsSystem,
 	domainsSystem,
 	unlistedInstancesSystem,
--- a/packages/core/src/gateway/usage.ts
+++ b/packages/core/src/gateway/usage.ts
@@ -95,7 +95,7 @@
 export function updateRemoteUsage(gateway: Gateway) {
 	const remote = new Map<string, {served: number; started: number; demand: number}>();
 	for (const instance of gateway.instances.rows()) {
-		const factor = Math.exp((instance.lastDigestAt - gateway.now) / gateway.limits.shareWindowMs);
+		const factor = Math.exp((instance.reportedAt - gateway.now) / gateway.limits.shareWindowMs);
 		for (const {
 			pool, workspace, service, asked = 0, started = 0,
 		} of instance.services) {
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -3,6 +3,7 @@
 that travel are numbers equal to those of the proto. Times on the wire are durations in milliseconds, since clocks of
 two instances are not comparable.
 */
+import type {DataVersion} from './gateway/rows.ts';
 
 /** How one attempt at a target ended. */
 export enum AttemptEnd {
@@ -219,6 +220,10 @@
 	targets?: TargetEntry[];
 	/** Whether the sender is overloaded, so that callers should be sent to other instances. */
 	isOverloaded?: boolean;
+	/** Processor capacity that the sender uses, in cores. */
+	usedCapacity?: number;
+	/** Latest change of each kind of the platform's data that the sender has. */
+	dataVersions?: DataVersion[];
 };
 
 /** Requests the releases after a revision from a peer. */
--- /dev/null
+++ b/packages/core/test/gateway/data-sources.test.ts
@@ -0,0 +1,89 @@
+import {DataKind, isWatcher} from '../../src/gateway/data-sources.ts';
+import {
+	createBench, createDigestFrom, createListedTarget, createRegistration, filterByKind, type Bench,
+} from '../support/gateways.ts';
+
+function setVersion(bench: Bench, {era = 1, revision, coveredRevision = revision}: {era?: number; revision: number; coveredRevision?: number}) {
+	return bench.step({kind: 'dataVersion', version: {kind: DataKind.Targets, era, revision}, coveredRevision});
+}
+
+function report(bench: Bench, revision: number, era = 1) {
+	return bench.step(createDigestFrom('other', {dataVersions: [{kind: DataKind.Targets, era, revision}]}));
+}
+
+const getRefreshed = (outbox: ReturnType<Bench['step']>) => filterByKind(outbox, 'refreshData').map(({data}) => data);
+
+test('a change that another instance has had for some time is asked for, and once more only after a while', () => {
+	const bench = createBench({instances: ['self', 'other']});
+	setVersion(bench, {revision: 5});
+	expect(getRefreshed(report(bench, 7))).toEqual([]);
+	expect(getRefreshed(bench.wait(350))).toEqual([DataKind.Targets]);
+	expect(getRefreshed(report(bench, 7))).toEqual([]);
+	expect(getRefreshed(bench.wait(1900))).toEqual([]);
+	expect(getRefreshed(bench.wait(500))).toEqual([DataKind.Targets]);
+	setVersion(bench, {revision: 7});
+	expect(getRefreshed(bench.wait(3000))).toEqual([]);
+});
+
+test('a change that arrives in time, or that this instance covers without an object that shows it, is not asked for', () => {
+	const bench = createBench({instances: ['self', 'other']});
+	setVersion(bench, {revision: 5});
+	report(bench, 7);
+	bench.wait(100);
+	setVersion(bench, {revision: 7});
+	expect(getRefreshed(bench.wait(1000))).toEqual([]);
+	setVersion(bench, {revision: 7, coveredRevision: 20});
+	report(bench, 19);
+	expect(getRefreshed(bench.wait(1000))).toEqual([]);
+});
+
+test('a later era counts as a change though its revisions are lower, an earlier one doesn\'t', () => {
+	const bench = createBench({instances: ['self', 'other']});
+	setVersion(bench, {revision: 50, era: 2});
+	report(bench, 90, 1);
+	expect(getRefreshed(bench.wait(1000))).toEqual([]);
+	report(bench, 20, 3);
+	expect(getRefreshed(bench.wait(350))).toEqual([DataKind.Targets]);
+});
+
+test('an instance that is alone, or whose list of instances is missing, watches all data closely', () => {
+	const alone = createBench({instances: ['self']});
+	alone.wait(600);
+	expect(Object.values(DataKind).every(kind => isWatcher(alone.gateway, kind))).toBe(true);
+	alone.gateway.instances.delete('self');
+	alone.wait(600);
+	expect(Object.values(DataKind).every(kind => isWatcher(alone.gateway, kind))).toBe(true);
+});
+
+test('in a large fleet two instances of a failure domain watch all data closely, primary ones the targets, and others none', () => {
+	const ids = Array.from({length: 100}, (_, index) => `i${index}`);
+	const watching = new Map<DataKind, number>();
+	for (const self of ids) {
+		const bench = createBench({instances: [self]});
+		bench.step({kind: 'registrations', registrations: ids.map(id => createRegistration(id))});
+		for (const kind of Object.values(DataKind)) {
+			watching.set(kind, (watching.get(kind) ?? 0) + (isWatcher(bench.gateway, kind) ? 1 : 0));
+		}
+
+		expect(isWatcher(bench.gateway, DataKind.Targets)).toBe(bench.gateway.primaryInstances.has(self));
+	}
+
+	expect(watching.get(DataKind.Configuration)).toBe(2);
+	expect(watching.get(DataKind.Targets)).toBe(25);
+});
+
+test('a standby instance keeps missing targets while the others report an outage that it hasn\'t noticed', () => {
+	const ids = Array.from({length: 100}, (_, index) => `i${index}`);
+	const bench = createBench({instances: ['i0']});
+	bench.step({kind: 'registrations', registrations: ids.map(id => createRegistration(id))});
+	const {gateway} = bench;
+	const standby = ids.find(id => !gateway.primaryInstances.has(id))!;
+	const other = createBench({instances: [standby], targets: [createListedTarget('t1'), createListedTarget('t2')]});
+	other.step({kind: 'registrations', registrations: ids.map(id => createRegistration(id))});
+	const primary = [...gateway.primaryInstances];
+	other.step(...primary.map(id => createDigestFrom(id, {platformReachedMs: undefined})));
+	other.step({kind: 'targets', targets: [createListedTarget('t1')]});
+	expect(other.gateway.targets.has('t2')).toBe(true);
+	other.step(...primary.map(id => createDigestFrom(id, {platformReachedMs: 60_000})));
+	expect(other.gateway.targets.has('t2')).toBe(false);
+});
--- a/packages/core/test/support/gateways.ts
+++ b/packages/core/test/support/gateways.ts
@@ -75,7 +75,7 @@
 
 export function createRegistration(id: string, options: Partial<Registration> = {}): Registration {
 	return {
-		id, incarnation: `${id}-1`, failureDomain: 'suva', callerAddress: `${id}:80`, peerUrl: `http://${id}:7400`, state: MemberState.Active, ...options,
+		id, incarnation: `${id}-1`, failureDomain: 'suva', callerAddress: `${id}:80`, peerUrl: `http://${id}:7400`, capacity: 0.1, state: MemberState.Active, ...options,
 	};
 }
 
--- a/packages/platform/src/http-call.ts
+++ b/packages/platform/src/http-call.ts
@@ -13,7 +13,7 @@
 	headers?: Record<string, string>;
 	body?: string;
 	timeoutMs: number;
-	signal?: AbortSignal;
+	signal?: AbortSignal | undefined;
 };
 
 export type HttpReply = {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: unknown} | {kind: 'failed'; error: PlatformError};
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -5,6 +5,7 @@
 import type {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {DataKind} from '@shallotloom/core/gateway/data-sources.ts';
 import {createGateway, type Gateway, type GatewaySelf} from '@shallotloom/core/gateway/gateway.ts';
 import type {GatewayLimits} from '@shallotloom/core/gateway/limits.ts';
 import type {GatewayInbound, GatewayOutbound, Registration} from '@shallotloom/core/gateway/ports.ts';
@@ -19,7 +20,7 @@
 import {startPeerServer} from '../peers/peer-server.ts';
 import type {Timer} from '../timer.ts';
 import {createControlTraffic} from '../control-traffic.ts';
-import {createLoopStalls, runAfterNextPoll} from '../loop-stalls.ts';
+import {runAfterNextPoll, watchProcessorUse, watchStalls} from '../loop-stalls.ts';
 import {
 	sendBufferedAnswer, endWithRefusal, writeRefusal, type CallExchange,
 } from './call-exchange.ts';
@@ -49,6 +50,8 @@
 	log: Log;
 	metrics: GatewayMetrics;
 	timer: Timer;
+	/** Called when changes of a kind of data are to be read from the platform at once. */
+	onRefreshData: (data: DataKind) => void;
 	onStopped: () => void;
 };
 
@@ -103,7 +106,7 @@
 		}
 	}
 
-	const stalls = createLoopStalls({
+	const stopWatchingStalls = watchStalls({
 		timer,
 		tickMs,
 		onStall(ms) {
@@ -111,6 +114,10 @@
 		},
 	});
 
+	const stopWatchingUse = watchProcessorUse(timer, fraction => {
+		push({kind: 'processorUse', fraction});
+	});
+
 	const peers = createPeerClient({
 		sender: gateway.self.id,
 		incarnation: gateway.self.incarnation,
@@ -183,6 +190,9 @@
 			remove({instance, incarnation}) {
 				registry.remove(instance, incarnation);
 			},
+			refreshData({data}) {
+				options.onRefreshData(data);
+			},
 			catalogueInForce({catalogue}) {
 				listener.setLimits(catalogue.limits);
 			},
@@ -250,12 +260,9 @@
 			request.socket.off('end', handleCallerGone);
 			handleCallerGone();
 		});
-		if (stalls.isRecovering()) {
-			// The caller may have left during the stall; the end of its connection is read after its request.
-			runAfterNextPoll(arrive);
-		} else {
-			arrive();
-		}
+		// A request may have waited for long in the queue of new connections or during a stall, so that its caller has left: the end
+		// of the connection is read one poll after the request.
+		runAfterNextPoll(arrive);
 	}
 
 	const listener = await listenForCallers({
@@ -287,7 +294,8 @@
 			listener.closeAllConnections();
 			await withdrawal;
 			loop.stop();
-			stalls.stop();
+			stopWatchingStalls();
+			stopWatchingUse();
 			timer.stop();
 			peers.close();
 			await Promise.all([peerServer.close(), connectionPools.destroyAll()]);
--- a/packages/router/src/loop-stalls.ts
+++ b/packages/router/src/loop-stalls.ts
@@ -1,52 +1,46 @@
 /*
-Detects that the event loop stood still: the process was paused, starved of processor time, or busy with one long task.
+Watches the event loop: whether it stood still, and how busy it is.
 */
 import type {Timer} from './timer.ts';
 
-export type LoopStalls = {
-	/** Whether the loop stands behind, or stood still so recently that input from that time may still be unread. */
-	isRecovering(): boolean;
-	stop(): void;
-};
-
-export type LoopStallsOptions = {
+export type StallWatchOptions = {
 	timer: Timer;
 	/** Interval at which the timer is expected to run, in milliseconds. */
 	tickMs: number;
 	/** Time without a turn of the loop that counts as a stall, in milliseconds. */
 	stallMs?: number;
-	/** Time after a stall within which input may date from it, in milliseconds. */
-	recoveryMs?: number;
 	/** Called at the end of a stall with its length in milliseconds, before the input of that time is read. */
-	onStall?: (ms: number) => void;
+	onStall: (ms: number) => void;
 };
 
-export const defaultLoopStallsOptions = {stallMs: 100, recoveryMs: 300} satisfies Partial<LoopStallsOptions>;
+export const defaultStallWatchOptions = {stallMs: 100} satisfies Partial<StallWatchOptions>;
 
-export function createLoopStalls(options: LoopStallsOptions): LoopStalls {
+/** Reports the stalls of the event loop until the returned function is called. */
+export function watchStalls(options: StallWatchOptions): () => void {
 	const {
-		timer, tickMs, stallMs, recoveryMs, onStall,
-	} = {...defaultLoopStallsOptions, ...options};
+		timer, tickMs, stallMs, onStall,
+	} = {...defaultStallWatchOptions, ...options};
 	let lastTurnAt = timer.now();
-	let lastStallEndedAt = Number.NEGATIVE_INFINITY;
-
-	const unsubscribe = timer.subscribe(tickMs, now => {
-		if (now - lastTurnAt > tickMs + stallMs) {
-			lastStallEndedAt = now;
-			onStall?.(now - lastTurnAt - tickMs);
-		}
-
+	return timer.subscribe(tickMs, now => {
+		const lateMs = now - lastTurnAt - tickMs;
 		lastTurnAt = now;
+		if (lateMs > stallMs) {
+			onStall(lateMs);
+		}
 	});
+}
 
-	return {
-		isRecovering() {
-			const now = timer.now();
-			// The second condition holds while input is handled before the timer has run again.
-			return now - lastStallEndedAt < recoveryMs || now - lastTurnAt > tickMs + stallMs;
-		},
-		stop: unsubscribe,
-	};
+/** Interval at which the use of the processor is measured, in milliseconds. */
+const useMs = 1000;
+
+/** Calls `onUse` each second with the fraction of it in which the event loop was busy, until the returned function is called. */
+export function watchProcessorUse(timer: Timer, onUse: (fraction: number) => void): () => void {
+	let last = performance.eventLoopUtilization();
+	return timer.subscribe(useMs, () => {
+		const current = performance.eventLoopUtilization();
+		onUse(performance.eventLoopUtilization(current, last).utilization);
+		last = current;
+	});
 }
 
 /** Calls `run` after the event loop has polled for input once more. */
--- a/packages/router/test/gateway/stall.test.ts
+++ b/packages/router/test/gateway/stall.test.ts
@@ -10,13 +10,13 @@
 const callerCount = 20;
 
 /** Sends one request on each connection, and closes them after `leaveAfterMs`; 0 keeps them open. Posts the statuses received. */
-const callersSource = `
+const callersSource = String.raw`
 const {connect} = require('node:net');
 const {parentPort, workerData: {host, port, count, leaveAfterMs}} = require('node:worker_threads');
 for (let index = 0; index < count; index += 1) {
 	const socket = connect(port, host);
 	socket.on('error', () => {});
-	socket.write('GET /look/ HTTP/1.1\\r\\nHost: desk\\r\\nX-Request-Id: r' + index + '\\r\\n\\r\\n');
+	socket.write('GET /look/ HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r' + index + '\r\n\r\n');
 	socket.on('data', data => {
 		parentPort.postMessage(String(data).split(' ')[1]);
 	});
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -66,7 +66,7 @@
 	const [callers, peers] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const router = await startGatewayRouter({
 		self: {
-			id: 'self', failureDomain: 'suva', callerAddress: callers, peerUrl: `http://${peers}`,
+			id: 'self', failureDomain: 'suva', callerAddress: callers, peerUrl: `http://${peers}`, capacity: 1,
 		},
 		callerListenAddress: callers,
 		peerListenAddress: peers,
@@ -86,6 +86,9 @@
 		log: createLog({level: 'error'}),
 		metrics: createGatewayMetrics(),
 		timer: createTimer(),
+		onRefreshData() {
+			// The tests push all data themselves.
+		},
 		onStopped() {
 			// Tests close the router explicitly.
 		},
--- a/packages/standin/src/object-store-standin.ts
+++ b/packages/standin/src/object-store-standin.ts
@@ -36,6 +36,8 @@
 	put(kind: string, name: string, spec: unknown): void;
 	remove(kind: string, name: string): void;
 	get(kind: string, name: string): StandinObject | undefined;
+	/** Lets the watches that wait now wait for good, as on connections that have gone silent. */
+	silenceWatches(): void;
 	/** Discards the change history: watches from an earlier revision get 410. */
 	compact(): void;
 	createCopy(): StoreCopy;
@@ -250,6 +252,13 @@
 			remove(kind, name);
 		},
 		get: (kind, name) => getOrCreateObjects(kind).get(name),
+		silenceWatches() {
+			for (const timer of waitTimers) {
+				clearTimeout(timer);
+			}
+
+			waiting.clear();
+		},
 		compact() {
 			history = [];
 			historyStart = revision + 1;
