Explore leaving targets, pauses and returns of the platform from an older copy

Three more kinds of faults in the random exploration, with what must hold: no send to a process that an instance knows to be leaving or that asked it for a pause, and none to a failure domain that is out, whatever an older copy lists.

--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -1,7 +1,7 @@
 /*
 Simulated fleet of gateway cores for random exploration: a platform from which each instance can be cut off, digests that arrive
-late or not at all, targets that answer, fail, restart cold and leave, and instances that are killed. It checks the invariants
-that must hold in every state.
+late or not at all, targets that answer, fail, restart cold, leave and ask for pauses, instances that are killed, and a platform
+that returns from an older copy of its data. It checks the invariants that must hold in every state.
 */
 import {
 	CallKind, createCatalogue, type CallRoute, type Catalogue,
@@ -33,6 +33,12 @@
 
 const tickMs = 20;
 
+/** Time after which targets and operators have written again what a return of the platform lost. */
+const rewriteMs = 1500;
+
+/** Shortest pause that a target asks for. */
+const minPauseMs = 600;
+
 /** Time-out of a call, and by how much later its final answer may come: a step and its tick. */
 const timeoutMs = 2000;
 const timeoutToleranceMs = 2 * tickMs;
@@ -100,10 +106,19 @@
 	/** Targets, and failure domains that are out, by the lists that the instance last received. */
 	listedTargets: Map<string, ListedTarget>;
 	listedDomainsOut: Set<string>;
+	/** Processes of targets, by target and start id, that the instance knows to be leaving. */
+	leavingProcesses: Set<string>;
+	/** Times until which processes of targets want no request from the instance. */
+	pausedUntil: Map<string, number>;
+	/** Number of returns of the platform that the instance has noticed. */
+	seenReturns: number;
 	/** Start ids of the targets to which the instance has connections, by target. */
 	connectedStartIds: Map<string, string>;
 };
 
+/** The platform's data, apart from registrations, which instances write again by themselves. */
+type PlatformData = {targets: Map<string, ListedTarget>; domainsOut: Set<string>; version: number};
+
 type OpenCall = WatchedCall & {
 	instance: Instance;
 	path: string;
@@ -130,6 +145,14 @@
 	loseDigests(): void;
 	restartTarget(choice: number): void;
 	drainTarget(choice: number): void;
+	/** A target tells an instance in an answer that it is leaving. */
+	announceLeaving(choice: number, target: number): void;
+	/** A target refuses a request of an instance and asks for a pause. */
+	requestPause(choice: number, target: number): void;
+	/** Copies the platform's data. */
+	copyStore(): void;
+	/** The platform returns from its last copy; what was written since is written again after a while. */
+	returnStore(): void;
 	removeTarget(choice: number): void;
 	toggleDomain(choice: number): void;
 	configure(versionChoice: number): void;
@@ -144,13 +167,17 @@
 export function createExplorationFleet(options: Partial<ExplorationOptions> = {}): ExplorationFleet {
 	const {instances: instanceCount, targets: targetCount, seed, limits} = {...defaultExplorationOptions, ...options};
 	const registrations = new Map<string, Registration>();
-	const targets = new Map<string, ListedTarget>();
-	const domainsOut = new Set<string>();
+	let targets = new Map<string, ListedTarget>();
+	let domainsOut = new Set<string>();
 	const calls: OpenCall[] = [];
 	const instances: Instance[] = [];
 	let digests: Array<{at: number; from: Instance; to: string; inbound: GatewayInbound}> = [];
 	let now = 1000;
 	let version = 1;
+	/** What the platform's data was copied as, and what it was before it returned from that copy. */
+	let copy: PlatformData | undefined;
+	let lost: (PlatformData & {rewriteAt: number}) | undefined;
+	let returnCount = 0;
 	let startCount = 0;
 	let callCount = 0;
 
@@ -182,12 +209,21 @@
 		}
 
 		instance.listedTargets = new Map(targets);
-		instance.listedDomainsOut = new Set(domainsOut);
+		instance.listedDomainsOut = new Set([...domainsOut, ...[...instance.listedDomainsOut].filter(domain => lost?.domainsOut.has(domain))]);
+		for (const {id, startId, standing} of targets.values()) {
+			if (standing === TargetStanding.Leaving) {
+				instance.leavingProcesses.add(`${id}/${startId}`);
+			}
+		}
+
+		const hasReturned = instance.seenReturns < returnCount;
+		instance.seenReturns = returnCount;
 		runStep(
 			instance,
+			...hasReturned ? [{kind: 'platformDataReturned', source: 'all'} as const] : [],
 			{kind: 'catalogue', catalogue: createExplorationCatalogue(version)},
 			{kind: 'domainsOut', domains: [...domainsOut]},
-			{kind: 'targets', targets: [...targets.values()]},
+			{kind: 'targets', targets: [...targets.values()].map(target => ({...target, isRestored: lost !== undefined}))},
 			{kind: 'registrations', registrations: [...registrations.values()]},
 			{kind: 'platformReach', isReached: true},
 		);
@@ -286,7 +322,16 @@
 			reportFault(`${id} must run at most once, but was resent after a possible run`);
 		}
 
-		const target = targets.get(targetId);
+		const process = `${targetId}/${instance.gateway.targets.get(targetId)!.startId}`;
+		if (instance.leavingProcesses.has(process)) {
+			reportFault(`${instance.id} sent ${id} to ${process}, which it knew to be leaving`);
+		}
+
+		if (now < (instance.pausedUntil.get(process) ?? 0)) {
+			reportFault(`${instance.id} sent ${id} to ${process}, which had asked it for a pause`);
+		}
+
+		const target = (lost?.targets ?? targets).get(targetId);
 		const knownStartId = instance.connectedStartIds.get(targetId);
 		if (!target || (knownStartId !== undefined && knownStartId !== target.startId)) {
 			// The target's previous process has ended, and the connections to it with it.
@@ -339,6 +384,7 @@
 	}
 
 	function updateTarget(id: string, fields: Partial<ListedTarget>) {
+		rewriteLostData();
 		startCount += 1;
 		targets.set(id, {...targets.get(id)!, revision: startCount, ...fields});
 		publish();
@@ -357,15 +403,28 @@
 		const id = `n${index}`;
 		instances.push({
 			id, startCount: 0, isUp: true, isPlatformCut: false, arePeersCut: false, gateway: createInstanceGateway(id, 0), catalogueVersion: 0,
-			listedTargets: new Map(), listedDomainsOut: new Set(), connectedStartIds: new Map(),
+			listedTargets: new Map(), listedDomainsOut: new Set(), leavingProcesses: new Set(), pausedUntil: new Map(), seenReturns: 0, connectedStartIds: new Map(),
 		});
 		registrations.set(id, {...instances[index]!.gateway.self, state: MemberState.Active});
 	}
 
 	publish();
 
+	/** Writes again what the last return of the platform lost. */
+	function rewriteLostData() {
+		if (lost) {
+			({targets, domainsOut, version} = lost);
+			lost = undefined;
+			publish();
+		}
+	}
+
 	function tick() {
 		now += tickMs;
+		if (lost && now >= lost.rewriteAt) {
+			rewriteLostData();
+		}
+
 		const due = digests.filter(({at}) => at <= now);
 		digests = digests.filter(({at}) => at > now);
 		for (const {from, to, inbound} of due) {
@@ -452,7 +511,8 @@
 			// The previous process's open calls end with it.
 			instance.isUp = false;
 			instances[index] = {
-				...instance, startCount: instance.startCount + 1, isUp: true, gateway: createInstanceGateway(instance.id, instance.startCount + 1), catalogueVersion: 0, connectedStartIds: new Map(),
+				...instance, startCount: instance.startCount + 1, isUp: true, gateway: createInstanceGateway(instance.id, instance.startCount + 1), catalogueVersion: 0,
+				listedDomainsOut: new Set(), leavingProcesses: new Set(), pausedUntil: new Map(), seenReturns: returnCount, connectedStartIds: new Map(),
 			};
 			deliverLists(instances[index]);
 			runDeferred();
@@ -477,6 +537,7 @@
 			digests = [];
 		},
 		restartTarget(choice) {
+			rewriteLostData();
 			const target = selectTarget(choice);
 			if (!target) {
 				return;
@@ -503,7 +564,48 @@
 				updateTarget(target.id, {standing: TargetStanding.Leaving});
 			}
 		},
+		announceLeaving(choice, targetChoice) {
+			const instance = selectInstance(choice);
+			const target = [...instance.gateway.targets.rows()][targetChoice % Math.max(1, instance.gateway.targets.size)];
+			if (target && instance.isUp) {
+				instance.leavingProcesses.add(`${target.id}/${target.startId}`);
+				runStep(instance, {kind: 'targetLeaving', target: target.id, startId: target.startId});
+				runDeferred();
+			}
+		},
+		requestPause(choice, targetChoice) {
+			const instance = selectInstance(choice);
+			const target = [...instance.gateway.targets.rows()][targetChoice % Math.max(1, instance.gateway.targets.size)];
+			if (target && instance.isUp) {
+				const pauseMs = minPauseMs + targetChoice;
+				instance.pausedUntil.set(`${target.id}/${target.startId}`, now + pauseMs);
+				runStep(instance, {
+					kind: 'targetPause', target: target.id, startId: target.startId, pauseMs,
+				});
+				runDeferred();
+			}
+		},
+		copyStore() {
+			if (!lost) {
+				copy = {targets: new Map(targets), domainsOut: new Set(domainsOut), version};
+			}
+		},
+		returnStore() {
+			if (!copy || lost) {
+				return;
+			}
+
+			lost = {
+				targets, domainsOut, version, rewriteAt: now + rewriteMs,
+			};
+			returnCount += 1;
+			targets = new Map(copy.targets);
+			domainsOut = new Set(copy.domainsOut);
+			({version} = copy);
+			publish();
+		},
 		removeTarget(choice) {
+			rewriteLostData();
 			const target = selectTarget(choice);
 			if (target && targets.size > 2) {
 				targets.delete(target.id);
@@ -511,6 +613,7 @@
 			}
 		},
 		toggleDomain(choice) {
+			rewriteLostData();
 			const domain = `d${choice % 2}`;
 			if (!domainsOut.delete(domain)) {
 				domainsOut.add(domain);
@@ -519,6 +622,7 @@
 			publish();
 		},
 		configure(versionChoice) {
+			rewriteLostData();
 			// One time in four the platform delivers an older version, as a delayed one would be.
 			version = Math.max(1, version + (versionChoice % 4 === 0 ? -1 : 2));
 			publish();
