Keep leaving and cold when an older copy lists an earlier process of a target

A process that is listed again keeps its notices, and one that replaces another by an entry of the copy keeps the cold time. Two reproductions; both failed before.

--- a/packages/bench/test/exploration.test.ts
+++ b/packages/bench/test/exploration.test.ts
@@ -16,6 +16,13 @@
 	'a call resent to a target that accepts no connection': [
 		['calls'], ['restartTarget', 274], ['fail', 0, 751], ['kill'], ['fail', 206, 133],
 	],
+	'a leaving target whose earlier process an older copy of the platform\'s data lists': [
+		['copyStore'], ['restartTarget', 17], ['restart', 88], ['wait', 121], ['announceLeaving', 601, 365], ['wait', 721],
+		['returnStore'], ['removeTarget'], ['wait', 421], ['wait', 181], ['call', 277, 206], ['end', 0, 163],
+	],
+	'a cold target whose earlier, warm process an older copy of the platform\'s data lists': [
+		['copyStore'], ['restartTarget', 217], ['restart'], ['calls', 0, 2], ['returnStore'], ['calls', 0, 474], ['calls', 0, 922],
+	],
 	'all instances restart after a burst': [['restartTarget', 754], ['calls'], ['restart', 1], ['restart', 0], ['restart', 146], ['calls']],
 } as const;
 
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -46,20 +46,28 @@
 	});
 }
 
-/** Adds a target; one whose process was listed before keeps what that said of itself. */
-function addTarget(gateway: Gateway, listed: ListedTarget) {
+/** Creates the row of a listed target; one whose process was listed before keeps what that said of itself. */
+function createListedTarget(gateway: Gateway, listed: ListedTarget): PoolTarget {
+	const target = createTarget(gateway, listed);
 	const former = findFormerTarget(gateway, listed);
-	if (former && listed.isRestored && isDataReturnRecent(gateway)) {
-		return;
+	if (former) {
+		const {pausedUntil, hasAnnouncedLeaving} = former;
+		Object.assign(target, {pausedUntil, hasAnnouncedLeaving, standing: hasAnnouncedLeaving ? TargetStanding.Leaving : listed.standing});
 	}
 
-	gateway.targets.set({
-		...createTarget(gateway, listed),
-		...(former && {
-			pausedUntil: former.pausedUntil, hasAnnouncedLeaving: former.hasAnnouncedLeaving, standing: former.hasAnnouncedLeaving ? TargetStanding.Leaving : listed.standing,
-		}),
-	});
-	logTarget(gateway, 'listed', listed);
+	return target;
+}
+
+/** Whether an entry is of a process that has ended, and is listed because the platform returned with older data. */
+function isOutdated(gateway: Gateway, listed: ListedTarget): boolean {
+	return listed.isRestored && isDataReturnRecent(gateway) && findFormerTarget(gateway, listed) !== undefined;
+}
+
+function addTarget(gateway: Gateway, listed: ListedTarget) {
+	if (!isOutdated(gateway, listed)) {
+		gateway.targets.set(createListedTarget(gateway, listed));
+		logTarget(gateway, 'listed', listed);
+	}
 }
 
 /** Standing of a known target after its entry changed: a process that is leaving doesn't become ready by an older entry. */
@@ -74,17 +82,18 @@
 		return;
 	}
 
-	const former = findFormerTarget(gateway, listed);
-	if (former && listed.isRestored && isDataReturnRecent(gateway)) {
+	if (isOutdated(gateway, listed)) {
 		return;
 	}
 
 	if (listed.startId !== target.startId || listed.pool !== target.pool || listed.address !== target.address) {
 		// Another process: what is known of the previous one no longer holds, but recent sends may have reached the new one
 		// already.
-		const {running, coldSendTimes} = target;
+		const {running, coldSendTimes, coldUntil} = target;
 		recordFormerTarget(gateway, target);
-		gateway.targets.set({...createTarget(gateway, listed), running, coldSendTimes});
+		const next = {...createListedTarget(gateway, listed), running, coldSendTimes};
+		// An older copy of the platform's data may list the process before the one that is known, which may be cold still.
+		gateway.targets.set({...next, coldUntil: listed.isRestored ? Math.max(coldUntil, next.coldUntil) : next.coldUntil});
 		logTarget(gateway, 'listed again after a start', listed);
 		return;
 	}
