--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -386,7 +386,6 @@
 	}
 
 	function updateTarget(id: string, fields: Partial<ListedTarget>) {
-		rewriteLostData();
 		startCount += 1;
 		targets.set(id, {...targets.get(id)!, revision: startCount, ...fields});
 		publish();
@@ -561,6 +560,7 @@
 			publish();
 		},
 		drainTarget(choice) {
+			rewriteLostData();
 			const target = selectTarget(choice);
 			if (target) {
 				updateTarget(target.id, {standing: TargetStanding.Leaving});
