--- a/packages/bench/test/exploration.test.ts
+++ b/packages/bench/test/exploration.test.ts
@@ -33,6 +33,18 @@
 	'a cold target whose earlier, warm process an older copy of the platform\'s data lists': [
 		['copyStore'], ['restartTarget', 217], ['restart'], ['calls', 0, 2], ['returnStore'], ['calls', 0, 474], ['calls', 0, 922],
 	],
+	'a target that restarts while an instance is cut off from a platform that returns from an older copy': [
+		['toggleDomain'],
+		['cutStore', 739],
+		['wait', 321],
+		['copyStore'],
+		['wait', 421],
+		['restartTarget', 165],
+		['returnStore'],
+		['heal', 40],
+		['calls', 0, 814],
+		['wait', 141],
+	],
 	'all instances restart after a burst': [['restartTarget', 754], ['calls'], ['restart', 1], ['restart', 0], ['restart', 146], ['calls']],
 } as const;
 
--- a/packages/core/src/gateway/cold-limits.ts
+++ b/packages/core/src/gateway/cold-limits.ts
@@ -9,6 +9,7 @@
 import {computeRendezvousScore} from '../rendezvous-hash.ts';
 import {second} from '../units.ts';
 import type {Gateway} from './gateway.ts';
+import {isDataReturnRecent} from './platform-data.ts';
 import type {Instance, PoolTarget} from './rows.ts';
 import {getLimitHolders} from './serving-set.ts';
 
@@ -42,9 +43,13 @@
 	return now < Math.max(coldUntil, reportedColdUntil);
 }
 
-/** Whether a target may have restarted unnoticed: the platform can't be reached, and the target hasn't answered recently. */
-function mayHaveRestartedUnnoticed({platform, now, limits}: Gateway, {running, lastAnswerAt}: PoolTarget): boolean {
-	return !platform.isReached && running === 0 && now - lastAnswerAt > limits.suspectedRestartAfterMs;
+/**
+Whether a target may have restarted unnoticed: the platform can't be reached or lists an older entry of it, and it hasn't answered
+recently.
+*/
+function mayHaveRestartedUnnoticed(gateway: Gateway, {running, lastAnswerAt, isRestored}: PoolTarget): boolean {
+	const isListCurrent = gateway.platform.isReached && !(isRestored && isDataReturnRecent(gateway));
+	return !isListCurrent && running === 0 && gateway.now - lastAnswerAt > gateway.limits.suspectedRestartAfterMs;
 }
 
 /** Whether a target isn't known to be cold, but may be, after a suspected restart. */
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -7,7 +7,11 @@
 } from 'prom-client';
 import type {Gateway} from '@shallotloom/core/gateway/gateway.ts';
 import {isReady} from '@shallotloom/core/gateway/instances.ts';
+import {isOverloaded} from '@shallotloom/core/gateway/overload.ts';
+import {isDataReturnRecent} from '@shallotloom/core/gateway/platform-data.ts';
 import type {GatewayInbound} from '@shallotloom/core/gateway/ports.ts';
+import {isServing} from '@shallotloom/core/gateway/serving-set.ts';
+import {isPaused} from '@shallotloom/core/gateway/target-notices.ts';
 import type {Refusal} from '@shallotloom/core/refusal.ts';
 
 export type GatewayMetrics = {
@@ -42,6 +46,12 @@
 		targets: new Gauge({
 			name: 'shallotloom_targets', help: 'Targets known, by standing.', labelNames: ['standing'], registers,
 		}),
+		pausedTargets: new Gauge({name: 'shallotloom_targets_paused', help: 'Targets that want no request from this instance now.', registers}),
+		servingInstances: new Gauge({name: 'shallotloom_instances_serving', help: 'Instances to which callers are sent.', registers}),
+		isServing: new Gauge({name: 'shallotloom_serving', help: 'Whether callers are sent to this instance.', registers}),
+		usedCapacity: new Gauge({name: 'shallotloom_processor_used_cores', help: 'Processor capacity in use, in cores.', registers}),
+		overloaded: new Gauge({name: 'shallotloom_overloaded', help: 'Whether this instance counts as overloaded.', registers}),
+		dataReturns: new Gauge({name: 'shallotloom_platform_data_returned', help: 'Whether the platform returned with older data so recently that some may be missing.', registers}),
 		instances: new Gauge({name: 'shallotloom_instances', help: 'Instances registered.', registers}),
 		catalogueVersion: new Gauge({name: 'shallotloom_catalogue_version', help: 'Version of the catalogue in force; 0 before the first.', registers}),
 		ready: new Gauge({name: 'shallotloom_ready', help: 'Whether callers are served.', registers}),
@@ -85,6 +95,12 @@
 			gauges.targets.inc({standing});
 		}
 
+		gauges.pausedTargets.set([...gateway.targets.rows()].filter(target => isPaused(gateway, target)).length);
+		gauges.servingInstances.set(gateway.servingInstances.size);
+		gauges.isServing.set(isServing(gateway) ? 1 : 0);
+		gauges.usedCapacity.set(gateway.usedCapacity);
+		gauges.overloaded.set(isOverloaded(gateway) ? 1 : 0);
+		gauges.dataReturns.set(isDataReturnRecent(gateway) ? 1 : 0);
 		gauges.instances.set(gateway.instances.size);
 		gauges.catalogueVersion.set(gateway.catalogue?.version ?? 0);
 		gauges.ready.set(isReady(gateway) ? 1 : 0);
