--- a/packages/router/test/gateway/answers.test.ts
+++ b/packages/router/test/gateway/answers.test.ts
@@ -81,7 +81,9 @@
 		sendAnswer(request, 'ok');
 	});
 	expect(await requestStatus(callerAddress, '/look/')).toBe(200);
-	testRouter!.withdrawals.push(new Promise(() => undefined));
+	testRouter!.withdrawals.push(new Promise(() => {
+		// The platform never answers.
+	}));
 	testRouter!.router.stop();
 	await waitUntil('the stop is complete', async () => testRouter!.router.gateway.stopPhase === StopPhase.Done);
 	const startedAt = performance.now();
