Count an instance as overloaded by its processor use, and size the serving set by lasting load

Change: an instance that used 0.9 of its processor for a second counts as overloaded; use in the first 5 s of a process doesn't count; a domain's set has three members at least, in place of four, and shrinks within 10 s in place of 20.

--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -31,6 +31,8 @@
 	maxServingUse: number;
 	/** Time constant with which the serving set shrinks when processor use falls. */
 	servingDecayMs: number;
+	/** Time after the start of a process in which its processor use is that of the start, and no sign of load. */
+	startupMs: number;
 	/** An instance without a digest for this long counts as silent and is not advertised to callers. */
 	heartbeatTimeoutMs: number;
 	/**
@@ -39,6 +41,8 @@
 	maxStallAllowanceMs: number;
 	/** Length of a stall from which an instance counts as overloaded. */
 	overloadStallMs: number;
+	/** Fraction of an instance's processor capacity from whose use it counts as overloaded. */
+	overloadUse: number;
 	/** Time without another such stall after which it no longer does. */
 	overloadRecoveryMs: number;
 	/** Time after its registration within which a new instance is advertised though its first digest is yet to come. */
@@ -124,17 +128,19 @@
 	retryBudgetFraction: 0.7,
 	digestMs: 500,
 	standbyDigestMs: second,
-	minServingPerDomain: 4,
+	minServingPerDomain: 3,
 	minServingCapacity: 2,
 	minServingFraction: 0.25,
 	watchersPerDomain: 2,
 	missingDataMs: 300,
 	refreshTimeoutMs: 2 * second,
-	maxServingUse: 0.4,
-	servingDecayMs: 20 * second,
+	maxServingUse: 0.5,
+	servingDecayMs: 10 * second,
+	startupMs: 5 * second,
 	heartbeatTimeoutMs: 2 * second,
 	maxStallAllowanceMs: 2 * second,
 	overloadStallMs: 200,
+	overloadUse: 0.9,
 	overloadRecoveryMs: 2 * second,
 	joinTimeoutMs: 3 * second,
 	addressTtlMs: 2 * second,
--- a/packages/core/src/gateway/overload.ts
+++ b/packages/core/src/gateway/overload.ts
@@ -1,5 +1,6 @@
 /*
-Overload of this process: its event loop stands still because work arrives faster than its share of the processor allows.
+Overload of this process: work arrives faster than its share of the processor allows, which uses that up or lets the event loop
+stand still.
 While that lasts, callers are sent to other instances, and silence of the others is no sign that they are gone.
 */
 import {LogPart} from '../ports.ts';
@@ -7,22 +8,25 @@
 import type {GatewayInboundOf} from './ports.ts';
 
 export function onStalled(gateway: Gateway, {ms}: GatewayInboundOf<'stalled'>) {
-	const {limits, now, instances} = gateway;
+	const {limits, instances} = gateway;
 	for (const instance of instances.rows()) {
 		instance.stalledMs = Math.min(instance.stalledMs + ms, limits.maxStallAllowanceMs);
 	}
 
-	if (ms < limits.overloadStallMs) {
-		return;
+	if (ms >= limits.overloadStallMs) {
+		extendOverload(gateway, {stallMs: Math.round(ms)});
 	}
+}
 
+/** Counts this instance as overloaded for some time. */
+export function extendOverload(gateway: Gateway, cause: {stallMs: number} | {use: number}) {
 	if (!isOverloaded(gateway)) {
 		addLogLine(gateway, {
-			part: LogPart.Request, level: 'warn', text: 'overloaded: the event loop stood still', fields: {stallMs: Math.round(ms), calls: gateway.calls.size},
+			part: LogPart.Request, level: 'warn', text: 'overloaded', fields: {...cause, calls: gateway.calls.size},
 		});
 	}
 
-	gateway.overloadedUntil = now + limits.overloadRecoveryMs;
+	gateway.overloadedUntil = gateway.now + gateway.limits.overloadRecoveryMs;
 }
 
 /** Whether this instance has recently stood still for long. */
--- a/packages/core/src/gateway/serving-set.ts
+++ b/packages/core/src/gateway/serving-set.ts
@@ -15,6 +15,7 @@
 import {
 	addLogLine, hasRecentDigest, isAlive, type Gateway,
 } from './gateway.ts';
+import {extendOverload} from './overload.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import type {Instance} from './rows.ts';
 
@@ -25,7 +26,15 @@
 }
 
 export function onProcessorUse(gateway: Gateway, {fraction}: GatewayInboundOf<'processorUse'>) {
-	gateway.usedCapacity = fraction * gateway.self.capacity;
+	const {limits, now, startedAt, self} = gateway;
+	if (now - startedAt < limits.startupMs) {
+		return;
+	}
+
+	gateway.usedCapacity = fraction * self.capacity;
+	if (fraction >= limits.overloadUse) {
+		extendOverload(gateway, {use: fraction});
+	}
 }
 
 function groupByDomain(gateway: Gateway): Map<string, Instance[]> {
--- a/packages/core/test/gateway/instances.test.ts
+++ b/packages/core/test/gateway/instances.test.ts
@@ -135,6 +135,21 @@
 	});
 });
 
+test('an instance that uses up its processor counts as overloaded, but not while it starts', () => {
+	const bench = createBench({instances: fleet});
+	sendDigest(bench, 'b');
+	sendDigest(bench, 'c');
+	bench.step({kind: 'processorUse', fraction: 1});
+	expect(getCallerAddresses(bench.gateway, undefined)).toContain('self:80');
+	bench.wait(5000);
+	sendDigest(bench, 'b');
+	sendDigest(bench, 'c');
+	bench.step({kind: 'processorUse', fraction: 0.8});
+	expect(getCallerAddresses(bench.gateway, undefined)).toContain('self:80');
+	bench.step({kind: 'processorUse', fraction: 0.95});
+	expect(getCallerAddresses(bench.gateway, undefined)).not.toContain('self:80');
+});
+
 test('an overloaded instance is not advertised while most others are not overloaded', () => {
 	const bench = createBench({instances: fleet});
 	bench.wait(5000);
