--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -262,7 +262,12 @@
 		});
 		// A request may have waited for long in the queue of new connections or during a stall, so that its caller has left: the end
 		// of the connection is read one poll after the request.
-		runAfterNextPoll(arrive);
+		if (gateway.state === MemberState.Leaving) {
+			// A stop is complete when no call is open, so it has to know of the call at once.
+			arrive();
+		} else {
+			runAfterNextPoll(arrive);
+		}
 	}
 
 	const listener = await listenForCallers({
--- a/packages/router/test/gateway/answers.test.ts
+++ b/packages/router/test/gateway/answers.test.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {StopPhase} from '@shallotloom/core/gateway/gateway.ts';
+import {MemberState} from '@shallotloom/core/messages.ts';
 import {waitUntil} from '../support/deployment.ts';
 import {
 	sendRequest, startTestRouter, requestStatus, type TestRouter,
@@ -310,6 +311,28 @@
 	});
 });
 
+test('a request that is read during a planned stop is a call of the stop at once', async () => {
+	const callerAddress = await start(request => {
+		sendAnswer(request, 'ok');
+	});
+	expect(await requestStatus(callerAddress, '/look/')).toBe(200);
+	testRouter!.router.stop();
+	const {gateway} = testRouter!.router;
+	await waitUntil('the stop has begun', async () => gateway.state === MemberState.Leaving);
+	let openCalls = 0;
+	const answered = sendRequest(callerAddress, '/look/');
+	const endAt = performance.now() + 1000;
+	while (openCalls === 0 && performance.now() < endAt) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		openCalls = Math.max(openCalls, gateway.calls.size);
+	}
+
+	expect(openCalls).toBe(1);
+	expect(await answered).toMatchObject({status: 200, body: 'ok'});
+});
+
 test('a planned stop finishes running calls, closes connections after their answers, and accepts no more calls', async () => {
 	const callerAddress = await start(request => {
 		setTimeout(() => {
