--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -89,6 +89,26 @@
 	}
 }
 
+/** Creates the row of an instance that was listed at a time. */
+function createInstance(registration: Registration, listedAt: number): Instance {
+	return {
+		...registration,
+		listedAt,
+		// The list doesn't show how old its entries are, so an instance counts as silent until its first digest.
+		lastDigestAt: Number.NEGATIVE_INFINITY,
+		stalledMs: 0,
+		reportedAt: Number.NEGATIVE_INFINITY,
+		usedCapacity: 0,
+		expectedSince: undefined,
+		isUnreachable: false,
+		isOverloaded: false,
+		platformReachedSince: undefined,
+		services: [],
+		pools: [],
+		targets: [],
+	};
+}
+
 function applyRegistration(gateway: Gateway, registration: Registration, isFirst: boolean) {
 	const known = gateway.instances.get(registration.id);
 	if (known?.incarnation === registration.incarnation) {
@@ -106,22 +126,7 @@
 		recordFormerIncarnation(gateway, known);
 	}
 
-	gateway.instances.set({
-		...registration,
-		listedAt: isFormer ? Number.NEGATIVE_INFINITY : gateway.now,
-		// The list doesn't show how old its entries are, so an instance counts as silent until its first digest.
-		lastDigestAt: Number.NEGATIVE_INFINITY,
-		stalledMs: 0,
-		reportedAt: Number.NEGATIVE_INFINITY,
-		usedCapacity: 0,
-		expectedSince: undefined,
-		isUnreachable: false,
-		isOverloaded: false,
-		platformReachedSince: undefined,
-		services: [],
-		pools: [],
-		targets: [],
-	});
+	gateway.instances.set(createInstance(registration, isFormer ? Number.NEGATIVE_INFINITY : gateway.now));
 	addLogLine(gateway, {
 		part: LogPart.Membership,
 		text: 'instance listed',
@@ -322,21 +327,7 @@
 	// An instance whose own registration is yet to be listed serves too, unless the fleet is so large that many stand by.
 	const mustServe = advertised.length === 0 || gateway.servingInstances.size === gateway.instances.size;
 	if (isReady(gateway) && !isIncluded && mustServe) {
-		advertised.push({
-			...createRegistration(gateway),
-			listedAt: gateway.now,
-			lastDigestAt: gateway.now,
-			stalledMs: 0,
-			reportedAt: gateway.now,
-			usedCapacity: 0,
-			expectedSince: undefined,
-			isUnreachable: false,
-			isOverloaded: false,
-			platformReachedSince: undefined,
-			services: [],
-			pools: [],
-			targets: [],
-		});
+		advertised.push(createInstance(createRegistration(gateway), gateway.now));
 	}
 
 	const preferred = omitOverloaded(gateway, advertised);
