--- a/packages/core/src/gateway/overload.ts
+++ b/packages/core/src/gateway/overload.ts
@@ -1,7 +1,6 @@
 /*
 Overload of this process: work arrives faster than its share of the processor allows, which uses that up or lets the event loop
-stand still.
-While that lasts, callers are sent to other instances, and silence of the others is no sign that they are gone.
+stand still. While that lasts, callers are sent to other instances, and silence of the others is no sign that they are gone.
 */
 import {LogPart} from '../ports.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
@@ -29,7 +28,7 @@
 	gateway.overloadedUntil = gateway.now + gateway.limits.overloadRecoveryMs;
 }
 
-/** Whether this instance has recently stood still for long. */
+/** Whether this instance has recently stood still for long, or used up its processor. */
 export function isOverloaded({now, overloadedUntil}: Gateway): boolean {
 	return now < overloadedUntil;
 }
