Split estimates and the explored catalogue into files of their own, and reword after a reading

Cause: read as a newcomer, calls.ts also kept the running estimates of pools and the explored fleet its catalogue; isSelf existed twice; one comment said that a refresh waits 'as long again' where it waits for its own timeout; and 'tell', 'told' and 'heard' stood for reporting and receiving digests.

No decision changes.

--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -3,9 +3,6 @@
 late or not at all, targets that answer, fail, restart cold, leave and ask for pauses, instances that are killed, and a platform
 that returns from an older copy of its data. It checks the invariants that must hold in every state.
 */
-import {
-	CallKind, createCatalogue, type CallRoute, type Catalogue,
-} from '@shallotloom/core/gateway/catalogue.ts';
 import {createGateway, type Gateway} from '@shallotloom/core/gateway/gateway.ts';
 import type {GatewayLimits} from '@shallotloom/core/gateway/limits.ts';
 import {
@@ -15,7 +12,10 @@
 import {runGatewayStep} from '@shallotloom/core/gateway/step.ts';
 import {MemberState} from '@shallotloom/core/messages.ts';
 import {Outcome} from '@shallotloom/core/refusal.ts';
-import {coldPerSecond, createRules, type WatchedCall} from './rules.ts';
+import {
+	coldMs, createExplorationCatalogue, host, paths, timeoutMs,
+} from './catalogue.ts';
+import {createRules, type WatchedCall} from './rules.ts';
 
 export type ExplorationOptions = {
 	instances: number;
@@ -29,71 +29,20 @@
 	instances: 3, targets: 3, seed: 1, limits: {},
 };
 
-const coldMs = 3000;
-
 const tickMs = 20;
 
+/** How much later than its time-out the final answer of a call may come: a step and its tick. */
+const timeoutToleranceMs = 2 * tickMs;
+
 /** Time after which targets and operators have written again what a return of the platform lost. */
 const rewriteMs = 1500;
 
 /** Shortest pause that a target asks for. */
 const minPauseMs = 600;
 
-/** Time-out of a call, and by how much later its final answer may come: a step and its tick. */
-const timeoutMs = 2000;
-const timeoutToleranceMs = 2 * tickMs;
-
 /** Upper bound of a digest's delay, in milliseconds. */
 const maxDigestDelayMs = 300;
 
-const host = 'host';
-
-/** Path prefixes of the routes: the first two go to the application service, the others to engines. */
-const paths = ['/look/', '/book/', '/chat/', '/plan/'] as const;
-
-function createRoute(pathPrefix: string, options: Partial<CallRoute>): CallRoute {
-	return {
-		name: pathPrefix,
-		host,
-		pathPrefix,
-		kind: CallKind.Repeatable,
-		isResumable: false,
-		weightedPools: [{pool: 'desk', weight: 1}],
-		maxAttempts: 2,
-		timeoutMs,
-		objectiveMs: 400,
-		priority: 1,
-		needsKey: true,
-		...options,
-	};
-}
-
-function createExplorationCatalogue(version: number): Catalogue {
-	const weightedPools = [{pool: 'engines', weight: 1}];
-	return createCatalogue({
-		version,
-		routes: [
-			createRoute('/look/', {}),
-			createRoute('/book/', {kind: CallKind.Once}),
-			createRoute('/chat/', {kind: CallKind.Streamed, isResumable: true, weightedPools}),
-			createRoute('/plan/', {kind: CallKind.Streamed, maxAttempts: 1, weightedPools}),
-		],
-		pools: [
-			{
-				name: 'desk', coldPerSecond, coldMs, maxConnections: 100, isEngine: false,
-			},
-			{
-				name: 'engines', coldPerSecond, coldMs, maxConnections: 100, isEngine: true,
-			},
-		],
-		keys: new Map([['a', {workspace: 'a', priority: undefined}], ['b', {workspace: 'b', priority: undefined}]]),
-		limits: {
-			headerBytes: 1024, bodyBytes: 1024, headersTimeoutMs: 1000, idleTimeoutMs: 1000,
-		},
-		tokensPerSecond: 0,
-	});
-}
-
 type Instance = {
 	id: string;
 	startCount: number;
@@ -145,7 +94,7 @@
 	loseDigests(): void;
 	restartTarget(choice: number): void;
 	drainTarget(choice: number): void;
-	/** A target tells an instance in an answer that it is leaving. */
+	/** A target announces to an instance, in an answer, that it is leaving. */
 	announceLeaving(choice: number, target: number): void;
 	/** A target refuses a request of an instance and asks for a pause. */
 	requestPause(choice: number, target: number): void;
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -12,12 +12,13 @@
 	CallKind, findRoute, type CallRoute, type Catalogue, type Tenancy,
 } from './catalogue.ts';
 import {recordColdSend} from './cold-limits.ts';
-import {addLogLine, getOrCreatePoolEstimates, type Gateway} from './gateway.ts';
+import {addLogLine, type Gateway} from './gateway.ts';
 import {adjustLimit} from './engine-limits.ts';
 import {
 	recordSendEnd, recordSend, estimateLoad, getMaxConcurrency, applyLoadReport,
 } from './loads.ts';
 import {getHealthyTargets, type Choice} from './placement.ts';
+import {updatePoolEstimates} from './pool-estimates.ts';
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
 import {recordCachedSegments} from './prompt-segments.ts';
 import {recordCall, recordFirstSend, trySpendRetry} from './retries.ts';
@@ -32,15 +33,6 @@
 	computeRetryAfterMs, enqueue, removeFromQueue, createNoCapacityRefusal, findEvictionCandidate, startQueuedCalls, getQueueLength,
 } from './queues.ts';
 
-/** Weight of a new sample in the exponential moving averages. */
-const sampleWeight = 0.05;
-
-/** Minimum uncached tokens of a call from which the prefill speed is measured. */
-const minPrefillSampleTokens = 2000;
-
-/** Factor by which the shortest time to a first byte rises with each sample, so that it follows a lasting change. */
-const minFirstByteDriftFactor = 1.002;
-
 function createRefusal(kind: RefusalKind, detail = '', retryAfterMs?: number): Refusal {
 	return {
 		kind, outcome: Outcome.NotRun, detail, ...(retryAfterMs !== undefined && {retryAfterMs}),
@@ -324,23 +316,6 @@
 	endPrefill(target, call);
 }
 
-function updatePoolEstimates(gateway: Gateway, call: Call, prefillBacklogTokens: number) {
-	const estimates = getOrCreatePoolEstimates(gateway, call.pool);
-	const tookMs = gateway.now - call.sentAt;
-	if (!call.prompt) {
-		estimates.meanWorkMs = estimates.meanWorkMs === 0 ? tookMs : estimates.meanWorkMs + (sampleWeight * (tookMs - estimates.meanWorkMs));
-		return;
-	}
-
-	estimates.minFirstByteMs = estimates.minFirstByteMs === 0 ? tookMs : Math.min(tookMs, estimates.minFirstByteMs * minFirstByteDriftFactor);
-	const prefillMs = tookMs - estimates.minFirstByteMs;
-	// The speed can only be measured by a call whose prompt was alone in the prefill backlog.
-	if (call.uncachedTokens >= minPrefillSampleTokens && prefillBacklogTokens === call.uncachedTokens && prefillMs > 0) {
-		const sample = call.uncachedTokens / prefillMs;
-		estimates.prefillTokensPerMs = estimates.prefillTokensPerMs === 0 ? sample : estimates.prefillTokensPerMs + (sampleWeight * (sample - estimates.prefillTokensPerMs));
-	}
-}
-
 export function onAnswerDelivered(gateway: Gateway, {call: id}: GatewayInboundOf<'answerDelivered'>) {
 	const call = gateway.calls.get(id);
 	if (call) {
--- a/packages/core/src/gateway/data-sources.ts
+++ b/packages/core/src/gateway/data-sources.ts
@@ -47,7 +47,7 @@
 		if (own && !isLater(version, own)) {
 			missingData.delete(kind);
 		} else if (now - since >= limits.missingDataMs) {
-			// The answer is awaited for as long again before the platform is asked once more.
+			// The platform is asked once more only when this answer stays out beyond the refresh timeout.
 			missingData.set(kind, {version, since: now + limits.refreshTimeoutMs, source});
 			gateway.outbox.push({kind: 'refreshData', data: kind});
 			addLogLine(gateway, {
@@ -57,7 +57,7 @@
 	}
 }
 
-/** Whether this instance notices silent watches of a kind of data soon, for itself and for those that it tells. */
+/** Whether this instance watches a kind of data with short waits, on behalf of the instances that receive its digests too. */
 export function isWatcher({primaryInstances, watchers, self}: Gateway, kind: DataKind): boolean {
 	// Whoever places calls has to notice every outage in which entries of targets expire.
 	return kind === DataKind.Targets ? primaryInstances.has(self.id) || primaryInstances.size === 0 : watchers.has(self.id) || watchers.size === 0;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -207,10 +207,17 @@
 	return catalogue?.pools.get(pool)?.isEngine ?? false;
 }
 
-/** Whether the last digest of another instance, or word of it, is recent. Word of it arrives later than a digest. */
+/** Whether a row is that of this instance itself. */
+export function isSelf({self}: Gateway, {id}: Pick<Instance, 'id'>): boolean {
+	return id === self.id;
+}
+
+/**
+Whether the last digest of another instance, or a report of it, is recent. Reports by others arrive later than the digest itself.
+*/
 export function isAlive({now, limits, self, servingInstances}: Gateway, {lastDigestAt, stalledMs}: Pick<Instance, 'lastDigestAt' | 'stalledMs'>): boolean {
-	const isToldByOthers = servingInstances.size > 0 && !servingInstances.has(self.id);
-	return now - lastDigestAt - stalledMs <= limits.heartbeatTimeoutMs + (isToldByOthers ? limits.standbyDigestMs : 0);
+	const isReportedByOthers = servingInstances.size > 0 && !servingInstances.has(self.id);
+	return now - lastDigestAt - stalledMs <= limits.heartbeatTimeoutMs + (isReportedByOthers ? limits.standbyDigestMs : 0);
 }
 
 /** Whether the last digest of another instance to this one is recent, so that what it reported holds. */
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -11,7 +11,7 @@
 import {applyReportedVersions} from './data-sources.ts';
 import {createPoolEntries, averageLimits} from './engine-limits.ts';
 import {
-	addLogLine, StopPhase, isAlive, type Gateway,
+	addLogLine, StopPhase, isAlive, isSelf, type Gateway,
 } from './gateway.ts';
 import type {GatewayInboundOf, Registration} from './ports.ts';
 import type {Instance} from './rows.ts';
@@ -29,10 +29,6 @@
 	return {...self, state};
 }
 
-function isSelf({self}: Gateway, {id}: Pick<Instance, 'id'>): boolean {
-	return id === self.id;
-}
-
 function isSelfOrAlive(gateway: Gateway, instance: Instance): boolean {
 	return isSelf(gateway, instance) || isAlive(gateway, instance);
 }
@@ -163,7 +159,7 @@
 	applyReportedVersions(gateway, instance, digest.dataVersions ?? []);
 }
 
-/** Applies what a digest tells of the instances that its sender hears. */
+/** Applies the ages at which the sender of a digest received the digests of others. */
 function applyHeardInstances(gateway: Gateway, {heard}: Digest) {
 	const {instances, now} = gateway;
 	for (const {member, incarnation, ageMs} of heard) {
@@ -176,7 +172,7 @@
 	}
 }
 
-/** Creates the entries that tell standby instances which instances of the serving set are alive. */
+/** Creates the entries from which standby instances learn which instances of the serving set are alive. */
 function createHeardEntries(gateway: Gateway): HeardEntry[] {
 	return [...gateway.instances.rows()]
 		.filter(instance => gateway.servingInstances.has(instance.id) && !isSelf(gateway, instance) && isAlive(gateway, instance))
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -196,7 +196,7 @@
 	capacity: number;
 	/** When its registration was first listed. */
 	listedAt: number;
-	/** When it sent the last digest that this instance or another one, which told of it, received; -Infinity before the first. */
+	/** When its last digest arrived here, or by their reports at another instance; -Infinity before the first. */
 	lastDigestAt: number;
 	/** Time since then in which this instance stood still and could read no digest. */
 	stalledMs: number;
--- a/packages/core/src/gateway/serving-set.ts
+++ b/packages/core/src/gateway/serving-set.ts
@@ -13,7 +13,7 @@
 import {LogPart} from '../ports.ts';
 import {computeRendezvousScore} from '../rendezvous-hash.ts';
 import {
-	addLogLine, hasRecentDigest, isAlive, type Gateway,
+	addLogLine, hasRecentDigest, isAlive, isSelf, type Gateway,
 } from './gateway.ts';
 import {extendOverload} from './overload.ts';
 import type {GatewayInboundOf} from './ports.ts';
@@ -21,10 +21,6 @@
 
 const rankingKey = 'serving';
 
-function isSelf({self}: Gateway, {id}: Pick<Instance, 'id'>): boolean {
-	return id === self.id;
-}
-
 export function onProcessorUse(gateway: Gateway, {fraction}: GatewayInboundOf<'processorUse'>) {
 	const {limits, now, startedAt, self} = gateway;
 	if (now - startedAt < limits.startupMs) {
@@ -104,7 +100,7 @@
 	}
 }
 
-/** Takes an instance that is heard again back into consideration. */
+/** Makes an instance whose digests arrive again a candidate for the serving set. */
 export function markReachable(gateway: Gateway, instance: Instance) {
 	if (instance.isUnreachable) {
 		instance.isUnreachable = false;
@@ -112,7 +108,7 @@
 	}
 }
 
-/** Whether this instance expects digests of another one, or word of it from those that receive its digests. */
+/** Whether this instance expects digests of another one, or reports of them by those that receive them. */
 function isExpected({primaryInstances, servingInstances}: Gateway, {id}: Instance): boolean {
 	return primaryInstances.has(id) || servingInstances.has(id);
 }
@@ -180,8 +176,8 @@
 };
 
 /**
-Selects the recipients of digests. Serving instances tell each other and the standby instances of their failure domain, which
-tell them in turn. Primary instances are told though they are unreachable, since only so a cut that has ended is noticed.
+Selects the recipients of digests. Serving instances exchange them with each other and with the standby instances of their failure
+domain. Primary instances get them even while unreachable: otherwise neither side would notice that a network cut has ended.
 */
 export function selectDigestRecipients(gateway: Gateway): DigestRecipients {
 	const others = [...gateway.instances.rows()].filter(instance => !isSelf(gateway, instance));
@@ -192,8 +188,8 @@
 	}
 
 	const ownMembers = members.filter(instance => isOwnDomain(instance));
-	const isOwnDomainHeard = ownMembers.some(instance => isAlive(gateway, instance));
-	return {frequent: [], infrequent: isOwnDomainHeard ? ownMembers : members};
+	const isOwnDomainReached = ownMembers.some(instance => isAlive(gateway, instance));
+	return {frequent: [], infrequent: isOwnDomainReached ? ownMembers : members};
 }
 
 /** Number of instances among which limits of the whole fleet are split, and whether this instance is one of them. */
--- a/packages/core/test/gateway/instances.test.ts
+++ b/packages/core/test/gateway/instances.test.ts
@@ -121,7 +121,7 @@
 		expect(getCallerAddresses(bench.gateway, undefined)).not.toContain('b:80');
 	});
 
-	test('sends callers to the others until it has recovered, and tells them', () => {
+	test('sends callers to the others until it has recovered, and reports that to them', () => {
 		const bench = createBench({instances: fleet});
 		sendDigest(bench, 'b');
 		sendDigest(bench, 'c');
--- a/packages/core/test/gateway/platform-data.test.ts
+++ b/packages/core/test/gateway/platform-data.test.ts
@@ -94,7 +94,7 @@
 		expect([...bench.gateway.instances.rows()].map(({id}) => id)).toEqual(['b']);
 	});
 
-	test('an instance that ended before is neither advertised nor heard again because an older copy lists it', () => {
+	test('an instance that ended before is neither advertised nor counted as alive because an older copy lists it', () => {
 		const bench = createBench({instances: ['self', 'b']});
 		bench.step(listed('self'));
 		bench.step(returned, listed('self', 'b'));
--- a/packages/core/test/gateway/serving-set.test.ts
+++ b/packages/core/test/gateway/serving-set.test.ts
@@ -172,7 +172,7 @@
 	}
 });
 
-test('an instance that hears nobody advertises itself', () => {
+test('an instance that receives no digests advertises itself', () => {
 	const fleet = createFleet();
 	fleet.run(5000);
 	const standby = [...fleet.gateways.keys()].find(id => !fleet.getServing('suva-0').includes(id))!;
@@ -190,7 +190,7 @@
 	}
 });
 
-test('no instance removes the registration of a standby instance that it doesn\'t hear', () => {
+test('no instance removes the registration of a standby instance whose digests it doesn\'t receive', () => {
 	const fleet = createFleet();
 	fleet.run(20_000);
 	for (const gateway of fleet.gateways.values()) {
