Log failed platform requests, and targets that are kept though not listed

Whether the watch of targets was silent, or a removal that it delivered was held back, had to be concluded from the lines 'platform reached again' and 'gone', 2.2 s apart; failed requests of the other kinds of data were not logged at all, so a configuration that arrives late (CONFIG) left no trace.

--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -12,10 +12,14 @@
 export function onPlatformReach(gateway: Gateway, {isReached}: GatewayInboundOf<'platformReach'>) {
 	const {platform, now} = gateway;
 	if (isReached !== platform.isReached) {
+		addLogLine(gateway, isReached
+			? {part: LogPart.Membership, text: 'platform reached again', fields: {lostMs: Math.round(now - platform.since)}}
+			: {
+				part: LogPart.Membership, level: 'warn', text: 'platform lost', fields: {unansweredMs: Math.round(now - platform.lastAnswerAt)},
+			});
 		platform.isReached = isReached;
 		platform.since = now;
 		platform.lastAnswerBeforeOutageAt = isReached ? platform.lastAnswerBeforeOutageAt : platform.lastAnswerAt;
-		addLogLine(gateway, {part: LogPart.Membership, level: isReached ? 'info' : 'warn', text: isReached ? 'platform reached again' : 'platform lost'});
 	}
 
 	if (isReached) {
@@ -53,16 +57,29 @@
 		isAlive(gateway, instance) && instance.platformReachedSince !== undefined && instance.platformReachedSince < since);
 }
 
-/** Whether targets may be missing from the list only because of an outage of the platform. */
-export function mayTargetListBeIncomplete(gateway: Gateway): boolean {
+/** Why targets may be missing from the list though they run. */
+export enum ListDoubt {
+	NotReached = 'platform not reached',
+	OlderData = 'platform returned with older data',
+	ReportedOutage = 'outage reported by most instances',
+	RecentOutage = 'platform reached again recently',
+}
+
+/** Returns why targets may be missing from the list only because of an outage of the platform; undefined when they may not. */
+export function findListDoubt(gateway: Gateway): ListDoubt | undefined {
 	const {platform: {isReached, since, lastAnswerBeforeOutageAt, dataReturnedAt}, now, limits} = gateway;
-	if (!isReached || (dataReturnedAt !== undefined && now < dataReturnedAt + limits.relistTimeoutMs)) {
-		return true;
+	if (!isReached) {
+		return ListDoubt.NotReached;
+	}
+
+	if (dataReturnedAt !== undefined && now < dataReturnedAt + limits.relistTimeoutMs) {
+		return ListDoubt.OlderData;
 	}
 
 	if (!isWatcher(gateway, DataKind.Targets) && isOutageReported(gateway)) {
-		return true;
+		return ListDoubt.ReportedOutage;
 	}
 
-	return lastAnswerBeforeOutageAt !== undefined && now < since + limits.relistTimeoutMs && !isPlatformReachedElsewhere(gateway, lastAnswerBeforeOutageAt);
+	const isRecent = lastAnswerBeforeOutageAt !== undefined && now < since + limits.relistTimeoutMs;
+	return isRecent && !isPlatformReachedElsewhere(gateway, lastAnswerBeforeOutageAt) ? ListDoubt.RecentOutage : undefined;
 }
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -5,7 +5,7 @@
 */
 import {LogPart} from '../ports.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
-import {isDataReturnRecent, mayTargetListBeIncomplete} from './platform-data.ts';
+import {findListDoubt, isDataReturnRecent, type ListDoubt} from './platform-data.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {TargetStanding, type ListedTarget, type PoolTarget} from './rows.ts';
 import {findFormerTarget, recordFormerTarget} from './target-notices.ts';
@@ -112,6 +112,14 @@
 	logTarget(gateway, `gone: ${reason}`, target);
 }
 
+function keepUnlisted(gateway: Gateway, {id}: PoolTarget, doubt: ListDoubt) {
+	const {unlistedTargets, platform, now} = gateway;
+	if (!unlistedTargets.has(id)) {
+		unlistedTargets.add(id);
+		addLogLine(gateway, {part: LogPart.Target, text: 'kept though not listed', fields: {target: id, reason: doubt, reachedMs: platform.isReached ? Math.round(now - platform.since) : undefined}});
+	}
+}
+
 export function onTargets(gateway: Gateway, {targets}: GatewayInboundOf<'targets'>) {
 	gateway.hasTargetList = true;
 	const listed = new Set(targets.map(({id}) => id));
@@ -129,8 +137,9 @@
 			continue;
 		}
 
-		if (mayTargetListBeIncomplete(gateway) && target.standing === TargetStanding.Ready) {
-			gateway.unlistedTargets.add(target.id);
+		const doubt = findListDoubt(gateway);
+		if (doubt !== undefined && target.standing === TargetStanding.Ready) {
+			keepUnlisted(gateway, target, doubt);
 		} else {
 			deleteTarget(gateway, target, 'not listed');
 		}
@@ -190,7 +199,7 @@
 
 /** Removes targets that are still not listed when the relist timeout has passed. */
 export function targetsSystem(gateway: Gateway) {
-	if (gateway.unlistedTargets.size === 0 || mayTargetListBeIncomplete(gateway)) {
+	if (gateway.unlistedTargets.size === 0 || findListDoubt(gateway) !== undefined) {
 		return;
 	}
 
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -47,6 +47,7 @@
 			name: 'shallotloom_targets', help: 'Targets known, by standing.', labelNames: ['standing'], registers,
 		}),
 		pausedTargets: new Gauge({name: 'shallotloom_targets_paused', help: 'Targets that want no request from this instance now.', registers}),
+		unlistedTargets: new Gauge({name: 'shallotloom_targets_unlisted', help: 'Targets kept though the platform no longer lists them.', registers}),
 		servingInstances: new Gauge({name: 'shallotloom_instances_serving', help: 'Instances to which callers are sent.', registers}),
 		isServing: new Gauge({name: 'shallotloom_serving', help: 'Whether callers are sent to this instance.', registers}),
 		usedCapacity: new Gauge({name: 'shallotloom_processor_used_cores', help: 'Processor capacity in use, in cores.', registers}),
@@ -56,6 +57,7 @@
 		catalogueVersion: new Gauge({name: 'shallotloom_catalogue_version', help: 'Version of the catalogue in force; 0 before the first.', registers}),
 		ready: new Gauge({name: 'shallotloom_ready', help: 'Whether callers are served.', registers}),
 		platformReached: new Gauge({name: 'shallotloom_platform_reached', help: 'Whether the platform answers.', registers}),
+		platformAnswerAge: new Gauge({name: 'shallotloom_platform_answer_age_seconds', help: 'Time since the platform last answered a request for targets.', registers}),
 		engineLimit: new Gauge({
 			name: 'shallotloom_engine_limit', help: 'Most requests at once at an engine, by pool.', labelNames: ['pool'], registers,
 		}),
@@ -96,6 +98,7 @@
 		}
 
 		gauges.pausedTargets.set([...gateway.targets.rows()].filter(target => isPaused(gateway, target)).length);
+		gauges.unlistedTargets.set(gateway.unlistedTargets.size);
 		gauges.servingInstances.set(gateway.servingInstances.size);
 		gauges.isServing.set(isServing(gateway) ? 1 : 0);
 		gauges.usedCapacity.set(gateway.usedCapacity);
@@ -105,6 +108,7 @@
 		gauges.catalogueVersion.set(gateway.catalogue?.version ?? 0);
 		gauges.ready.set(isReady(gateway) ? 1 : 0);
 		gauges.platformReached.set(gateway.platform.isReached ? 1 : 0);
+		gauges.platformAnswerAge.set((gateway.now - gateway.platform.lastAnswerAt) / msPerSecond);
 		for (const {pool, concurrencyLimit: limit} of gateway.poolEstimates.rows()) {
 			gauges.engineLimit.set({pool}, limit);
 		}
