Take only recent answers to instances that watch targets closely as evidence about an outage

An instance that returned from an outage took a target for removed, not lapsed, if another instance said that it had reached the platform all the while. Standby instances also outvoted those that reported an outage. In a large fleet a short outage could thus remove all targets whose entries had lapsed, until they were listed again.

Digests carry the age of the platform's last answer; what other instances say counts only if they watch targets closely, and as evidence of no outage only if an answer is younger than the shortest outage in which entries lapse (two heartbeats, from the settings). Three tests failed before: 'a peer whose last answer dates from before the outage ...', 'a standby instance, ... is no evidence ...', 'instances that can't notice an outage soon don't outvote ...'.

--- a/packages/core/src/gateway/data-sources.ts
+++ b/packages/core/src/gateway/data-sources.ts
@@ -57,15 +57,26 @@
 	}
 }
 
+/**
+Whether an instance watches targets with short waits. Whoever places calls has to notice every outage in which entries of targets
+lapse; instances with long waits notice none that is over sooner, so what they report is no evidence of one or of none.
+*/
+export function isTargetWatcher({primaryInstances}: Gateway, id: string): boolean {
+	return primaryInstances.has(id) || primaryInstances.size === 0;
+}
+
 /** Whether this instance watches a kind of data with short waits, on behalf of the instances that receive its digests too. */
-export function isWatcher({primaryInstances, watchers, self}: Gateway, kind: DataKind): boolean {
-	// Whoever places calls has to notice every outage in which entries of targets expire.
-	return kind === DataKind.Targets ? primaryInstances.has(self.id) || primaryInstances.size === 0 : watchers.has(self.id) || watchers.size === 0;
+export function isWatcher(gateway: Gateway, kind: DataKind): boolean {
+	const {watchers, self} = gateway;
+	return kind === DataKind.Targets ? isTargetWatcher(gateway, self.id) : watchers.has(self.id) || watchers.size === 0;
 }
 
-/** Whether most instances that report to this one lost the platform recently; it may not have noticed that itself. */
+/**
+Whether most instances that watch targets and report to this one lost the platform recently; it may not have noticed that itself.
+*/
 export function isOutageReported(gateway: Gateway): boolean {
-	const reporting = [...gateway.instances.rows()].filter(instance => instance.id !== gateway.self.id && hasRecentDigest(gateway, instance));
+	const reporting = [...gateway.instances.rows()].filter(instance =>
+		instance.id !== gateway.self.id && isTargetWatcher(gateway, instance.id) && hasRecentDigest(gateway, instance));
 	const affected = reporting.filter(({platformReachedSince: since}) => since === undefined || gateway.now - since < gateway.limits.relistTimeoutMs);
 	return 2 * affected.length > reporting.length;
 }
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -99,6 +99,7 @@
 		isUnreachable: false,
 		isOverloaded: false,
 		platformReachedSince: undefined,
+		platformAnsweredAt: Number.NEGATIVE_INFINITY,
 		services: [],
 		pools: [],
 		targets: [],
@@ -151,6 +152,7 @@
 	instance.isOverloaded = digest.isOverloaded ?? false;
 	instance.state = digest.state;
 	instance.platformReachedSince = digest.platformReachedMs === undefined ? undefined : gateway.now - digest.platformReachedMs;
+	instance.platformAnsweredAt = gateway.now - (digest.platformAnsweredMs ?? Number.POSITIVE_INFINITY);
 	instance.services = digest.services;
 	instance.pools = digest.pools;
 	instance.targets = digest.targets ?? [];
@@ -196,6 +198,7 @@
 		pools: createPoolEntries(gateway),
 		heard: [],
 		platformReachedMs: platform.isReached && hasTargetList ? Math.floor(now - platform.since) : undefined,
+		platformAnsweredMs: platform.isReached && hasTargetList ? Math.ceil(now - platform.lastAnswerAt) : undefined,
 		targets: createTargetEntries(gateway),
 		isOverloaded: isOverloaded(gateway),
 		usedCapacity: gateway.usedCapacity,
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -102,6 +102,8 @@
 	noTargetRetryAfterMs: number;
 	/** Time after an outage of the platform within which targets whose entries expired meanwhile have to be listed again. */
 	relistTimeoutMs: number;
+	/** Shortest outage of the platform in which entries of running targets lapse. */
+	minLapseMs: number;
 	/**
 	Time after a return of the platform with older data within which operators and instances are expected to have written again
 	what is missing.
@@ -168,6 +170,7 @@
 	minRetryAfterMs: 200,
 	noTargetRetryAfterMs: second,
 	relistTimeoutMs: 2.2 * second,
+	minLapseMs: 2.4 * second,
 	rewriteTimeoutMs: 10 * second,
 	maxTargetPauseMs: 60 * second,
 	formerTargetMs: 120 * second,
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -5,7 +5,7 @@
 count as new.
 */
 import {LogPart} from '../ports.ts';
-import {DataKind, isOutageReported, isWatcher} from './data-sources.ts';
+import {isOutageReported, isTargetWatcher} from './data-sources.ts';
 import {addLogLine, isAlive, type Gateway} from './gateway.ts';
 import type {GatewayInboundOf} from './ports.ts';
 
@@ -51,10 +51,16 @@
 	return dataReturnedAt !== undefined && now < dataReturnedAt + limits.rewriteTimeoutMs;
 }
 
-/** Whether another instance has been connected to the platform without interruption since before a time. */
-function isPlatformReachedElsewhere(gateway: Gateway, since: number): boolean {
+/**
+Whether another instance that watches targets closely was connected to the platform throughout the outage that this one had: since
+before its start, and with an answer so late that in the rest of the outage no entry can have lapsed.
+*/
+function isPlatformReachedElsewhere(gateway: Gateway, outageStartedAt: number): boolean {
+	const {platform, limits} = gateway;
 	return [...gateway.instances.rows()].some(instance =>
-		isAlive(gateway, instance) && instance.platformReachedSince !== undefined && instance.platformReachedSince < since);
+		isTargetWatcher(gateway, instance.id) && isAlive(gateway, instance)
+		&& instance.platformReachedSince !== undefined && instance.platformReachedSince < outageStartedAt
+		&& instance.platformAnsweredAt > platform.since - limits.minLapseMs);
 }
 
 /** Why targets may be missing from the list though they run. */
@@ -76,7 +82,7 @@
 		return ListDoubt.OlderData;
 	}
 
-	if (!isWatcher(gateway, DataKind.Targets) && isOutageReported(gateway)) {
+	if (!isTargetWatcher(gateway, gateway.self.id) && isOutageReported(gateway)) {
 		return ListDoubt.ReportedOutage;
 	}
 
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -212,6 +212,8 @@
 	isOverloaded: boolean;
 	/** Start of its current uninterrupted connection to the platform, by its last digest; undefined while it has none. */
 	platformReachedSince: number | undefined;
+	/** When the platform last answered it, by its last digest; -Infinity while it doesn't reach the platform. */
+	platformAnsweredAt: number;
 	/** Recent usage by its callers, from its last digest. */
 	services: ServiceEntry[];
 	/** Its concurrency limits for engines, from its last digest. */
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -216,6 +216,8 @@
 	heard: HeardEntry[];
 	/** For how long the sender has reached the platform without interruption; undefined when it doesn't reach it. */
 	platformReachedMs?: number | undefined;
+	/** Time since the platform last answered the sender; undefined when it doesn't reach it. */
+	platformAnsweredMs?: number | undefined;
 	/** Targets that are in use at the sender or cold; left out where targets have owners. */
 	targets?: TargetEntry[];
 	/** Whether the sender is overloaded, so that callers should be sent to other instances. */
--- a/packages/core/test/gateway/data-sources.test.ts
+++ b/packages/core/test/gateway/data-sources.test.ts
@@ -87,3 +87,31 @@
 	other.step(...primary.map(id => createDigestFrom(id, {platformReachedMs: 60_000})));
 	expect(other.gateway.targets.has('t2')).toBe(false);
 });
+
+test('a standby instance, which can\'t notice an outage soon, is no evidence that the platform was reached', () => {
+	const ids = Array.from({length: 100}, (_, index) => `i${index}`);
+	const registrations = {kind: 'registrations', registrations: ids.map(id => createRegistration(id))} as const;
+	const {primaryInstances: primary} = createBench({instances: ids}).gateway;
+	const bench = createBench({instances: [[...primary][0]!], targets: [createListedTarget('t1'), createListedTarget('t2')]});
+	bench.step(registrations, {kind: 'platformReach', isReached: true});
+	bench.wait(2000);
+	bench.step({kind: 'platformReach', isReached: false});
+	bench.wait(5000);
+	bench.step({kind: 'targets', targets: [createListedTarget('t1')]}, {kind: 'platformReach', isReached: true});
+	bench.step(...ids.filter(id => !primary.has(id)).map(id => createDigestFrom(id, {platformReachedMs: 60_000, platformAnsweredMs: 0})));
+	expect(bench.gateway.targets.has('t2')).toBe(true);
+});
+
+test('instances that can\'t notice an outage soon don\'t outvote those that report one', () => {
+	const ids = Array.from({length: 100}, (_, index) => `i${index}`);
+	const {primaryInstances: primary} = createBench({instances: ids}).gateway;
+	const [self, ...others] = ids.filter(id => !primary.has(id));
+	const bench = createBench({instances: [self!], targets: [createListedTarget('t1'), createListedTarget('t2')]});
+	bench.step({kind: 'registrations', registrations: ids.map(id => createRegistration(id))});
+	bench.step(
+		...others.map(id => createDigestFrom(id, {platformReachedMs: 60_000})),
+		...[...primary].map(id => createDigestFrom(id, {platformReachedMs: 500})),
+	);
+	bench.step({kind: 'targets', targets: [createListedTarget('t1')]});
+	expect(bench.gateway.targets.has('t2')).toBe(true);
+});
--- a/packages/core/test/gateway/targets.test.ts
+++ b/packages/core/test/gateway/targets.test.ts
@@ -40,15 +40,16 @@
 Whether an instance keeps t2, which went while that instance couldn't reach the platform for 5 s.
 
 @param platformReachedMs How long another instance then reports to have been connected to the platform.
+@param platformAnsweredMs Age of the last answer that it reports, in milliseconds; 0 by default.
 */
-function isKeptAfterOutage(platformReachedMs: number | undefined) {
+function isKeptAfterOutage(platformReachedMs: number | undefined, platformAnsweredMs?: number) {
 	const bench = createBench({targets: twoTargets, instances: ['self', 'other']});
 	bench.step({kind: 'platformReach', isReached: true});
 	bench.wait(2000);
 	bench.step({kind: 'platformReach', isReached: false});
 	bench.wait(5000);
 	bench.step({kind: 'targets', targets: [createListedTarget('t1')]}, {kind: 'platformReach', isReached: true});
-	bench.step(createDigestFrom('other', {platformReachedMs}));
+	bench.step(createDigestFrom('other', {platformReachedMs, ...(platformAnsweredMs !== undefined && {platformAnsweredMs})}));
 	return bench.gateway.targets.has('t2');
 }
 
@@ -63,6 +64,11 @@
 	expect(isKeptAfterOutage(6000)).toBe(true);
 });
 
+test('a peer whose last answer dates from before the outage is no reason to remove a target', () => {
+	expect(isKeptAfterOutage(60_000, 4000)).toBe(true);
+	expect(isKeptAfterOutage(60_000, 1500)).toBe(false);
+});
+
 test('a target that was leaving is not kept during an outage', () => {
 	const bench = createBench({targets: [createListedTarget('t1'), createListedTarget('t2', {standing: TargetStanding.Leaving})]});
 	bench.step({kind: 'platformReach', isReached: false});
--- a/packages/core/test/support/gateways.ts
+++ b/packages/core/test/support/gateways.ts
@@ -86,7 +86,19 @@
 		from,
 		incarnation: `${from}-1`,
 		digest: {
-			kind: 'digest', state: MemberState.Active, failureDomain: 'suva', callerUrl: '', peerUrl: '', revision: 1, leaseSequence: 0, storeAgeMs: -1, services: [], pools: [], heard: [], ...digest,
+			kind: 'digest',
+			state: MemberState.Active,
+			failureDomain: 'suva',
+			callerUrl: '',
+			peerUrl: '',
+			revision: 1,
+			leaseSequence: 0,
+			storeAgeMs: -1,
+			services: [],
+			pools: [],
+			heard: [],
+			platformAnsweredMs: digest.platformReachedMs === undefined ? undefined : 0,
+			...digest,
 		},
 	};
 }
