Log each broken answer with its prompt's segments and its times

The lines of a crashing target said which calls were sent on, not what their prompts have in common, nor whether an answer had begun: the hypotheses 'a part of the prompt', 'a workspace' and 'a target' couldn't be told apart.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -20,7 +20,7 @@
 import {getHealthyTargets, type Choice} from './placement.ts';
 import {updatePoolEstimates} from './pool-estimates.ts';
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
-import {recordCachedSegments} from './prompt-segments.ts';
+import {getSharedSegmentIds, recordCachedSegments} from './prompt-segments.ts';
 import {recordCall, recordFirstSend, trySpendRetry} from './retries.ts';
 import {
 	CallState, type Call, type CallArrival, type PoolTarget,
@@ -109,6 +109,7 @@
 		target: '',
 		sentAt: 0,
 		uncachedTokens: 0,
+		firstByteAt: undefined,
 		triedTargets: [],
 		mayHaveRun: false,
 		hasAnswerBytes: false,
@@ -164,7 +165,7 @@
 	}
 
 	Object.assign(call, {
-		state: CallState.Sent, target: target.id, sentAt: gateway.now, uncachedTokens,
+		state: CallState.Sent, target: target.id, sentAt: gateway.now, uncachedTokens, firstByteAt: undefined,
 	});
 	call.attempts += 1;
 	call.sends += 1;
@@ -305,6 +306,7 @@
 		return;
 	}
 
+	call.firstByteAt = gateway.now;
 	target.lastAnswerAt = gateway.now;
 	const expectedLoad = estimateLoad(gateway, target);
 	applyLoadReport(gateway, target, load);
@@ -369,6 +371,24 @@
 	}
 }
 
+/** Logs what is needed to tell which of the answers that break together ended the target. */
+function logBrokenAnswer(gateway: Gateway, call: Call, detail: string) {
+	const target = gateway.targets.get(call.target);
+	addLogLine(gateway, {
+		part: LogPart.Target,
+		text: 'answer broken',
+		request: call.id,
+		fields: {
+			target: call.target,
+			start: target?.startId,
+			reason: detail,
+			sinceSentMs: Math.round(gateway.now - call.sentAt),
+			sinceFirstByteMs: call.firstByteAt === undefined ? undefined : Math.round(gateway.now - call.firstByteAt),
+			segments: call.prompt && getSharedSegmentIds(call.prompt).join(','),
+		},
+	});
+}
+
 type EndHandler = (gateway: Gateway, call: Call, detail: string) => void;
 
 /** Handles the end of a send for its call. */
@@ -426,6 +446,7 @@
 	},
 	[SendEnd.Broken](gateway, call, detail) {
 		call.mayHaveRun = true;
+		logBrokenAnswer(gateway, call, detail);
 		resendOrRefuse(gateway, call, detail);
 	},
 };
--- a/packages/core/src/gateway/prompt-segments.ts
+++ b/packages/core/src/gateway/prompt-segments.ts
@@ -16,6 +16,11 @@
 	return prompt.segments.at(-2)?.id;
 }
 
+/** Ids of the segments that a prompt may share with others: all but the last one. */
+export function getSharedSegmentIds({segments}: Prompt): string[] {
+	return segments.slice(0, -1).map(({id}) => id);
+}
+
 function isCached({now, limits}: Gateway, target: PoolTarget, segment: string): boolean {
 	const cachedAt = target.cachedSegments.get(segment);
 	return cachedAt !== undefined && now - cachedAt <= limits.cachedSegmentMs;
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -68,6 +68,8 @@
 	sentAt: number;
 	/** Prompt tokens that the target was expected to prefill, since they are not in its cache; 0 after the first byte. */
 	uncachedTokens: number;
+	/** When the first byte of its current answer arrived; undefined before. */
+	firstByteAt: number | undefined;
 	/** Targets that failed it; it is not sent to them again. */
 	triedTargets: string[];
 	/** Whether a target may have run it. */
