--- a/packages/bench/src/fleet-model/fleet.ts
+++ b/packages/bench/src/fleet-model/fleet.ts
@@ -32,8 +32,26 @@
 	limits: Partial<GatewayLimits>;
 	/** Crashes: at `atMs`, this many engines fail, and they start again cold after `durationMs`. */
 	crashes: Array<{atMs: number; durationMs: number; engines: number}>;
+	/** Requests with a prompt segment that crashes each engine that begins to answer them. */
+	harmful?: HarmfulLoad;
+	/** Maximum number of engines to which one attempt of a caller is sent; answers that broke are then resumed. */
+	maxSends?: number;
 };
 
+export type HarmfulLoad = {
+	fromMs: number;
+	toMs: number;
+	requestsPerSecond: number;
+	/** Time from the start of an answer to the crash of its engine, in milliseconds. */
+	crashDelayMs: number;
+	/** Time for which a crashed engine is down, and for which the platform goes on listing it. */
+	durationMs: number;
+	listedMs: number;
+};
+
+/** Id of the segment that crashes engines. */
+export const harmfulSegment = 'harmful';
+
 export enum CallEnd {
 	OnTime = 'on time',
 	Late = 'late',
@@ -55,6 +73,9 @@
 	duplicatePrefillTokens: number;
 	/** Sends to engines. */
 	sentRequests: Array<{sentAt: number; request: ModelRequest}>;
+	/** Times at which engines crashed by the harmful segment, and at which requests with it reached engines. */
+	harmfulCrashes: number[];
+	harmfulArrivals: number[];
 	/** Number of steps of all gateway cores, and the real time that they took, in milliseconds. */
 	steps: number;
 	stepTimeMs: number;
@@ -79,10 +100,12 @@
 /** Attempts of a caller in all: a refused request is retried once. */
 const maxAttempts = 2;
 
+const harmfulSegmentTokens = 100;
+
 const host = 'model';
 const pool = 'engines';
 
-function createModelCatalogue(kinds: RequestKind[], workspaces: number, tokensPerSecond: number): Catalogue {
+function createModelCatalogue({load: {kinds, workspaces}, tokensPerSecond, maxSends = 1}: FleetOptions): Catalogue {
 	return createCatalogue({
 		version: 1,
 		routes: kinds.map(({name, deadlineMs, objectiveMs}) => ({
@@ -90,9 +113,9 @@
 			host,
 			pathPrefix: `/${name}/`,
 			kind: CallKind.Streamed,
-			isResumable: false,
+			isResumable: maxSends > 1,
 			weightedPools: [{pool, weight: 1}],
-			maxAttempts: 1,
+			maxAttempts: maxSends,
 			timeoutMs: deadlineMs,
 			objectiveMs,
 			priority: 1,
@@ -114,14 +137,15 @@
 }
 
 /** Runs a fleet for `seconds` of arrivals, and 5 s more for the requests that are still open. */
-export function runFleet({
-	seed, seconds, instances, engines, failureDomains, engine, load: loadOptions, tokensPerSecond, limits, crashes,
-}: FleetOptions): FleetRun {
+export function runFleet(options: FleetOptions): FleetRun {
+	const {
+		seed, seconds, instances, engines, failureDomains, engine, load: loadOptions, limits, crashes, harmful,
+	} = options;
 	const queue = createEventQueue();
 	const random = createRandom(seed, 1);
 	const load = createLoad({...loadOptions, seed});
 	const run: FleetRun = {
-		records: [], duplicatePrefillTokens: 0, sentRequests: [], steps: 0, stepTimeMs: 0,
+		records: [], duplicatePrefillTokens: 0, sentRequests: [], harmfulCrashes: [], harmfulArrivals: [], steps: 0, stepTimeMs: 0,
 	};
 	const getFailureDomain = (index: number) => `d${index % failureDomains}`;
 
@@ -193,15 +217,50 @@
 		handler?.(gateway, item);
 	}
 
+	function endWithoutConnection(gateway: Gateway, id: string, send: number) {
+		queue.schedule(crossDomainDelayMs, () => {
+			runStep(gateway, {
+				kind: 'sendEnded', call: id, send, end: SendEnd.NotSent, load: undefined, detail: 'refused',
+			});
+		});
+	}
+
+	/** Crashes the engine on which an answer to a harmful request has begun. */
+	function crashByHarm(target: string, model: Engine) {
+		const {crashDelayMs, durationMs, listedMs} = harmful!;
+		queue.schedule(crashDelayMs, () => {
+			// Another harmful request may have crashed it meanwhile.
+			if (engineModels.get(target) === model) {
+				run.harmfulCrashes.push(queue.now);
+				crashEngine(target, durationMs, listedMs);
+			}
+		});
+	}
+
 	function sendToEngine(gateway: Gateway, {call: id, send, target}: GatewayOutboundOf<'send'>) {
 		const call = openCalls.get(id)!;
-		const model = engineModels.get(target)!;
+		const model = engineModels.get(target);
 		const {request} = call;
+		if (!model) {
+			endWithoutConnection(gateway, id, send);
+			return;
+		}
+
+		const isHarmful = request.segments.some(segment => segment.id === harmfulSegment);
+		if (isHarmful) {
+			run.harmfulArrivals.push(queue.now);
+		}
+
 		const delayMs = targets.get(target)!.failureDomain === gateway.self.failureDomain ? sameDomainDelayMs : crossDomainDelayMs;
 		call.engine = model;
 		call.send = send;
 		run.sentRequests.push({sentAt: queue.now, request});
 		queue.schedule(delayMs, () => {
+			if (engineModels.get(target) !== model) {
+				endWithoutConnection(gateway, id, send);
+				return;
+			}
+
 			model.add({
 				id,
 				segments: request.segments,
@@ -211,6 +270,10 @@
 						segmentUsedAt.set(segment.id, queue.now);
 					}
 
+					if (isHarmful) {
+						crashByHarm(target, model);
+					}
+
 					const report = model.getLoad();
 					queue.schedule(delayMs, () => {
 						call.firstByteMs = queue.now + callerDelayMs - call.requestedAt;
@@ -284,13 +347,28 @@
 		});
 	}
 
-	function crashEngine(id: string, durationMs: number) {
-		const {failureDomain} = targets.get(id)!;
-		targets.delete(id);
-		const lostIds = engineModels.get(id)!.crash();
+	function publishTargets() {
 		for (const gateway of gateways.values()) {
 			runStep(gateway, createTargetList(targets));
 		}
+	}
+
+	function crashEngine(id: string, durationMs: number, listedMs = 0) {
+		const {failureDomain, startId} = targets.get(id)!;
+		const lostIds = engineModels.get(id)!.crash();
+		engineModels.delete(id);
+		const unlist = () => {
+			if (targets.get(id)?.startId === startId) {
+				targets.delete(id);
+				publishTargets();
+			}
+		};
+
+		if (listedMs === 0) {
+			unlist();
+		} else {
+			queue.schedule(listedMs, unlist);
+		}
 
 		for (const lostId of lostIds) {
 			// A call that the gateway gave up while its cancellation was in transit is no longer open.
@@ -304,9 +382,7 @@
 
 		queue.schedule(durationMs, () => {
 			startEngine(id, failureDomain, coldMs);
-			for (const gateway of gateways.values()) {
-				runStep(gateway, createTargetList(targets));
-			}
+			publishTargets();
 		});
 	}
 
@@ -321,6 +397,22 @@
 		}
 	}
 
+	/** Requests like the others, but for the harmful segment before the one of their own. */
+	function scheduleHarmfulArrivals() {
+		const {fromMs, toMs, requestsPerSecond} = harmful!;
+		if (queue.now >= fromMs) {
+			const [request] = load.nextBatch(queue.now).requests;
+			const segments = request!.segments.toSpliced(-1, 0, {id: harmfulSegment, tokens: harmfulSegmentTokens});
+			startCall({
+				...request!, segments, inputTokens: request!.inputTokens + harmfulSegmentTokens, instancePosition: undefined,
+			}, queue.now, 1);
+		}
+
+		if (queue.now < toMs) {
+			queue.schedule(Math.max(fromMs - queue.now, 1000 / requestsPerSecond), scheduleHarmfulArrivals);
+		}
+	}
+
 	function tick(gateway: Gateway) {
 		runStep(gateway);
 		queue.schedule(tickMs, () => {
@@ -328,7 +420,7 @@
 		});
 	}
 
-	const catalogue = createModelCatalogue(loadOptions.kinds, loadOptions.workspaces, tokensPerSecond);
+	const catalogue = createModelCatalogue(options);
 	for (const gateway of gateways.values()) {
 		runStep(gateway, {kind: 'catalogue', catalogue}, createTargetList(targets), {kind: 'registrations', registrations}, {kind: 'domainsOut', domains: []});
 		queue.schedule(random.uniform() * tickMs, () => {
@@ -344,6 +436,10 @@
 		});
 	}
 
+	if (harmful) {
+		scheduleHarmfulArrivals();
+	}
+
 	queue.schedule(1000, scheduleArrivals);
 	queue.runUntil((seconds + 5) * 1000);
 	return run;
--- /dev/null
+++ b/packages/bench/test/harmful-prompts.test.ts
@@ -0,0 +1,49 @@
+import {
+	CallEnd, harmfulSegment, runFleet, type CallRecord, type FleetOptions, type FleetRun,
+} from '../src/fleet-model/fleet.ts';
+import {fleets} from '../src/fleet-model/fleets.ts';
+
+/** Crashes after which the fleet must know the segment, and the time that it may take, in milliseconds. */
+const allowedCrashes = 5;
+const contactMs = 3000;
+
+const harmful = {
+	fromMs: 6000, toMs: 24_000, requestsPerSecond: 5, crashDelayMs: 60, durationMs: 3000, listedMs: 3600,
+};
+
+function run(name: string, options: Partial<FleetOptions> = {}): FleetRun {
+	return runFleet({
+		...fleets[name]!, seed: 1, seconds: 24, limits: {}, maxSends: 3, harmful, ...options,
+	});
+}
+
+/** Number of requests with the harmful segment that reached an engine although the fleet had to know it. */
+function countLateArrivals({harmfulCrashes, harmfulArrivals}: FleetRun): number {
+	const crashedAt = harmfulCrashes[allowedCrashes - 1] ?? Number.POSITIVE_INFINITY;
+	return harmfulArrivals.filter(at => at > crashedAt + contactMs).length;
+}
+
+/** Fraction of the requests of a period without the harmful segment that were served, late ones too. */
+function computeServedFraction({records}: {records: CallRecord[]}, fromMs: number, toMs: number): number {
+	const requests = records.filter(({request, requestedAt}) =>
+		requestedAt >= fromMs && requestedAt < toMs && request.segments.every(({id}) => id !== harmfulSegment));
+	return requests.filter(({end}) => end !== CallEnd.Refused).length / requests.length;
+}
+
+test.each([
+	['straw-calm', 1], ['straw-calm', 2], ['straw-pressed', 3], ['college-calm', 4], ['held-back-few', 5], ['held-back-many', 6],
+])('once five engines have crashed, hardly a request with the segment that crashes them reaches one: %s, seed %i', (name, seed) => {
+	const fleetRun = run(name, {seed});
+	expect(fleetRun.harmfulCrashes.length).toBeGreaterThan(0);
+	expect(countLateArrivals(fleetRun)).toBeLessThanOrEqual(3);
+});
+
+test.each([
+	['straw-calm', 1], ['college-calm', 4], ['held-back-few', 5],
+])('requests beside those that crash engines are served at least half as often as without them: %s, seed %i', (name, seed) => {
+	const without = runFleet({
+		...fleets[name]!, seed, seconds: 24, limits: {}, maxSends: 3,
+	});
+	const [from, to] = [harmful.fromMs + (2 * contactMs), harmful.toMs];
+	expect(computeServedFraction(run(name, {seed}), from, to)).toBeGreaterThanOrEqual(computeServedFraction(without, from, to) / 2);
+});
