Quarantine prompt segments that crash targets

Cause: nothing connected a crash with what the target was answering. A broken answer was sent on at once, up to the attempts of its route, and set single targets aside, which moved the next request to another one.

Change: crashes are attributed to the shared segments of the prompts in work, from the evidence of the whole fleet (digests), and calls with a segment under which three crashed are refused at once at all instances.

Ten more cases have crashes of other kinds, alone and at the same time: no sound segment is put into quarantine.

--- a/packages/bench/src/fleet-model/fleet.ts
+++ b/packages/bench/src/fleet-model/fleet.ts
@@ -76,6 +76,8 @@
 	/** Times at which engines crashed by the harmful segment, and at which requests with it reached engines. */
 	harmfulCrashes: number[];
 	harmfulArrivals: number[];
+	/** Prompt segments that any instance put into quarantine. */
+	quarantinedSegments: Set<string>;
 	/** Number of steps of all gateway cores, and the real time that they took, in milliseconds. */
 	steps: number;
 	stepTimeMs: number;
@@ -145,7 +147,7 @@
 	const random = createRandom(seed, 1);
 	const load = createLoad({...loadOptions, seed});
 	const run: FleetRun = {
-		records: [], duplicatePrefillTokens: 0, sentRequests: [], harmfulCrashes: [], harmfulArrivals: [], steps: 0, stepTimeMs: 0,
+		records: [], duplicatePrefillTokens: 0, sentRequests: [], harmfulCrashes: [], harmfulArrivals: [], quarantinedSegments: new Set(), steps: 0, stepTimeMs: 0,
 	};
 	const getFailureDomain = (index: number) => `d${index % failureDomains}`;
 
@@ -203,6 +205,11 @@
 		cancel(_gateway, {call}) {
 			openCalls.get(call)?.engine?.cancel(call);
 		},
+		log(_gateway, {text, fields}) {
+			if (text === 'prompt segment put into quarantine') {
+				run.quarantinedSegments.add(String(fields?.segment));
+			}
+		},
 		sendDigest(gateway, {to, digest}) {
 			queue.schedule(crossDomainDelayMs, () => {
 				runStep(gateways.get(to)!, {
@@ -430,7 +437,7 @@
 
 	for (const {atMs, durationMs, engines: count} of crashes) {
 		queue.schedule(atMs, () => {
-			for (const id of [...targets.keys()].slice(0, count)) {
+			for (const id of [...targets.keys()].filter(target => engineModels.has(target)).slice(0, count)) {
 				crashEngine(id, durationMs);
 			}
 		});
--- a/packages/bench/test/harmful-prompts.test.ts
+++ b/packages/bench/test/harmful-prompts.test.ts
@@ -47,3 +47,22 @@
 	const [from, to] = [harmful.fromMs + (2 * contactMs), harmful.toMs];
 	expect(computeServedFraction(run(name, {seed}), from, to)).toBeGreaterThanOrEqual(computeServedFraction(without, from, to) / 2);
 });
+
+const otherCrashes: FleetOptions['crashes'] = [
+	...[9000, 9050, 9400, 10_000, 13_000, 16_500].map(atMs => ({atMs, durationMs: 2000, engines: 1})),
+	{atMs: 11_500, durationMs: 1500, engines: 3},
+];
+
+test.each([
+	['straw-calm', 1], ['straw-pressed', 2], ['college-calm', 3], ['college-flooded', 4], ['held-back-few', 5],
+])('crashes that no prompt causes put no segment into quarantine: %s, seed %i', (name, seed) => {
+	expect(run(name, {seed, harmful: undefined, crashes: otherCrashes}).quarantinedSegments).toEqual(new Set());
+});
+
+test.each([
+	['straw-calm', 1], ['straw-pressed', 2], ['college-calm', 3], ['college-pressed', 4], ['held-back-few', 5],
+])('other crashes meanwhile put no sound segment into quarantine, and don\'t hide the harmful one: %s, seed %i', (name, seed) => {
+	const fleetRun = run(name, {seed, crashes: otherCrashes});
+	expect(fleetRun.quarantinedSegments).toEqual(new Set([harmfulSegment]));
+	expect(countLateArrivals(fleetRun)).toBeLessThanOrEqual(3);
+});
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -12,6 +12,9 @@
 	CallKind, findRoute, type CallRoute, type Catalogue, type Tenancy,
 } from './catalogue.ts';
 import {recordColdSend} from './cold-limits.ts';
+import {
+	confirmCrash, disproveCrash, isLikelyHarmful, recordBrokenAnswer, recordSoundPrompt,
+} from './crash-evidence.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
 import {adjustLimit} from './engine-limits.ts';
 import {
@@ -21,6 +24,9 @@
 import {updatePoolEstimates} from './pool-estimates.ts';
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
 import {getSharedSegmentIds, recordCachedSegments} from './prompt-segments.ts';
+import {
+	createQuarantineRefusal, failTrial, findQuarantine, findQuarantinedCalls,
+} from './quarantines.ts';
 import {recordCall, recordFirstSend, trySpendRetry} from './retries.ts';
 import {
 	CallState, type Call, type CallArrival, type PoolTarget,
@@ -127,6 +133,12 @@
 
 	const call = createCall(gateway, arrival, admission.route, admission.tenancy);
 	gateway.calls.set(call);
+	const quarantine = findQuarantine(gateway, call);
+	if (quarantine) {
+		refuse(gateway, call, createQuarantineRefusal(gateway, quarantine), {segment: quarantine.segment, crashes: quarantine.crashes});
+		return;
+	}
+
 	recordCall(gateway, call.pool);
 	recordDemand(gateway, call);
 	sendOrQueue(gateway, call);
@@ -137,6 +149,7 @@
 tokens.
 */
 function sendOrQueue(gateway: Gateway, call: Call) {
+	call.firstByteAt = undefined;
 	const targets = getHealthyTargets(gateway, call.pool);
 	if (targets.every(({id}) => call.triedTargets.includes(id))) {
 		refuse(gateway, call, createNoCapacityRefusal(gateway, call));
@@ -262,7 +275,7 @@
 }
 
 /** Refuses a call and removes it. The outcome "not run" becomes "unknown" when a target may have run it. */
-export function refuse(gateway: Gateway, call: Call, answer: Refusal) {
+export function refuse(gateway: Gateway, call: Call, answer: Refusal, fields: Record<string, unknown> = {}) {
 	const finalRefusal = call.mayHaveRun && answer.outcome === Outcome.NotRun
 		? {kind: RefusalKind.TargetFailed, outcome: Outcome.Unknown, detail: answer.detail}
 		: answer;
@@ -278,6 +291,7 @@
 		used: Math.round(getServedTokens(gateway, call.pool, call.workspace)),
 		share: Math.round(gateway.fairLevels.get(call.pool) ?? Number.POSITIVE_INFINITY),
 		version: gateway.catalogue?.version,
+		...fields,
 	});
 	closeCall(gateway, call);
 }
@@ -308,6 +322,7 @@
 
 	call.firstByteAt = gateway.now;
 	target.lastAnswerAt = gateway.now;
+	disproveCrash(gateway, target);
 	const expectedLoad = estimateLoad(gateway, target);
 	applyLoadReport(gateway, target, load);
 	if (call.prompt) {
@@ -394,6 +409,10 @@
 /** Handles the end of a send for its call. */
 const endHandlers: Record<SendEnd, EndHandler> = {
 	[SendEnd.Complete](gateway, call) {
+		if (call.prompt) {
+			recordSoundPrompt(gateway, call.prompt);
+		}
+
 		addLogLine(gateway, {
 			part: LogPart.Request,
 			text: 'served',
@@ -447,10 +466,24 @@
 	[SendEnd.Broken](gateway, call, detail) {
 		call.mayHaveRun = true;
 		logBrokenAnswer(gateway, call, detail);
+		if (isLikelyHarmful(gateway, call)) {
+			refuse(gateway, call, createFailureRefusal(gateway, call, detail));
+			return;
+		}
+
 		resendOrRefuse(gateway, call, detail);
 	},
 };
 
+function recordCrashEvidence(gateway: Gateway, call: Call, target: PoolTarget, end: SendEnd) {
+	if (end === SendEnd.Broken) {
+		recordBrokenAnswer(gateway, call, target);
+		failTrial(gateway, call);
+	} else if (end === SendEnd.NotSent) {
+		confirmCrash(gateway, target);
+	}
+}
+
 export function onSendEnded(gateway: Gateway, {
 	call: id, send, end, load, detail,
 }: GatewayInboundOf<'sendEnded'>) {
@@ -462,6 +495,7 @@
 	detachFromTarget(gateway, call);
 	const target = gateway.targets.get(call.target);
 	if (target) {
+		recordCrashEvidence(gateway, call, target, end);
 		handleSendEnd(gateway, target, end);
 		applyLoadReport(gateway, target, load);
 	}
@@ -469,6 +503,15 @@
 	endHandlers[end](gateway, call, detail);
 }
 
+/** Refuses calls with a prompt segment that has been put into quarantine, and cancels those that were sent. */
+export function quarantinedCallsSystem(gateway: Gateway) {
+	for (const {call, quarantine} of findQuarantinedCalls(gateway)) {
+		call.mayHaveRun ||= call.state === CallState.Sent;
+		detachCall(gateway, call);
+		refuse(gateway, call, createQuarantineRefusal(gateway, quarantine), {segment: quarantine.segment, crashes: quarantine.crashes});
+	}
+}
+
 /** Sends the queued calls for which a slot is free now. */
 export function callsSystem(gateway: Gateway) {
 	for (const pool of gateway.queues.keys()) {
--- /dev/null
+++ b/packages/core/src/gateway/crash-evidence.ts
@@ -0,0 +1,220 @@
+/*
+Evidence of prompt segments that crash targets. A crash breaks all answers in work at its target, at every instance, so it has many
+suspects: the segments of the calls whose answers hadn't begun, or had begun only just. Answers that go on or end well show that
+their segments are sound. Which segment of which call it was shows only over several crashes, so instances report theirs in digests.
+
+A broken answer alone proves no crash. The process counts as ended when several of its answers break together, when connections to
+it fail, or when the platform lists it no longer; an answer that it begins later disproves the crash.
+*/
+import type {CrashEntry, SoundSegmentEntry} from '../messages.ts';
+import type {Gateway} from './gateway.ts';
+import {getSharedSegmentIds} from './prompt-segments.ts';
+import type {
+	Call, Crash, Instance, PoolTarget, Prompt,
+} from './rows.ts';
+
+/** Bounds of what is kept, and of what a digest carries. */
+const maxCrashes = 64;
+const maxSoundSegments = 20_000;
+const maxReportedCrashes = 8;
+const maxReportedSuspects = 24;
+const maxReportedSoundSegments = 64;
+
+/** Time for which a crash is reported: several digests, of which some may be lost. In milliseconds. */
+const reportedCrashMs = 5000;
+
+/** Difference between the times of a crash at two instances, from the delay of digests; in milliseconds. */
+const reportToleranceMs = 300;
+
+/** Number of answers that have to break together to show that the process has ended. */
+const minBrokenTogether = 2;
+
+type TargetProcess = Pick<PoolTarget, 'id' | 'startId'>;
+
+function createKey({id, startId}: TargetProcess): string {
+	return `${id}/${startId}`;
+}
+
+function addCrash({crashes, now}: Gateway, {id, startId}: TargetProcess, at = now): Crash {
+	const crash: Crash = {
+		target: id, startId, at, brokenCalls: new Map(), isConfirmed: false, isDisproved: false, ownSuspects: new Set(), suspects: new Set(),
+	};
+	const key = createKey({id, startId});
+	crashes.delete(key);
+	crashes.set(key, crash);
+	if (crashes.size > maxCrashes) {
+		crashes.delete(crashes.keys().next().value!);
+	}
+
+	return crash;
+}
+
+function countBrokenCalls({brokenCalls}: Crash): number {
+	return [...brokenCalls.values()].reduce((sum, count) => sum + count, 0);
+}
+
+/** Finds the crash to which an answer that breaks now belongs; one that wasn't confirmed in time was none. */
+function getOrCreateCrash(gateway: Gateway, target: TargetProcess): Crash {
+	const known = gateway.crashes.get(createKey(target));
+	const isCurrent = known && (known.isConfirmed || gateway.now - known.at <= gateway.limits.crashWindowMs);
+	return isCurrent ? known : addCrash(gateway, target);
+}
+
+/** Records that the answer of a target to a call broke. */
+export function recordBrokenAnswer(gateway: Gateway, {prompt, firstByteAt}: Call, target: PoolTarget) {
+	if (!prompt) {
+		return;
+	}
+
+	const crash = getOrCreateCrash(gateway, target);
+	crash.brokenCalls.set(gateway.self.id, (crash.brokenCalls.get(gateway.self.id) ?? 0) + 1);
+	crash.isConfirmed ||= countBrokenCalls(crash) >= minBrokenTogether;
+	if (firstByteAt !== undefined && gateway.now - firstByteAt > gateway.limits.crashDelayMs) {
+		recordSoundPrompt(gateway, prompt);
+		return;
+	}
+
+	for (const id of getSharedSegmentIds(prompt)) {
+		crash.ownSuspects.add(id);
+		crash.suspects.add(id);
+	}
+}
+
+/** Confirms that a process whose answers broke recently has ended. */
+export function confirmCrash({crashes, now, limits}: Gateway, target: TargetProcess) {
+	const crash = crashes.get(createKey(target));
+	if (crash && now - crash.at <= limits.crashConfirmationMs) {
+		crash.isConfirmed = true;
+	}
+}
+
+/** Records that a process began an answer, so that it hadn't ended before. */
+export function disproveCrash({crashes, now, limits}: Gateway, target: TargetProcess) {
+	const crash = crashes.get(createKey(target));
+	if (crash && now - crash.at > limits.crashWindowMs) {
+		crash.isDisproved = true;
+	}
+}
+
+/** Records that a target answered a prompt and came to no harm. */
+export function recordSoundPrompt({soundSegments, now}: Gateway, prompt: Prompt) {
+	for (const id of getSharedSegmentIds(prompt)) {
+		soundSegments.delete(id);
+		soundSegments.set(id, now);
+	}
+
+	for (const id of soundSegments.keys()) {
+		if (soundSegments.size <= maxSoundSegments) {
+			return;
+		}
+
+		soundSegments.delete(id);
+	}
+}
+
+/** When a segment was last seen to be sound; undefined when that is long ago, or it never was. */
+export function getSoundAt({soundSegments, now, limits}: Gateway, segment: string): number | undefined {
+	const at = soundSegments.get(segment);
+	return at !== undefined && now - at <= limits.soundMemoryMs ? at : undefined;
+}
+
+/** Whether a crash counts as evidence against a segment. */
+export function isSuspect(gateway: Gateway, crash: Crash, segment: string): boolean {
+	return !crash.isDisproved && crash.suspects.has(segment) && crash.at > (getSoundAt(gateway, segment) ?? Number.NEGATIVE_INFINITY);
+}
+
+/** Number of crashes after which a call with a segment that was never sound isn't sent to one more target. */
+const crashesBeforeResendEnds = 2;
+
+/** Whether a call whose answer broke is likely to have crashed its target, so that the next one would crash too. */
+export function isLikelyHarmful(gateway: Gateway, {prompt}: Call): boolean {
+	return prompt !== undefined && getSharedSegmentIds(prompt).some(segment =>
+		getSoundAt(gateway, segment) === undefined
+		&& [...gateway.crashes.values()].filter(crash => isSuspect(gateway, crash, segment)).length >= crashesBeforeResendEnds);
+}
+
+/** Records the segments of long answers as sound, and forgets old crashes. */
+export function crashEvidenceSystem(gateway: Gateway) {
+	const {
+		calls, crashes, limits, now,
+	} = gateway;
+	for (const [key, {at}] of crashes) {
+		if (now - at > limits.crashMemoryMs) {
+			crashes.delete(key);
+		}
+	}
+
+	if (crashes.size === 0 && gateway.quarantines.size === 0) {
+		return;
+	}
+
+	for (const {prompt, firstByteAt} of calls.rows()) {
+		if (prompt && firstByteAt !== undefined && now - firstByteAt > limits.crashDelayMs) {
+			recordSoundPrompt(gateway, prompt);
+		}
+	}
+}
+
+export function createCrashEntries({crashes, self, now}: Gateway): CrashEntry[] {
+	return [...crashes.values()]
+		.filter(({at, brokenCalls, isDisproved}) => !isDisproved && brokenCalls.has(self.id) && now - at <= reportedCrashMs)
+		.slice(-maxReportedCrashes)
+		.map(({
+			target, startId, at, brokenCalls, isConfirmed, ownSuspects,
+		}) => ({
+			target, startId, ageMs: Math.round(now - at), brokenCalls: brokenCalls.get(self.id)!, isConfirmed, suspects: [...ownSuspects].slice(-maxReportedSuspects),
+		}));
+}
+
+/** Creates entries for the segments that are suspected anywhere, as far as they were sound at this instance. */
+export function createSoundSegmentEntries(gateway: Gateway): SoundSegmentEntry[] {
+	const {crashes, quarantines, now} = gateway;
+	const suspected = new Set([...quarantines.keys(), ...[...crashes.values()].filter(({at}) => now - at <= reportedCrashMs).flatMap(({suspects}) => [...suspects])]);
+	return [...suspected]
+		.map(segment => ({segment, at: getSoundAt(gateway, segment)}))
+		.filter((entry): entry is {segment: string; at: number} => entry.at !== undefined)
+		.slice(0, maxReportedSoundSegments)
+		.map(({segment, at}) => ({segment, ageMs: Math.round(now - at)}));
+}
+
+/** Finds the crash that another instance reports; creates it when it isn't known. */
+function findReportedCrash(gateway: Gateway, {target: id, startId, ageMs}: CrashEntry): Crash | undefined {
+	const at = gateway.now - ageMs;
+	const known = gateway.crashes.get(createKey({id, startId}));
+	if (!known || (!known.isConfirmed && at - known.at > reportToleranceMs)) {
+		return addCrash(gateway, {id, startId}, at);
+	}
+
+	return known.isConfirmed || Math.abs(at - known.at) <= reportToleranceMs ? known : undefined;
+}
+
+/** Whether a process has begun an answer after a time. */
+function hasAnsweredSince({targets}: Gateway, {id, startId}: TargetProcess, at: number): boolean {
+	const target = targets.get(id);
+	return target?.startId === startId && target.lastAnswerAt > at + reportToleranceMs;
+}
+
+/** Applies the crashes and the sound segments that another instance reported in a digest. */
+export function applyReportedEvidence(gateway: Gateway, {id: reporter}: Instance, crashes: CrashEntry[], soundSegments: SoundSegmentEntry[]) {
+	for (const entry of crashes) {
+		const crash = findReportedCrash(gateway, entry);
+		if (!crash) {
+			continue;
+		}
+
+		crash.at = Math.min(crash.at, gateway.now - entry.ageMs);
+		crash.brokenCalls.set(reporter, entry.brokenCalls);
+		crash.isConfirmed ||= entry.isConfirmed || countBrokenCalls(crash) >= minBrokenTogether;
+		crash.isDisproved ||= hasAnsweredSince(gateway, {id: entry.target, startId: entry.startId}, crash.at);
+		for (const segment of entry.suspects) {
+			crash.suspects.add(segment);
+		}
+	}
+
+	for (const {segment, ageMs} of soundSegments) {
+		const at = gateway.now - ageMs;
+		if (at > (gateway.soundSegments.get(segment) ?? Number.NEGATIVE_INFINITY)) {
+			gateway.soundSegments.set(segment, at);
+		}
+	}
+}
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -12,7 +12,7 @@
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
 import type {
-	Call, DataVersion, FormerTarget, Instance, PoolTarget, SendCount, Usage,
+	Call, Crash, DataVersion, FormerTarget, Instance, PoolTarget, Quarantine, SendCount, Usage,
 } from './rows.ts';
 
 export type GatewaySelf = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl' | 'capacity'>;
@@ -95,6 +95,12 @@
 	lastFullAt: Map<string, number>;
 	sendCounts: Map<string, SendCount[]>;
 	poolEstimates: Table<PoolEstimates>;
+	/** Ends of targets' processes, by target and start id; oldest first. */
+	crashes: Map<string, Crash>;
+	/** When an answer last showed that a prompt segment does no harm, by segment; least recent first. */
+	soundSegments: Map<string, number>;
+	/** Prompt segments that crash targets, by segment; oldest first. */
+	quarantines: Map<string, Quarantine>;
 	instances: Table<Instance>;
 	/** Whether the platform's list of instances has been received. */
 	hasInstanceList: boolean;
@@ -166,6 +172,9 @@
 		lastFullAt: new Map(),
 		sendCounts: new Map(),
 		poolEstimates: createTable<PoolEstimates>({key: estimates => estimates.pool}),
+		crashes: new Map(),
+		soundSegments: new Map(),
+		quarantines: new Map(),
 		instances: createTable<Instance>({key: instance => instance.id}),
 		hasInstanceList: false,
 		unlistedInstances: new Set(),
--- a/packages/core/src/gateway/instances.ts
+++ b/packages/core/src/gateway/instances.ts
@@ -8,6 +8,7 @@
 import {LogPart} from '../ports.ts';
 import {computeRendezvousScore} from '../rendezvous-hash.ts';
 import {randomFraction, startPeriodIfDue} from '../world.ts';
+import {applyReportedEvidence, createCrashEntries, createSoundSegmentEntries} from './crash-evidence.ts';
 import {applyReportedVersions} from './data-sources.ts';
 import {createPoolEntries, averageLimits} from './engine-limits.ts';
 import {
@@ -19,6 +20,7 @@
 import {createTargetEntries, updateRemoteRunning} from './loads.ts';
 import {isOverloaded} from './overload.ts';
 import {isDataReturnRecent} from './platform-data.ts';
+import {applyReportedQuarantines, createQuarantineEntries} from './quarantines.ts';
 import {
 	isServing, markReachable, selectDigestRecipients, updateServingSet,
 } from './serving-set.ts';
@@ -159,6 +161,8 @@
 	applyReportedColdTargets(gateway, instance);
 	applyReportedLeavingTargets(gateway, instance);
 	applyReportedVersions(gateway, instance, digest.dataVersions ?? []);
+	applyReportedEvidence(gateway, instance, digest.crashes ?? [], digest.soundSegments ?? []);
+	applyReportedQuarantines(gateway, instance, digest.quarantines ?? []);
 }
 
 /** Applies the ages at which the sender of a digest received the digests of others. */
@@ -203,6 +207,9 @@
 		isOverloaded: isOverloaded(gateway),
 		usedCapacity: gateway.usedCapacity,
 		dataVersions: [...gateway.dataVersions.values()],
+		crashes: createCrashEntries(gateway),
+		soundSegments: createSoundSegmentEntries(gateway),
+		quarantines: createQuarantineEntries(gateway),
 	};
 }
 
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -113,6 +113,24 @@
 	maxTargetPauseMs: number;
 	/** Time for which it is remembered what a target said of itself before it was removed. */
 	formerTargetMs: number;
+	/** Longest time from the start of an answer to the crash of its target that the answer caused. */
+	crashDelayMs: number;
+	/** Time within which the answers of a target that crashed break. */
+	crashWindowMs: number;
+	/** Time within which other evidence that a target's process has ended must follow broken answers. */
+	crashConfirmationMs: number;
+	/** Crashes closer together than this have one cause, which is no prompt: that crashes one target at a time. */
+	commonCauseMs: number;
+	/** Time for which crashes, and answers that show a prompt segment to be sound, are remembered. */
+	crashMemoryMs: number;
+	soundMemoryMs: number;
+	/** Crashes after which a segment that has never been seen to be sound is put into quarantine. */
+	crashesBeforeQuarantine: number;
+	/** The same for a segment that was sound recently: crashes since then. */
+	crashesOfSoundSegment: number;
+	/** Time for which no call with a segment in quarantine is sent; doubles with each failed trial up to the maximum. */
+	quarantineMs: number;
+	maxQuarantineMs: number;
 	/** An instance without a digest for this long is removed from the platform's list. */
 	removalTimeoutMs: number;
 	/** Minimum interval between two registrations. */
@@ -174,6 +192,16 @@
 	rewriteTimeoutMs: 10 * second,
 	maxTargetPauseMs: 60 * second,
 	formerTargetMs: 120 * second,
+	crashDelayMs: 2 * second,
+	crashWindowMs: 100,
+	crashConfirmationMs: 10 * second,
+	commonCauseMs: 30,
+	crashMemoryMs: 120 * second,
+	soundMemoryMs: 60 * second,
+	crashesBeforeQuarantine: 3,
+	crashesOfSoundSegment: 5,
+	quarantineMs: 600 * second,
+	maxQuarantineMs: 3600 * second,
 	removalTimeoutMs: 10 * second,
 	minRegisterIntervalMs: 2 * second,
 	lingerMs: 2.5 * second,
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -223,3 +223,35 @@
 	/** Targets that it uses or knows to be cold, from its last digest. */
 	targets: TargetEntry[];
 };
+
+/** End of a target's process while it had answers in work, by what this instance and others saw. */
+export type Crash = {
+	target: string;
+	startId: string;
+	/** When the first answer broke. */
+	at: number;
+	/** Number of calls whose answers broke, by instance. */
+	brokenCalls: Map<string, number>;
+	/** Whether the process has ended for certain: several answers broke at once, or connections to it fail. */
+	isConfirmed: boolean;
+	/** Whether the process began an answer later, so that it hadn't ended. */
+	isDisproved: boolean;
+	/** Shared segments of the prompts of this instance's calls that may have caused it. */
+	ownSuspects: Set<string>;
+	/** The same, of all instances. */
+	suspects: Set<string>;
+};
+
+/** Prompt segment that crashes targets. */
+export type Quarantine = {
+	segment: string;
+	/** Number of crashes that it caused. */
+	crashes: number;
+	lastCrashAt: number;
+	/** Time from which one call at a time is let through at one instance, as a trial. */
+	until: number;
+	/** How long the quarantine lasts before the trial, in milliseconds. */
+	durationMs: number;
+	/** Call of this instance that is the current trial; undefined while there is none. */
+	trialCall: string | undefined;
+};
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -2,8 +2,9 @@
 One step of the gateway: each message of the inbox goes to its handler, then the systems run in order.
 */
 import {
-	callsSystem, onAnswerDelivered, onAnswerStarted, onCallArrived, onCallerGone, onSendEnded, timeoutsSystem,
+	callsSystem, onAnswerDelivered, onAnswerStarted, onCallArrived, onCallerGone, onSendEnded, quarantinedCallsSystem, timeoutsSystem,
 } from './calls.ts';
+import {crashEvidenceSystem} from './crash-evidence.ts';
 import {missingDataSystem, onDataVersion} from './data-sources.ts';
 import type {Gateway} from './gateway.ts';
 import {
@@ -13,6 +14,7 @@
 import {onPlatformDataReturned, onPlatformReach} from './platform-data.ts';
 import type {GatewayInbound, GatewayInboundOf, GatewayOutbound} from './ports.ts';
 import {onProcessorUse} from './serving-set.ts';
+import {quarantinesSystem} from './quarantines.ts';
 import {fairLevelsSystem} from './shares.ts';
 import {formerTargetsSystem, onTargetLeaving, onTargetPause} from './target-notices.ts';
 import {
@@ -50,6 +52,9 @@
 	domainsSystem,
 	unlistedInstancesSystem,
 	fairLevelsSystem,
+	crashEvidenceSystem,
+	quarantinesSystem,
+	quarantinedCallsSystem,
 	timeoutsSystem,
 	callsSystem,
 	registrationSystem,
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -4,6 +4,7 @@
 has passed.
 */
 import {LogPart} from '../ports.ts';
+import {confirmCrash} from './crash-evidence.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
 import {findListDoubt, isDataReturnRecent, type ListDoubt} from './platform-data.ts';
 import type {GatewayInboundOf} from './ports.ts';
@@ -91,6 +92,7 @@
 		// already.
 		const {running, coldSendTimes, coldUntil} = target;
 		recordFormerTarget(gateway, target);
+		confirmCrash(gateway, target);
 		const next = {...createListedTarget(gateway, listed), running, coldSendTimes};
 		// An older copy of the platform's data may list the process before the one that is known, which may be cold still.
 		gateway.targets.set({...next, coldUntil: listed.isRestored ? Math.max(coldUntil, next.coldUntil) : next.coldUntil});
@@ -106,6 +108,7 @@
 
 function deleteTarget(gateway: Gateway, target: PoolTarget, reason: string) {
 	recordFormerTarget(gateway, target);
+	confirmCrash(gateway, target);
 	gateway.targets.delete(target.id);
 	gateway.unlistedTargets.delete(target.id);
 	gateway.outbox.push({kind: 'targetGone', address: target.address});
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -196,6 +196,35 @@
 	tenure: string;
 };
 
+/** End of a target's process, as the sender saw it. */
+export type CrashEntry = {
+	target: string;
+	startId: string;
+	ageMs: number;
+	/** Number of the sender's calls whose answers broke. */
+	brokenCalls: number;
+	isConfirmed: boolean;
+	/** Prompt segments that may have caused it. */
+	suspects: string[];
+};
+
+/** Age of the last answer that showed that a suspected prompt segment does no harm. */
+export type SoundSegmentEntry = {
+	segment: string;
+	ageMs: number;
+};
+
+/** Prompt segment that is sent to no target. */
+export type QuarantineEntry = {
+	segment: string;
+	/** Number of crashes that it caused. */
+	crashes: number;
+	/** Time since the last of them. */
+	ageMs: number;
+	/** Time until a trial; negative while one is due. */
+	remainingMs: number;
+};
+
 /** Periodic state of one router. */
 export type Digest = {
 	kind: 'digest';
@@ -218,6 +247,9 @@
 	platformReachedMs?: number | undefined;
 	/** Time since the platform last answered the sender; undefined when it doesn't reach it. */
 	platformAnsweredMs?: number | undefined;
+	crashes?: CrashEntry[];
+	soundSegments?: SoundSegmentEntry[];
+	quarantines?: QuarantineEntry[];
 	/** Targets that are in use at the sender or cold; left out where targets have owners. */
 	targets?: TargetEntry[];
 	/** Whether the sender is overloaded, so that callers should be sent to other instances. */
--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -20,6 +20,7 @@
 	DeadlinePassed = 'deadline-passed',
 	QueueFull = 'queue-full',
 	NoCapacity = 'no-capacity',
+	PromptQuarantined = 'prompt-quarantined',
 	NotReady = 'not-ready',
 	CutOff = 'cut-off',
 	Stopping = 'stopping',
@@ -100,6 +101,11 @@
 		message: detail => `no target serves "${detail}" at the moment`,
 		hint: 'Retry after the time in the Retry-After header.',
 	},
+	[RefusalKind.PromptQuarantined]: {
+		status: 503,
+		message: detail => `targets crashed while they answered prompts with the part "${detail}"`,
+		hint: 'Send the request without this part of the prompt; with it, only after the time in the Retry-After header.',
+	},
 	[RefusalKind.NotReady]: {
 		status: 503,
 		message: () => 'the router has not received a configuration yet',
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -48,6 +48,7 @@
 		}),
 		pausedTargets: new Gauge({name: 'shallotloom_targets_paused', help: 'Targets that want no request from this instance now.', registers}),
 		unlistedTargets: new Gauge({name: 'shallotloom_targets_unlisted', help: 'Targets kept though the platform no longer lists them.', registers}),
+		quarantinedSegments: new Gauge({name: 'shallotloom_prompt_segments_quarantined', help: 'Prompt segments in quarantine, since targets crashed under them.', registers}),
 		servingInstances: new Gauge({name: 'shallotloom_instances_serving', help: 'Instances to which callers are sent.', registers}),
 		isServing: new Gauge({name: 'shallotloom_serving', help: 'Whether callers are sent to this instance.', registers}),
 		usedCapacity: new Gauge({name: 'shallotloom_processor_used_cores', help: 'Processor capacity in use, in cores.', registers}),
@@ -99,6 +100,7 @@
 
 		gauges.pausedTargets.set([...gateway.targets.rows()].filter(target => isPaused(gateway, target)).length);
 		gauges.unlistedTargets.set(gateway.unlistedTargets.size);
+		gauges.quarantinedSegments.set(gateway.quarantines.size);
 		gauges.servingInstances.set(gateway.servingInstances.size);
 		gauges.isServing.set(isServing(gateway) ? 1 : 0);
 		gauges.usedCapacity.set(gateway.usedCapacity);
