Decide between equal suspects by their crashes, and look at open calls less often

Equal groups are now decided by the number of crashes. A segment that was sound before is no longer hidden by a bystander that never was. Open calls are checked when a quarantine begins, and long answers each 0.5 s, not in each step.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -25,7 +25,7 @@
 import {SendEnd, type GatewayInboundOf} from './ports.ts';
 import {getSharedSegmentIds, recordCachedSegments} from './prompt-segments.ts';
 import {
-	createQuarantineRefusal, failTrial, findQuarantine, findQuarantinedCalls,
+	createQuarantineRefusal, failTrial, findQuarantine, takeQuarantinedCalls,
 } from './quarantines.ts';
 import {recordCall, recordFirstSend, trySpendRetry} from './retries.ts';
 import {
@@ -505,7 +505,7 @@
 
 /** Refuses calls with a prompt segment that has been put into quarantine, and cancels those that were sent. */
 export function quarantinedCallsSystem(gateway: Gateway) {
-	for (const {call, quarantine} of findQuarantinedCalls(gateway)) {
+	for (const {call, quarantine} of takeQuarantinedCalls(gateway)) {
 		call.mayHaveRun ||= call.state === CallState.Sent;
 		detachCall(gateway, call);
 		refuse(gateway, call, createQuarantineRefusal(gateway, quarantine), {segment: quarantine.segment, crashes: quarantine.crashes});
--- a/packages/core/src/gateway/crash-evidence.ts
+++ b/packages/core/src/gateway/crash-evidence.ts
@@ -7,6 +7,7 @@
 it fail, or when the platform lists it no longer; an answer that it begins later disproves the crash.
 */
 import type {CrashEntry, SoundSegmentEntry} from '../messages.ts';
+import {startPeriodIfDue} from '../world.ts';
 import type {Gateway} from './gateway.ts';
 import {getSharedSegmentIds} from './prompt-segments.ts';
 import type {
@@ -26,6 +27,9 @@
 /** Difference between the times of a crash at two instances, from the delay of digests; in milliseconds. */
 const reportToleranceMs = 300;
 
+/** Period at which long answers are looked at, in milliseconds. */
+const soundAnswersMs = 500;
+
 /** Number of answers that have to break together to show that the process has ended. */
 const minBrokenTogether = 2;
 
@@ -144,7 +148,7 @@
 		}
 	}
 
-	if (crashes.size === 0 && gateway.quarantines.size === 0) {
+	if ((crashes.size === 0 && gateway.quarantines.size === 0) || !startPeriodIfDue(gateway, 'soundAnswers', soundAnswersMs)) {
 		return;
 	}
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -101,6 +101,8 @@
 	soundSegments: Map<string, number>;
 	/** Prompt segments that crash targets, by segment; oldest first. */
 	quarantines: Map<string, Quarantine>;
+	/** Whether a quarantine has begun since the open calls were last checked. */
+	hasNewQuarantine: boolean;
 	instances: Table<Instance>;
 	/** Whether the platform's list of instances has been received. */
 	hasInstanceList: boolean;
@@ -175,6 +177,7 @@
 		crashes: new Map(),
 		soundSegments: new Map(),
 		quarantines: new Map(),
+		hasNewQuarantine: false,
 		instances: createTable<Instance>({key: instance => instance.id}),
 		hasInstanceList: false,
 		unlistedInstances: new Set(),
--- a/packages/core/src/gateway/quarantines.ts
+++ b/packages/core/src/gateway/quarantines.ts
@@ -53,39 +53,56 @@
 	return groups;
 }
 
+/** Evidence against a segment. */
+type Evidence = {
+	segment: string;
+	/** Number of crashes, and of groups of crashes that happened together. */
+	crashes: number;
+	groups: number;
+};
+
 /** Counts the crashes that are evidence against each segment and that no segment in quarantine explains. */
-function countUnexplainedCrashes(gateway: Gateway): Map<string, number> {
+function countUnexplainedCrashes(gateway: Gateway): Evidence[] {
 	const {crashes, quarantines, limits, now} = gateway;
 	const unexplained = [...crashes.values()].filter(({at, isConfirmed, isDisproved, suspects}) =>
 		isConfirmed && !isDisproved && now - at >= limits.digestMs + settlingMarginMs && [...suspects].every(segment => !quarantines.has(segment)));
-	const counts = new Map<string, number>();
+	const evidence = new Map<string, Evidence>();
 	for (const group of groupByTime(gateway, unexplained)) {
-		const suspects = new Set(group.flatMap(crash => [...crash.suspects].filter(segment => isSuspect(gateway, crash, segment))));
-		for (const segment of suspects) {
-			counts.set(segment, (counts.get(segment) ?? 0) + 1);
+		const suspected = group.flatMap(crash => [...crash.suspects].filter(segment => isSuspect(gateway, crash, segment)));
+		for (const segment of new Set(suspected)) {
+			const {crashes: crashCount, groups} = evidence.get(segment) ?? {crashes: 0, groups: 0};
+			evidence.set(segment, {segment, crashes: crashCount + suspected.filter(id => id === segment).length, groups: groups + 1});
 		}
 	}
 
-	return counts;
+	return [...evidence.values()];
 }
 
-/** Selects the segments with the highest count, if it is high enough and leaves no doubt. */
-function selectCauses(gateway: Gateway, counts: Map<string, number>): string[] {
-	const {crashesBeforeQuarantine, crashesOfSoundSegment} = gateway.limits;
-	const selectLeaders = (segments: string[]) => {
-		const highest = Math.max(...segments.map(segment => counts.get(segment)!));
-		return segments.filter(segment => counts.get(segment) === highest);
-	};
+/** Selects the segments with the most evidence. */
+function selectLeaders(evidence: Evidence[]): Evidence[] {
+	const groups = Math.max(0, ...evidence.map(entry => entry.groups));
+	const candidates = evidence.filter(entry => entry.groups === groups);
+	const crashes = Math.max(0, ...candidates.map(entry => entry.crashes));
+	return candidates.filter(entry => entry.crashes === crashes);
+}
+
+/** Whether the evidence against segments that were never sound is high enough; more is needed when it is against several. */
+function isClear({limits: {crashesBeforeQuarantine, crashesOfSoundSegment}}: Gateway, leaders: Evidence[]): boolean {
+	const {groups, crashes} = leaders[0]!;
+	return groups >= crashesBeforeQuarantine && (leaders.length === 1 || crashes >= crashesOfSoundSegment);
+}
 
-	const neverSound = selectLeaders([...counts.keys()].filter(segment => getSoundAt(gateway, segment) === undefined));
-	if (neverSound.length > 0) {
-		const count = counts.get(neverSound[0]!)!;
-		const isClear = neverSound.length === 1 ? count >= crashesBeforeQuarantine : count >= crashesOfSoundSegment;
-		return isClear ? neverSound : [];
+/** Selects the segments with the most evidence against them, if it is high enough. */
+function selectCauses(gateway: Gateway, evidence: Evidence[]): string[] {
+	const neverSound = selectLeaders(evidence.filter(({segment}) => getSoundAt(gateway, segment) === undefined));
+	if (neverSound.length > 0 && isClear(gateway, neverSound)) {
+		return neverSound.map(({segment}) => segment);
 	}
 
-	const [longestUnsound] = selectLeaders([...counts.keys()]).toSorted((a, b) => getSoundAt(gateway, a)! - getSoundAt(gateway, b)!);
-	return longestUnsound !== undefined && counts.get(longestUnsound)! >= crashesOfSoundSegment ? [longestUnsound] : [];
+	const [longestUnsound] = selectLeaders(evidence.filter(({segment}) => getSoundAt(gateway, segment) !== undefined))
+		.toSorted((a, b) => getSoundAt(gateway, a.segment)! - getSoundAt(gateway, b.segment)!);
+	const isCause = longestUnsound !== undefined && longestUnsound.groups >= gateway.limits.crashesOfSoundSegment && longestUnsound.groups > (neverSound[0]?.groups ?? 0);
+	return isCause ? [longestUnsound.segment] : [];
 }
 
 function findCrashesWith({crashes}: Gateway, segment: string): Crash[] {
@@ -95,6 +112,7 @@
 function addQuarantine(gateway: Gateway, quarantine: Omit<Quarantine, 'trialCall' | 'durationMs'>, fields: Record<string, unknown>) {
 	const {quarantines, limits, now} = gateway;
 	const {segment, crashes, until} = quarantine;
+	gateway.hasNewQuarantine = true;
 	quarantines.set(segment, {...quarantine, durationMs: limits.quarantineMs, trialCall: undefined});
 	if (quarantines.size > maxQuarantines) {
 		quarantines.delete(quarantines.keys().next().value!);
@@ -205,12 +223,13 @@
 	};
 }
 
-/** Finds the calls, waiting or sent, with a segment in quarantine. */
-export function findQuarantinedCalls(gateway: Gateway): Array<{call: Call; quarantine: Quarantine}> {
-	if (gateway.quarantines.size === 0) {
+/** Finds the calls, waiting or sent, with a segment that has been put into quarantine since the last time. */
+export function takeQuarantinedCalls(gateway: Gateway): Array<{call: Call; quarantine: Quarantine}> {
+	if (!gateway.hasNewQuarantine) {
 		return [];
 	}
 
+	gateway.hasNewQuarantine = false;
 	return [...gateway.calls.rows()]
 		.map(call => ({call, quarantine: findQuarantine(gateway, call)}))
 		.filter((entry): entry is {call: Call; quarantine: Quarantine} => entry.quarantine !== undefined);
