Draw fleets with harmful prompts, and let a crashed engine of the model lose all its requests

Its first runs showed faults of the model: an engine went on with requests that hadn't been admitted when it crashed, and finished short harmful answers, so that the harmful segment seemed sound. Two mechanisms are taken out in tests, and the checks fail.

--- a/packages/bench/src/fleet-model/engine.ts
+++ b/packages/bench/src/fleet-model/engine.ts
@@ -69,6 +69,8 @@
 
 /** Creates an engine without requests and with an empty cache. */
 export function createEngine({queue, options, onPrefill}: EngineContext): Engine {
+	/** Requests that have arrived and can't be admitted yet. */
+	const arriving = new Set<Sequence>();
 	const waiting: Sequence[] = [];
 	/** Admitted sequences whose prompts are being prefilled, in order of arrival. */
 	let prefilling: Sequence[] = [];
@@ -196,7 +198,12 @@
 			const sequence: Sequence = {
 				request, tokensToPrefill: undefined, promptTokens: request.segments.reduce((sum, {tokens}) => sum + tokens, 0), generatedTokens: 0, lastEventAt: 0, longestGapMs: 0,
 			};
+			arriving.add(sequence);
 			queue.schedule(options.admissionDelayMs, () => {
+				if (!arriving.delete(sequence)) {
+					return;
+				}
+
 				waiting.push(sequence);
 				if (!isStepping) {
 					isStepping = true;
@@ -205,7 +212,8 @@
 			});
 		},
 		crash() {
-			const lostIds = [...waiting, ...prefilling, ...running].map(({request}) => request.id);
+			const lostIds = [...arriving, ...waiting, ...prefilling, ...running].map(({request}) => request.id);
+			arriving.clear();
 			waiting.length = 0;
 			prefilling = [];
 			running = [];
@@ -213,6 +221,12 @@
 		},
 		cancel(id) {
 			const isOther = ({request}: Sequence) => request.id !== id;
+			for (const sequence of arriving) {
+				if (!isOther(sequence)) {
+					arriving.delete(sequence);
+				}
+			}
+
 			waiting.splice(0, waiting.length, ...waiting.filter(sequence => isOther(sequence)));
 			prefilling = prefilling.filter(sequence => isOther(sequence));
 			running = running.filter(sequence => isOther(sequence));
--- a/packages/bench/src/fleet-model/fleet.ts
+++ b/packages/bench/src/fleet-model/fleet.ts
@@ -104,6 +104,9 @@
 
 const harmfulSegmentTokens = 100;
 
+/** Length of an answer that lasts until its engine has crashed, in tokens. */
+const harmfulOutputTokens = 10_000;
+
 const host = 'model';
 const pool = 'engines';
 
@@ -271,7 +274,8 @@
 			model.add({
 				id,
 				segments: request.segments,
-				outputTokens: request.outputTokens,
+				// The engine crashes before such an answer is complete.
+				outputTokens: isHarmful ? harmfulOutputTokens : request.outputTokens,
 				onFirstToken() {
 					for (const segment of request.segments) {
 						segmentUsedAt.set(segment.id, queue.now);
--- /dev/null
+++ b/packages/bench/src/fleet-model/harmful-fleets.ts
@@ -0,0 +1,68 @@
+/*
+Draws fleets of which some requests hold a prompt segment that crashes engines, beside crashes with other causes, and checks what the
+users' rules ask: that hardly a request with the segment reaches an engine once the fleet must know it, that the other requests are
+served, and that no other segment is put into quarantine.
+*/
+import {createRandom} from '../load/random.ts';
+import {
+	CallEnd, harmfulSegment, runFleet, type FleetOptions, type FleetRun,
+} from './fleet.ts';
+import {fleets} from './fleets.ts';
+
+/** Crashes after which the fleet must know the segment. */
+const allowedCrashes = 5;
+
+/** Time that it may take until all instances know it, in milliseconds. */
+const contactMs = 3000;
+
+const seconds = 22;
+
+const fleetNames = ['straw-calm', 'straw-pressed', 'straw-flooded', 'college-calm', 'held-back-few'];
+
+export type HarmfulFleetResult = {
+	fleet: string;
+	/** Crashes by the segment. */
+	crashes: number;
+	/** Requests with the segment that reached engines although the fleet had to know it. */
+	lateArrivals: number;
+	/** Other segments that an instance put into quarantine. */
+	wrongQuarantines: string[];
+	/** Fraction of the requests without the segment that were served since the fleet had to know it; undefined when there were none. */
+	servedFraction: number | undefined;
+};
+
+export function countLateArrivals({harmfulCrashes, harmfulArrivals}: FleetRun): number {
+	const crashedAt = harmfulCrashes[allowedCrashes - 1] ?? Number.POSITIVE_INFINITY;
+	return harmfulArrivals.filter(at => at > crashedAt + contactMs).length;
+}
+
+/** Fraction of the requests of a period without the harmful segment that were served, late ones too; undefined when there are none. */
+export function computeServedFraction({records}: FleetRun, fromMs: number, toMs: number): number | undefined {
+	const requests = records.filter(({request, requestedAt}) =>
+		requestedAt >= fromMs && requestedAt < toMs && request.segments.every(({id}) => id !== harmfulSegment));
+	return requests.length === 0 ? undefined : requests.filter(({end}) => end !== CallEnd.Refused).length / requests.length;
+}
+
+/** Runs the fleet of a seed. */
+export function runHarmfulFleet(seed: number): HarmfulFleetResult {
+	const random = createRandom(seed, 9);
+	const draw = (from: number, to: number) => from + (random.uniform() * (to - from));
+	const fleet = fleetNames[seed % fleetNames.length]!;
+	const harmful = {
+		fromMs: draw(4000, 8000), toMs: 22_000, requestsPerSecond: draw(0.7, 12.7), crashDelayMs: draw(5, 405), durationMs: draw(800, 5800), listedMs: 3600,
+	};
+	const crashes: FleetOptions['crashes'] = Array.from({length: seed % 3 === 0 ? 0 : 6}, () => ({
+		atMs: draw(3000, 20_000), durationMs: draw(500, 3500), engines: Math.floor(draw(1, 4)),
+	}));
+	const run = runFleet({
+		...fleets[fleet]!, seed, seconds, limits: {}, maxSends: Math.floor(draw(1, 5)), harmful, crashes,
+	});
+	const crashedAt = run.harmfulCrashes[allowedCrashes - 1];
+	return {
+		fleet,
+		crashes: run.harmfulCrashes.length,
+		lateArrivals: countLateArrivals(run),
+		wrongQuarantines: [...run.quarantinedSegments].filter(id => id !== harmfulSegment),
+		servedFraction: crashedAt === undefined ? undefined : computeServedFraction(run, crashedAt + (2 * contactMs), seconds * 1000),
+	};
+}
--- a/packages/bench/test/harmful-prompts.test.ts
+++ b/packages/bench/test/harmful-prompts.test.ts
@@ -1,10 +1,10 @@
 import {
-	CallEnd, harmfulSegment, runFleet, type CallRecord, type FleetOptions, type FleetRun,
+	harmfulSegment, runFleet, type FleetOptions, type FleetRun,
 } from '../src/fleet-model/fleet.ts';
 import {fleets} from '../src/fleet-model/fleets.ts';
+import {computeServedFraction, countLateArrivals, runHarmfulFleet} from '../src/fleet-model/harmful-fleets.ts';
 
-/** Crashes after which the fleet must know the segment, and the time that it may take, in milliseconds. */
-const allowedCrashes = 5;
+/** Time within which the fleet must know the segment, in milliseconds. */
 const contactMs = 3000;
 
 const harmful = {
@@ -17,19 +17,6 @@
 	});
 }
 
-/** Number of requests with the harmful segment that reached an engine although the fleet had to know it. */
-function countLateArrivals({harmfulCrashes, harmfulArrivals}: FleetRun): number {
-	const crashedAt = harmfulCrashes[allowedCrashes - 1] ?? Number.POSITIVE_INFINITY;
-	return harmfulArrivals.filter(at => at > crashedAt + contactMs).length;
-}
-
-/** Fraction of the requests of a period without the harmful segment that were served, late ones too. */
-function computeServedFraction({records}: {records: CallRecord[]}, fromMs: number, toMs: number): number {
-	const requests = records.filter(({request, requestedAt}) =>
-		requestedAt >= fromMs && requestedAt < toMs && request.segments.every(({id}) => id !== harmfulSegment));
-	return requests.filter(({end}) => end !== CallEnd.Refused).length / requests.length;
-}
-
 test.each([
 	['straw-calm', 1], ['straw-calm', 2], ['straw-pressed', 3], ['college-calm', 4], ['held-back-few', 5], ['held-back-many', 6],
 ])('once five engines have crashed, hardly a request with the segment that crashes them reaches one: %s, seed %i', (name, seed) => {
@@ -45,7 +32,7 @@
 		...fleets[name]!, seed, seconds: 24, limits: {}, maxSends: 3,
 	});
 	const [from, to] = [harmful.fromMs + (2 * contactMs), harmful.toMs];
-	expect(computeServedFraction(run(name, {seed}), from, to)).toBeGreaterThanOrEqual(computeServedFraction(without, from, to) / 2);
+	expect(computeServedFraction(run(name, {seed}), from, to)).toBeGreaterThanOrEqual(computeServedFraction(without, from, to)! / 2);
 });
 
 const otherCrashes: FleetOptions['crashes'] = [
@@ -66,3 +53,20 @@
 	expect(fleetRun.quarantinedSegments).toEqual(new Set([harmfulSegment]));
 	expect(countLateArrivals(fleetRun)).toBeLessThanOrEqual(3);
 });
+
+test.each([101, 113, 133, 135, 139, 143, 158, 1004])('drawn fleets, with crashes of other causes: seed %i', seed => {
+	const {lateArrivals, wrongQuarantines} = runHarmfulFleet(seed);
+	expect(lateArrivals).toBeLessThanOrEqual(3);
+	expect(wrongQuarantines).toEqual([]);
+});
+
+/** Mechanisms, each taken out by a limit; without it, a check of the tests above fails. */
+const mechanisms: Array<[string, FleetOptions['limits']]> = [
+	['quarantines', {crashesBeforeQuarantine: 1000, crashesOfSoundSegment: 1000}],
+	['the evidence of other instances', {digestMs: 1_000_000}],
+];
+
+test.each(mechanisms)('harmful requests reach engines without %s', (_mechanism, limits) => {
+	expect(countLateArrivals(run('straw-pressed', {seed: 2}))).toBeLessThanOrEqual(3);
+	expect(countLateArrivals(run('straw-pressed', {seed: 2, limits}))).toBeGreaterThan(3);
+});
