--- a/packages/router/src/gateway/connection-pools.ts
+++ b/packages/router/src/gateway/connection-pools.ts
@@ -66,7 +66,10 @@
 		});
 	}
 
-	/** Closes a connection from which too many bytes are read without progress; undici parses each chunk before it reads the next. */
+	/**
+	Closes a connection from which too many bytes are read without progress. undici parses each chunk before it reads the next one, so what
+	it reports between two reads belongs to the connection that was read last.
+	*/
 	function limitBytesWithoutProgress(socket: Socket) {
 		const state = {bytesWithoutProgress: 0};
 		const read = socket.read.bind(socket);
