Name the reason for which a list of targets may be incomplete

A reading pass: 'doubt' becomes the reason that the log line calls it, and two comments are reworded.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -386,7 +386,7 @@
 	}
 }
 
-/** Logs what is needed to tell which of the answers that break together ended the target. */
+/** Logs what distinguishes the answer that ended its target from the others that broke with it. */
 function logBrokenAnswer(gateway: Gateway, call: Call, detail: string) {
 	const target = gateway.targets.get(call.target);
 	addLogLine(gateway, {
--- a/packages/core/src/gateway/crash-evidence.ts
+++ b/packages/core/src/gateway/crash-evidence.ts
@@ -14,7 +14,7 @@
 	Call, Crash, Instance, PoolTarget, Prompt,
 } from './rows.ts';
 
-/** Bounds of what is kept, and of what a digest carries. */
+/** Maximum numbers of entries that are kept, and that a digest carries. */
 const maxCrashes = 64;
 const maxSoundSegments = 20_000;
 const maxReportedCrashes = 8;
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -64,7 +64,7 @@
 }
 
 /** Why targets may be missing from the list though they run. */
-export enum ListDoubt {
+export enum IncompleteListReason {
 	NotReached = 'platform not reached',
 	OlderData = 'platform returned with older data',
 	ReportedOutage = 'outage reported by most instances',
@@ -72,20 +72,20 @@
 }
 
 /** Returns why targets may be missing from the list only because of an outage of the platform; undefined when they may not. */
-export function findListDoubt(gateway: Gateway): ListDoubt | undefined {
+export function findIncompleteListReason(gateway: Gateway): IncompleteListReason | undefined {
 	const {platform: {isReached, since, lastAnswerBeforeOutageAt, dataReturnedAt}, now, limits} = gateway;
 	if (!isReached) {
-		return ListDoubt.NotReached;
+		return IncompleteListReason.NotReached;
 	}
 
 	if (dataReturnedAt !== undefined && now < dataReturnedAt + limits.relistTimeoutMs) {
-		return ListDoubt.OlderData;
+		return IncompleteListReason.OlderData;
 	}
 
 	if (!isTargetWatcher(gateway, gateway.self.id) && isOutageReported(gateway)) {
-		return ListDoubt.ReportedOutage;
+		return IncompleteListReason.ReportedOutage;
 	}
 
 	const isRecent = lastAnswerBeforeOutageAt !== undefined && now < since + limits.relistTimeoutMs;
-	return isRecent && !isPlatformReachedElsewhere(gateway, lastAnswerBeforeOutageAt) ? ListDoubt.RecentOutage : undefined;
+	return isRecent && !isPlatformReachedElsewhere(gateway, lastAnswerBeforeOutageAt) ? IncompleteListReason.RecentOutage : undefined;
 }
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -6,7 +6,7 @@
 import {LogPart} from '../ports.ts';
 import {confirmCrash} from './crash-evidence.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
-import {findListDoubt, isDataReturnRecent, type ListDoubt} from './platform-data.ts';
+import {findIncompleteListReason, isDataReturnRecent, type IncompleteListReason} from './platform-data.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {TargetStanding, type ListedTarget, type PoolTarget} from './rows.ts';
 import {findFormerTarget, recordFormerTarget} from './target-notices.ts';
@@ -115,11 +115,11 @@
 	logTarget(gateway, `gone: ${reason}`, target);
 }
 
-function keepUnlisted(gateway: Gateway, {id}: PoolTarget, doubt: ListDoubt) {
+function keepUnlisted(gateway: Gateway, {id}: PoolTarget, reason: IncompleteListReason) {
 	const {unlistedTargets, platform, now} = gateway;
 	if (!unlistedTargets.has(id)) {
 		unlistedTargets.add(id);
-		addLogLine(gateway, {part: LogPart.Target, text: 'kept though not listed', fields: {target: id, reason: doubt, reachedMs: platform.isReached ? Math.round(now - platform.since) : undefined}});
+		addLogLine(gateway, {part: LogPart.Target, text: 'kept though not listed', fields: {target: id, reason, reachedMs: platform.isReached ? Math.round(now - platform.since) : undefined}});
 	}
 }
 
@@ -140,9 +140,9 @@
 			continue;
 		}
 
-		const doubt = findListDoubt(gateway);
-		if (doubt !== undefined && target.standing === TargetStanding.Ready) {
-			keepUnlisted(gateway, target, doubt);
+		const reason = findIncompleteListReason(gateway);
+		if (reason !== undefined && target.standing === TargetStanding.Ready) {
+			keepUnlisted(gateway, target, reason);
 		} else {
 			deleteTarget(gateway, target, 'not listed');
 		}
@@ -202,7 +202,7 @@
 
 /** Removes targets that are still not listed when the relist timeout has passed. */
 export function targetsSystem(gateway: Gateway) {
-	if (gateway.unlistedTargets.size === 0 || findListDoubt(gateway) !== undefined) {
+	if (gateway.unlistedTargets.size === 0 || findIncompleteListReason(gateway) !== undefined) {
 		return;
 	}
 
