--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -344,7 +344,7 @@
 		for (const pool of ['desk', 'engines']) {
 			const id = `${pool}-${index}`;
 			targets.set(id, {
-				id, pool, address: id, failureDomain: `d${index % 2}`, standing: TargetStanding.Ready, slots: 64, coldForMs: 0, startId: '0', revision: 0, isRestored: false,
+				id, pool, address: id, softwareVersion: 'v1', failureDomain: `d${index % 2}`, standing: TargetStanding.Ready, slots: 64, coldForMs: 0, startId: '0', revision: 0, isRestored: false,
 			});
 		}
 	}
@@ -417,6 +417,8 @@
 				kind: 'callArrived',
 				call: {
 					id,
+					requestId: id,
+					resumption: undefined,
 					host,
 					path: `${pathPrefix}x`,
 					key: 'a',
--- a/packages/bench/src/fleet-model/fleet.ts
+++ b/packages/bench/src/fleet-model/fleet.ts
@@ -149,7 +149,7 @@
 	function startEngine(id: string, failureDomain: string, coldForMs: number) {
 		startCount += 1;
 		targets.set(id, {
-			id, pool, address: id, failureDomain, standing: TargetStanding.Ready, slots: engine.slots, coldForMs, startId: String(startCount), revision: startCount, isRestored: false,
+			id, pool, address: id, softwareVersion: 'v1', failureDomain, standing: TargetStanding.Ready, slots: engine.slots, coldForMs, startId: String(startCount), revision: startCount, isRestored: false,
 		});
 		engineModels.set(id, createEngine({
 			queue,
@@ -337,6 +337,8 @@
 				kind: 'callArrived',
 				call: {
 					id,
+					requestId: id,
+					resumption: undefined,
 					host,
 					path: `/${request.kind.name}/x`,
 					key: request.workspace,
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -103,6 +103,7 @@
 		workspace: tenancy.workspace,
 		priority: tenancy.priority ?? route.priority,
 		prompt: arrival.prompt,
+		resumption: arrival.resumption,
 		fingerprint: arrival.fingerprint,
 		cost: computeCost(gateway, arrival),
 		arrivedAt: now,
@@ -202,6 +203,7 @@
 		remainingMs: Math.max(1, Math.floor(call.deadline - gateway.now)),
 		isStreamed: route.kind === CallKind.Streamed,
 		isResumed: call.hasAnswerBytes,
+		isResumedByCaller: call.resumption !== undefined,
 		isRepeatable: route.kind === CallKind.Repeatable,
 	});
 	addLogLine(gateway, {
@@ -210,10 +212,13 @@
 		request: call.id,
 		fields: {
 			target: target.id,
+			softwareVersion: target.softwareVersion,
 			pool: target.pool,
 			workspace: call.workspace,
 			route: route.name,
 			send: call.sends,
+			resumes: call.resumption && (call.resumption.firstRequestId ?? 'unnamed'),
+			isResumed: call.hasAnswerBytes ? true : undefined,
 			costMs: Math.round(costMs),
 			unreadTokens: uncachedTokens,
 			candidates,
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -83,6 +83,8 @@
 		hasKeys: boolean;
 		/** Whether the answer is a stream of events, and whether it resumes one that broke. */
 		isStreamed: boolean; isResumed: boolean; isRepeatable: boolean;
+		/** Whether the caller resumes a stream that an earlier attempt of it began. */
+		isResumedByCaller: boolean;
 	}
 	/** Cancel the call at its target; its answer is no longer needed. */
 	| {kind: 'cancel'; call: string}
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -23,10 +23,18 @@
 	segments: PromptSegment[];
 };
 
+/** What a caller says of the stream that it resumes: it has received the events up to some id, in one or more attempts. */
+export type Resumption = {
+	/** Request id of the attempt that received the first event; undefined when the caller doesn't name it. */
+	firstRequestId: string | undefined;
+};
+
 /** Call as the adapter parsed it from the caller's request. */
 export type CallArrival = {
 	/** Unique at this instance. */
 	id: string;
+	/** Chosen by the caller; each of its attempts has its own. */
+	requestId: string;
 	host: string;
 	/** Without the query string. */
 	path: string;
@@ -35,6 +43,8 @@
 	/** How long the caller waits for the answer; undefined when it sent no deadline. */
 	remainingMs: number | undefined;
 	prompt: Prompt | undefined;
+	/** Undefined for a call that begins its answer from the start. */
+	resumption: Resumption | undefined;
 	/** Equal for requests with the same method, host, path, query and body, whatever their ids. */
 	fingerprint: string;
 };
@@ -53,6 +63,7 @@
 	workspace: string;
 	priority: number;
 	prompt: Prompt | undefined;
+	resumption: Resumption | undefined;
 	fingerprint: string;
 	/** Weighted tokens, or 1 for a call without a prompt. */
 	cost: number;
@@ -93,6 +104,8 @@
 	pool: string;
 	/** IP address and port. */
 	address: string;
+	/** Version of the target's software; versions have no order. */
+	softwareVersion: string;
 	failureDomain: string;
 	standing: TargetStanding;
 	slots: number;
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -38,13 +38,13 @@
 }
 
 function logTarget(gateway: Gateway, text: string, {
-	id, pool, address, failureDomain, standing, coldForMs, startId, revision,
+	id, pool, address, softwareVersion, failureDomain, standing, coldForMs, startId, revision,
 }: ListedTarget) {
 	addLogLine(gateway, {
 		part: LogPart.Target,
 		text,
 		fields: {
-			target: id, pool, address, failureDomain, standing, coldForMs, start: startId, revision,
+			target: id, pool, address, softwareVersion, failureDomain, standing, coldForMs, start: startId, revision,
 		},
 	});
 }
--- a/packages/core/test/gateway/calls.test.ts
+++ b/packages/core/test/gateway/calls.test.ts
@@ -42,7 +42,7 @@
 		gateway.catalogue = undefined;
 		const outbox = step({
 			kind: 'callArrived', call: {
-				id: 'x', host: 'desk.example', path: '/look/', key: 'key-a', remainingMs: 1000, prompt: undefined, fingerprint: 'f',
+				id: 'x', requestId: 'x', resumption: undefined, host: 'desk.example', path: '/look/', key: 'key-a', remainingMs: 1000, prompt: undefined, fingerprint: 'f',
 			},
 		});
 		expect(filterByKind(outbox, 'refuse')[0]!.refusal).toMatchObject({kind: RefusalKind.NotReady, retryAfterMs: 1000});
--- a/packages/core/test/support/gateway-fleet.ts
+++ b/packages/core/test/support/gateway-fleet.ts
@@ -248,7 +248,7 @@
 			runStep(gateways.get(instance)!, {
 				kind: 'callArrived',
 				call: {
-					id: `c${callCount}`, host, key: 'key-a', remainingMs: 1000, path: harmful!.path, prompt: harmful!.prompt, fingerprint: 'harmful',
+					id: `c${callCount}`, requestId: `c${callCount}`, resumption: undefined, host, key: 'key-a', remainingMs: 1000, path: harmful!.path, prompt: harmful!.prompt, fingerprint: 'harmful',
 				},
 			});
 		}
@@ -282,7 +282,7 @@
 			runStep(gateway, {
 				kind: 'callArrived',
 				call: {
-					id: `c${callCount}`, host, key: 'key-a', remainingMs: 1000, fingerprint: `f${callCount}`, ...callKinds[callCount % callKinds.length]!(randomFraction(random)),
+					id: `c${callCount}`, requestId: `c${callCount}`, resumption: undefined, host, key: 'key-a', remainingMs: 1000, fingerprint: `f${callCount}`, ...callKinds[callCount % callKinds.length]!(randomFraction(random)),
 				},
 			});
 		}
--- a/packages/core/test/support/gateways.ts
+++ b/packages/core/test/support/gateways.ts
@@ -69,7 +69,7 @@
 
 export function createListedTarget(id: string, options: Partial<ListedTarget> = {}): ListedTarget {
 	return {
-		id, pool: 'desk', address: `10.0.0.1:${id.length}`, failureDomain: 'suva', standing: TargetStanding.Ready, slots: 6, coldForMs: 0, startId: '1', revision: 1, isRestored: false, ...options,
+		id, pool: 'desk', address: `10.0.0.1:${id.length}`, softwareVersion: 'v1', failureDomain: 'suva', standing: TargetStanding.Ready, slots: 6, coldForMs: 0, startId: '1', revision: 1, isRestored: false, ...options,
 	};
 }
 
@@ -150,7 +150,7 @@
 			return step({
 				kind: 'callArrived',
 				call: {
-					id: `c${calls}`, host, path: '/look/x', key: 'key-a', remainingMs: 1000, prompt: undefined, fingerprint: `f${calls}`, ...arrival,
+					id: `c${calls}`, requestId: `c${calls}`, resumption: undefined, host, path: '/look/x', key: 'key-a', remainingMs: 1000, prompt: undefined, fingerprint: `f${calls}`, ...arrival,
 				},
 			});
 		},
--- a/packages/router/src/gateway/call-format.ts
+++ b/packages/router/src/gateway/call-format.ts
@@ -14,7 +14,7 @@
 };
 
 export type ParsedCall
-	= | {kind: 'ok'; call: Omit<CallArrival, 'id' | 'fingerprint'>; requestId: string}
+	= | {kind: 'ok'; call: Omit<CallArrival, 'id' | 'requestId' | 'fingerprint'>; requestId: string}
 		| {kind: 'malformed'; detail: string};
 
 /** What a send adds to the caller's own request. */
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -9,7 +9,7 @@
 import {isReady} from '@shallotloom/core/gateway/instances.ts';
 import {isOverloaded} from '@shallotloom/core/gateway/overload.ts';
 import {isDataReturnRecent} from '@shallotloom/core/gateway/platform-data.ts';
-import type {GatewayInbound} from '@shallotloom/core/gateway/ports.ts';
+import type {GatewayInbound, GatewayOutboundOf} from '@shallotloom/core/gateway/ports.ts';
 import {isRateLimited} from '@shallotloom/core/gateway/rate-limits.ts';
 import {isServing} from '@shallotloom/core/gateway/serving-set.ts';
 import {getSuspectKind, SuspectKind} from '@shallotloom/core/gateway/suspects.ts';
@@ -18,6 +18,8 @@
 
 export type GatewayMetrics = {
 	countRefusal(refusal: Refusal): void;
+	/** Counts a send that resumes a stream. */
+	countSend(send: GatewayOutboundOf<'send'>): void;
 	/** Counts the call events that an inbound message reports. */
 	countInbound(inbound: GatewayInbound, now: number): void;
 	/** Returns the metrics of the current state in the text format of a scrape. */
@@ -38,6 +40,9 @@
 	const endedSends = new Counter({
 		name: 'shallotloom_sends_total', help: 'Sends to targets, by how they ended.', labelNames: ['end'], registers,
 	});
+	const resumedStreams = new Counter({
+		name: 'shallotloom_streams_resumed_total', help: 'Sends that resume a stream, by pool and by who resumes it: the caller with another attempt, or the router within one answer.', labelNames: ['pool', 'by'], registers,
+	});
 	const disconnectedCallers = new Counter({name: 'shallotloom_callers_left_total', help: 'Calls whose caller left before the answer.', registers});
 	const firstByteSeconds = new Histogram({
 		name: 'shallotloom_first_byte_seconds', help: 'Time from a call\'s arrival to its first byte.', buckets: firstByteBucketsSeconds, registers,
@@ -129,6 +134,11 @@
 		countRefusal({kind, outcome}) {
 			refusedCalls.inc({reason: kind, outcome});
 		},
+		countSend({pool, isResumed, isResumedByCaller}) {
+			if (isResumed || isResumedByCaller) {
+				resumedStreams.inc({pool, by: isResumed ? 'router' : 'caller'});
+			}
+		},
 		countInbound(inbound, now) {
 			const handler = countHandlers[inbound.kind] as ((inbound: GatewayInbound, now: number) => void) | undefined;
 			handler?.(inbound, now);
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -165,6 +165,7 @@
 			send(command) {
 				const exchange = exchanges.get(command.call);
 				if (exchange) {
+					metrics.countSend(command);
 					sendToTarget(exchange, command, {
 						connectionPools, format, push, onMalformedHeader, isRateLimited: isTargetRateLimited,
 					});
@@ -280,7 +281,11 @@
 				const fingerprint = computeFingerprint({
 					method: exchange.method, host: parsed.call.host, url: exchange.url, body,
 				});
-				push({kind: 'callArrived', call: {...parsed.call, id, fingerprint}});
+				push({
+					kind: 'callArrived', call: {
+						...parsed.call, id, requestId: exchange.requestId, fingerprint,
+					},
+				});
 			}
 		};
 
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -26,7 +26,7 @@
 				kind: 'ok',
 				requestId: String(headers['x-request-id']),
 				call: {
-					host: 'desk', path: url.split('?', 1)[0]!, key: '', remainingMs: Number(headers['x-remaining'] ?? 2000), prompt: undefined,
+					host: 'desk', path: url.split('?', 1)[0]!, key: '', remainingMs: Number(headers['x-remaining'] ?? 2000), prompt: undefined, resumption: undefined,
 				},
 			};
 	},
@@ -108,7 +108,8 @@
 	pushInbound({
 		kind: 'targets',
 		targets: addresses.map((address, index) => ({
-			id: `t${index + 1}`, pool: 'desk', address, failureDomain: 'suva', standing: TargetStanding.Ready, slots: 8, coldForMs: 0, startId: '', revision: 1, isRestored: false,
+			id: `t${index + 1}`, pool: 'desk', address, softwareVersion: 'v1', failureDomain: 'suva',
+			standing: TargetStanding.Ready, slots: 8, coldForMs: 0, startId: '', revision: 1, isRestored: false,
 		})),
 	});
 	pushInbound({
