Failing tests: streams go on at targets of another software version

The model of rollouts draws fleets of 6, 9, 84 and 195 instances in which targets are replaced by ones of another version while instances are killed, frozen, cut off and reset and targets crash; callers resume their streams at any instance, and the lists of targets reach instances at different times.

--- /dev/null
+++ b/packages/bench/src/rollout-model/draws.ts
@@ -0,0 +1,75 @@
+/*
+Draws rollouts with faults: fleets of a given size in which two rollouts follow each other, or a rollout and the way back, while instances
+and targets fail in series that overlap.
+*/
+import {createRandom, type Random} from '../load/random.ts';
+import {FaultKind, type Fault, type RolloutOptions} from './fleet.ts';
+
+/** Sizes of fleets. */
+export type FleetSize = Pick<RolloutOptions, 'instances' | 'targets' | 'failureDomains' | 'capacity' | 'streamsPerSecond' | 'seconds'>;
+
+export const fleetSizes: Record<string, FleetSize> = {
+	six: {
+		instances: 6, targets: 8, failureDomains: 3, capacity: 0.675, streamsPerSecond: 40, seconds: 30,
+	},
+	nine: {
+		instances: 9, targets: 8, failureDomains: 3, capacity: 0.675, streamsPerSecond: 60, seconds: 30,
+	},
+	eightyFour: {
+		instances: 84, targets: 20, failureDomains: 4, capacity: 0.324, streamsPerSecond: 90, seconds: 16,
+	},
+	oneHundredNinetyFive: {
+		instances: 195, targets: 40, failureDomains: 5, capacity: 0.324, streamsPerSecond: 120, seconds: 14,
+	},
+};
+
+const faultKinds = Object.values(FaultKind);
+
+/** Time before the first rollout, in milliseconds. */
+const calmMs = 3000;
+
+/** Mean time between two faults, in milliseconds. */
+const meanFaultGapMs = 1200;
+
+const minDurationMs = 300;
+const maxDurationMs = 4000;
+const maxFraction = 0.4;
+
+/** Fraction of the runs in which targets may start again under their ids; few deployments do so. */
+const restartFraction = 0.25;
+
+function drawFaults(random: Random, seconds: number): Fault[] {
+	const kinds = random.uniform() < restartFraction ? faultKinds : faultKinds.filter(kind => kind !== FaultKind.RestartTargets);
+	const faults: Fault[] = [];
+	for (let atMs = calmMs; atMs < seconds * 1000; atMs += random.exponential(meanFaultGapMs)) {
+		faults.push({
+			kind: kinds[Math.floor(random.uniform() * kinds.length)]!,
+			atMs,
+			durationMs: minDurationMs + (random.uniform() * (maxDurationMs - minDurationMs)),
+			fraction: random.uniform() * maxFraction,
+		});
+	}
+
+	return faults;
+}
+
+/** Draws the options of a run. */
+export function drawRollout(seed: number, size: FleetSize): RolloutOptions {
+	const random = createRandom(seed, 1);
+	const endMs = size.seconds * 1000;
+	const isRollback = random.uniform() < 0.3;
+	return {
+		...size,
+		seed,
+		rollouts: [
+			{
+				atMs: calmMs, softwareVersion: 'v2', fraction: 0.4 + (random.uniform() * 0.6), gapMs: 200 + (random.uniform() * 600),
+			},
+			{
+				atMs: endMs / 2, softwareVersion: isRollback ? 'v1' : 'v3', fraction: random.uniform(), gapMs: 200 + (random.uniform() * 600),
+			},
+		],
+		faults: drawFaults(random, size.seconds),
+		limits: {},
+	};
+}
