Resume a stream within its answer only at the software version that began it

Callers saw events of two software versions in one answer: a stream that broke was sent on to any healthy target of its pool. A call keeps now where its stream began once the caller has received an event, and only targets of that version may resume it; if none is left, the call ends at once with the outcome unknown, spends no retry, and the line and shallotloom_streams_not_resumed_total name the cause. A stream that is resumed may go to any target of its version, not only to the preferred ones of its prompt, which may all be of another version. When another process with another version takes the place of a target under its id, the answers in work there count as of unknown origin.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -18,7 +18,7 @@
 import {
 	recordSendEnd, recordSend, estimateLoad, getMaxConcurrency, applyLoadReport,
 } from './loads.ts';
-import {getHealthyTargets, type Choice} from './placement.ts';
+import {getHealthyTargets, isVersionListed, type Choice} from './placement.ts';
 import {updatePoolEstimates} from './pool-estimates.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {recordCachedSegments} from './prompt-segments.ts';
@@ -27,7 +27,7 @@
 import {spendRateShare} from './rate-shares.ts';
 import {recordCall, recordFirstSend} from './retries.ts';
 import {
-	CallState, type Call, type CallArrival, type PoolTarget,
+	CallState, unknownSoftwareVersion, type Call, type CallArrival, type PoolTarget,
 } from './rows.ts';
 import {createSuspectFields} from './suspects.ts';
 import {
@@ -113,12 +113,14 @@
 		attempts: 0,
 		sends: 0,
 		target: '',
+		targetVersion: unknownSoftwareVersion,
 		sentAt: 0,
 		uncachedTokens: 0,
 		firstByteAt: undefined,
 		triedTargets: [],
 		mayHaveRun: false,
 		hasAnswerBytes: false,
+		origin: undefined,
 	};
 }
 
@@ -144,15 +146,26 @@
 	sendOrQueue(gateway, call);
 }
 
+/** Whether a call may still be sent to a target that hasn't failed it. */
+export function hasUntriedTarget(gateway: Gateway, call: Call): boolean {
+	return getHealthyTargets(gateway, call.pool, call.origin).some(({id}) => !call.triedTargets.includes(id));
+}
+
+/** Creates the refusal of a call that can be sent to no target now. */
+function createNoTargetRefusal(gateway: Gateway, call: Call): Refusal {
+	return call.origin && !isVersionListed(gateway, call.origin)
+		? createRefusal(RefusalKind.StreamVersionGone, call.pool)
+		: createNoCapacityRefusal(gateway, call);
+}
+
 /**
 Sends a call to a target, queues it, or refuses it. It never overtakes a queued call of a workspace with fewer served
 tokens.
 */
 export function sendOrQueue(gateway: Gateway, call: Call) {
 	call.firstByteAt = undefined;
-	const targets = getHealthyTargets(gateway, call.pool);
-	if (targets.every(({id}) => call.triedTargets.includes(id))) {
-		refuse(gateway, call, createNoCapacityRefusal(gateway, call));
+	if (!hasUntriedTarget(gateway, call)) {
+		refuse(gateway, call, createNoTargetRefusal(gateway, call));
 		return;
 	}
 
@@ -178,7 +191,7 @@
 	}
 
 	Object.assign(call, {
-		state: CallState.Sent, target: target.id, sentAt: gateway.now, uncachedTokens, firstByteAt: undefined,
+		state: CallState.Sent, target: target.id, targetVersion: target.softwareVersion, sentAt: gateway.now, uncachedTokens, firstByteAt: undefined,
 	});
 	call.attempts += 1;
 	call.sends += 1;
@@ -284,12 +297,16 @@
 	const finalRefusal = call.mayHaveRun && answer.outcome === Outcome.NotRun
 		? {kind: RefusalKind.TargetFailed, outcome: Outcome.Unknown, detail: answer.detail}
 		: answer;
-	gateway.outbox.push({kind: 'refuse', call: call.id, refusal: finalRefusal});
+	gateway.outbox.push({
+		kind: 'refuse', call: call.id, refusal: finalRefusal, stream: {pool: call.pool, cause: answer.kind},
+	});
 	logRefusal(gateway, call.id, finalRefusal, {
+		cause: answer.kind === finalRefusal.kind ? undefined : answer.kind,
 		route: call.route.name,
 		pool: call.pool,
 		workspace: call.workspace,
 		target: call.target,
+		softwareVersion: call.origin?.softwareVersion,
 		sends: call.sends,
 		afterMs: Math.round(gateway.now - call.arrivedAt),
 		waiting: getQueueLength(gateway, call.pool),
@@ -341,8 +358,13 @@
 
 export function onAnswerDelivered(gateway: Gateway, {call: id}: GatewayInboundOf<'answerDelivered'>) {
 	const call = gateway.calls.get(id);
-	if (call) {
-		call.hasAnswerBytes = true;
+	if (!call) {
+		return;
+	}
+
+	call.hasAnswerBytes = true;
+	if (call.route.kind === CallKind.Streamed) {
+		call.origin ??= {pool: call.pool, softwareVersion: call.targetVersion};
 	}
 }
 
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -11,7 +11,9 @@
 	getPreferredTargets, countUniqueTokens, getSharedSegmentId, countSharedTokens, estimateUncachedTokens,
 } from './prompt-segments.ts';
 import {isHeldByOthers, isWithinRateShare} from './rate-shares.ts';
-import {TargetStanding, type Call, type PoolTarget} from './rows.ts';
+import {
+	TargetStanding, type Call, type PoolTarget, type StreamOrigin,
+} from './rows.ts';
 import {isPaused} from './target-notices.ts';
 
 /** Targets within this difference from the best count as equal, in milliseconds. */
@@ -49,7 +51,7 @@
 }
 
 /**
-Finds the engines that a call may be sent to now. A long shared prompt segment stays at its preferred targets. While they are
+Finds the engines that a call may be sent to now. A stream is resumed at any engine of its software version. Otherwise a long shared prompt segment stays at its preferred targets. While they are
 full and several calls wait for it, it spreads to further targets in rendezvous order.
 */
 function findEngineCandidates(gateway: Gateway, call: Call, round: PlacementRound): Candidate[] {
@@ -59,6 +61,12 @@
 	const prompt = call.prompt!;
 	const segment = getSharedSegmentId(prompt);
 	const isCandidate = (target: PoolTarget) => canSendTo(gateway, call, target);
+	if (call.origin) {
+		return getHealthyTargets(gateway, call.pool, call.origin)
+			.filter(target => isCandidate(target))
+			.map(target => createEngineCandidate(gateway, call, target, false));
+	}
+
 	if (segment === undefined || countSharedTokens(prompt) < preferredOnlyTokens) {
 		const preferred = segment === undefined ? [] : getPreferredTargets(gateway, call.pool, segment, round.healthy, preferredCount);
 		return round.targets
@@ -116,9 +124,23 @@
 	candidates: number;
 };
 
-/** Targets of a pool that may get new work. Those that are set aside are left out, unless all are. */
-export function getHealthyTargets(gateway: Gateway, pool: string): PoolTarget[] {
-	const eligible = [...gateway.targets.group(pool)].filter(target => isEligible(gateway, target));
+/** Whether a target has the software version at which a stream began. */
+function hasVersion({softwareVersion}: PoolTarget, origin: StreamOrigin | undefined): boolean {
+	return origin === undefined || softwareVersion === origin.softwareVersion;
+}
+
+/** Whether any target that may get new work, now or later, has the software version at which a stream began. */
+export function isVersionListed(gateway: Gateway, origin: StreamOrigin): boolean {
+	return [...gateway.targets.group(origin.pool)].some(target => target.standing === TargetStanding.Ready && hasVersion(target, origin));
+}
+
+/**
+Targets of a pool that may get new work. Those that are set aside are left out, unless all are.
+
+@param origin Where the stream began that is to be resumed; undefined for a new answer.
+*/
+export function getHealthyTargets(gateway: Gateway, pool: string, origin?: StreamOrigin): PoolTarget[] {
+	const eligible = [...gateway.targets.group(pool)].filter(target => hasVersion(target, origin) && isEligible(gateway, target));
 	const healthy = eligible.filter(target => !isSetAside(gateway, target));
 	return healthy.length > 0 ? healthy : eligible;
 }
@@ -165,7 +187,7 @@
 	const isEngine = call.prompt !== undefined && isEnginePool(gateway, call.pool);
 	const candidates = isEngine
 		? findEngineCandidates(gateway, call, round)
-		: round.targets.filter(target => canSendTo(gateway, call, target)).map(target => createServiceCandidate(gateway, target));
+		: (call.origin ? getHealthyTargets(gateway, call.pool, call.origin) : round.targets).filter(target => canSendTo(gateway, call, target)).map(target => createServiceCandidate(gateway, target));
 	const best = pickCheapest(gateway, candidates);
 	return best && {...best, candidates: candidates.length};
 }
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -3,7 +3,7 @@
 */
 import type {Digest, QuarantineEntry} from '../messages.ts';
 import type {LogPart} from '../ports.ts';
-import type {Refusal} from '../refusal.ts';
+import type {Refusal, RefusalKind} from '../refusal.ts';
 import type {Catalogue} from './catalogue.ts';
 import type {DataKind} from './data-sources.ts';
 import type {
@@ -90,7 +90,11 @@
 	| {kind: 'cancel'; call: string}
 	/** Forward to the caller the failure answer of the target that the adapter keeps. */
 	| {kind: 'deliverFailure'; call: string}
-	| {kind: 'refuse'; call: string; refusal: Refusal}
+	| {
+		kind: 'refuse'; call: string; refusal: Refusal;
+		/** Pool of the call, and why it was refused before it turned out that a target may have run it; undefined for calls that weren't admitted. */
+		stream?: {pool: string; cause: RefusalKind};
+	}
 	/** Discard the state of the call. */
 	| {kind: 'closed'; call: string}
 	/** The target was removed: close idle connections to it. */
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -49,6 +49,15 @@
 	fingerprint: string;
 };
 
+/** Pool and software version at which a stream began. */
+export type StreamOrigin = {
+	pool: string;
+	softwareVersion: string;
+};
+
+/** Software version of an origin that isn't known for certain; no target has it. */
+export const unknownSoftwareVersion = '';
+
 export enum CallState {
 	/** Waits in the queue of its pool for a slot at a target. */
 	Waiting = 'waiting',
@@ -79,6 +88,8 @@
 	sends: number;
 	/** Target that it was last sent to; '' while it has none. */
 	target: string;
+	/** Software version of that target. */
+	targetVersion: string;
 	sentAt: number;
 	/** Prompt tokens that the target was expected to prefill, since they are not in its cache; 0 after the first byte. */
 	uncachedTokens: number;
@@ -90,6 +101,8 @@
 	mayHaveRun: boolean;
 	/** Whether the caller has received part of the answer. */
 	hasAnswerBytes: boolean;
+	/** Where the stream began of which the caller has received events: it is resumed only at this pool and version. */
+	origin: StreamOrigin | undefined;
 };
 
 export enum TargetStanding {
--- a/packages/core/src/gateway/send-ends.ts
+++ b/packages/core/src/gateway/send-ends.ts
@@ -5,7 +5,7 @@
 import {LogPart} from '../ports.ts';
 import {Outcome, RefusalKind, type Refusal} from '../refusal.ts';
 import {
-	closeCall, createRefusal, detachFromTarget, findSentCall, refuse, sendOrQueue,
+	closeCall, createRefusal, detachFromTarget, findSentCall, hasUntriedTarget, refuse, sendOrQueue,
 } from './calls.ts';
 import {CallKind} from './catalogue.ts';
 import {
@@ -36,6 +36,7 @@
 	return call.attempts < call.route.maxAttempts
 		&& call.deadline > gateway.now
 		&& (!call.mayHaveRun || canRunAgain(call))
+		&& hasUntriedTarget(gateway, call)
 		&& trySpendRetry(gateway, call.pool);
 }
 
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -8,7 +8,9 @@
 import {addLogLine, type Gateway} from './gateway.ts';
 import {findIncompleteListReason, isDataReturnRecent, type IncompleteListReason} from './platform-data.ts';
 import type {GatewayInboundOf} from './ports.ts';
-import {TargetStanding, type ListedTarget, type PoolTarget} from './rows.ts';
+import {
+	CallState, TargetStanding, unknownSoftwareVersion, type ListedTarget, type PoolTarget,
+} from './rows.ts';
 import {findFormerTarget, recordFormerTarget} from './target-notices.ts';
 
 function createTarget({now}: Gateway, listed: ListedTarget): PoolTarget {
@@ -81,6 +83,23 @@
 	return remainsLeaving ? TargetStanding.Leaving : listed.standing;
 }
 
+/**
+Marks the streams whose answers are in work at a target as of unknown origin when another process with another software version has taken
+its place: which of the two answers isn't known.
+*/
+function forgetOrigins(gateway: Gateway, {id, softwareVersion}: PoolTarget, listed: ListedTarget) {
+	if (listed.softwareVersion === softwareVersion) {
+		return;
+	}
+
+	for (const call of gateway.calls.rows()) {
+		if (call.state === CallState.Sent && call.target === id) {
+			call.targetVersion = unknownSoftwareVersion;
+			call.origin &&= {...call.origin, softwareVersion: unknownSoftwareVersion};
+		}
+	}
+}
+
 function updateTarget(gateway: Gateway, target: PoolTarget, listed: ListedTarget) {
 	gateway.unlistedTargets.delete(target.id);
 	if (listed.revision === target.revision) {
@@ -95,6 +114,7 @@
 		// Another process: what is known of the previous one no longer holds, but recent sends may have reached the new one
 		// already.
 		const {running, coldSendTimes, coldUntil} = target;
+		forgetOrigins(gateway, target, listed);
 		recordFormerTarget(gateway, target);
 		confirmCrash(gateway, target);
 		const next = {...createListedTarget(gateway, listed), running, coldSendTimes};
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -14,10 +14,10 @@
 import {isServing} from '@shallotloom/core/gateway/serving-set.ts';
 import {getSuspectKind, SuspectKind} from '@shallotloom/core/gateway/suspects.ts';
 import {isPaused} from '@shallotloom/core/gateway/target-notices.ts';
-import type {Refusal} from '@shallotloom/core/refusal.ts';
+import {RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 
 export type GatewayMetrics = {
-	countRefusal(refusal: Refusal): void;
+	countRefusal(refusal: Refusal, stream?: GatewayOutboundOf<'refuse'>['stream']): void;
 	/** Counts a send that resumes a stream. */
 	countSend(send: GatewayOutboundOf<'send'>): void;
 	/** Counts the call events that an inbound message reports. */
@@ -31,6 +31,9 @@
 
 const msPerSecond = 1000;
 
+/** Causes of refusals that concern only streams to be resumed. */
+const streamCauses = new Set([RefusalKind.StreamVersionGone]);
+
 export function createGatewayMetrics(): GatewayMetrics {
 	const registers = [new Registry()];
 	const refusedCalls = new Counter({
@@ -41,7 +44,10 @@
 		name: 'shallotloom_sends_total', help: 'Sends to targets, by how they ended.', labelNames: ['end'], registers,
 	});
 	const resumedStreams = new Counter({
-		name: 'shallotloom_streams_resumed_total', help: 'Sends that resume a stream, by pool and by who resumes it: the caller with another attempt, or the router within one answer.', labelNames: ['pool', 'by'], registers,
+		name: 'shallotloom_streams_resumed_total', help: 'Sends that resume a stream, by pool and by who resumes it.', labelNames: ['pool', 'by'], registers,
+	});
+	const refusedStreams = new Counter({
+		name: 'shallotloom_streams_not_resumed_total', help: 'Streams that could not be resumed at the software version that began them, by pool and cause.', labelNames: ['pool', 'cause'], registers,
 	});
 	const disconnectedCallers = new Counter({name: 'shallotloom_callers_left_total', help: 'Calls whose caller left before the answer.', registers});
 	const firstByteSeconds = new Histogram({
@@ -131,8 +137,11 @@
 	}
 
 	return {
-		countRefusal({kind, outcome}) {
+		countRefusal({kind, outcome}, stream) {
 			refusedCalls.inc({reason: kind, outcome});
+			if (stream && streamCauses.has(stream.cause)) {
+				refusedStreams.inc({pool: stream.pool, cause: stream.cause});
+			}
 		},
 		countSend({pool, isResumed, isResumedByCaller}) {
 			if (isResumed || isResumedByCaller) {
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -183,9 +183,9 @@
 					sendBufferedAnswer(exchange, exchange.failedAnswer);
 				}
 			},
-			refuse({call, refusal}) {
+			refuse({call, refusal, stream}) {
 				const exchange = exchanges.get(call);
-				metrics.countRefusal(refusal);
+				metrics.countRefusal(refusal, stream);
 				if (exchange) {
 					cancelSend(exchange);
 					endWithRefusal(exchange, refusal);
