Resume a caller's stream only at the software version that began it

Each instance tells four others, selected by rendezvous hashing of the stream, to which pool and version it sends it: with its digests, and each 100 ms while a pool has several versions. The stream is named by workspace and request id, so that nobody can name one of another workspace. A call that resumes a stream is looked up first, at up to 16 instances with the holders among them. It goes on where one knows the origin, or where no version but one can have begun the stream by what all that reply know, at least one of them for as long as a caller may hold a stream. Otherwise it is refused, truly not run and without Retry-After; stream-unknown and stream-version-gone are told apart in lines and in shallotloom_streams_not_resumed_total. A record that turns out wrong before the first event is corrected at once.

--- a/packages/cli/src/cli/commands/explain.ts
+++ b/packages/cli/src/cli/commands/explain.ts
@@ -22,6 +22,7 @@
 	'unknown-workspace': ({version}) => `version ${version} of the configuration has no such key`,
 	'prompt-quarantined': ({segment, crashes}) => `part ${segment} of its prompt is in quarantine, since ${crashes} targets crashed under it`,
 	'request-quarantined': ({fingerprint, crashes}) => `requests with its content (${fingerprint}) are in quarantine, since ${crashes} targets crashed under them`,
+	'stream-unknown': ({pool, asked, replies}) => `no instance knew at which software version of ${pool} the stream began (${replies} of ${asked} replied)`,
 	'stream-version-gone': ({pool, softwareVersion}) => `no target of ${pool} had version ${softwareVersion} of its software, at which the stream began`,
 	'not-ready': () => 'the instance had no configuration yet',
 	'deadline-passed': ({target, afterMs}) => `${target === '' ? 'it had not been sent to a target' : `${target} had not answered`} when its deadline passed, after ${afterMs} ms`,
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -27,8 +27,10 @@
 import {spendRateShare} from './rate-shares.ts';
 import {recordCall, recordFirstSend} from './retries.ts';
 import {
-	CallState, unknownSoftwareVersion, type Call, type CallArrival, type PoolTarget,
+	CallState, unknownSoftwareVersion, type Call, type CallArrival, type PoolTarget, type StreamOrigin,
 } from './rows.ts';
+import {checkLookup, startLookup} from './stream-lookups.ts';
+import {computeStreamKey, correctRecords, recordOrigin} from './stream-origins.ts';
 import {createSuspectFields} from './suspects.ts';
 import {
 	chargeCall, recordDemand, getServedTokens,
@@ -92,10 +94,14 @@
 	return prompt ? prompt.inputTokens + (limits.outputWeight * prompt.outputTokens) : 1;
 }
 
+/** Computes how long a call may wait for a slot from now on. */
+function computeQueueTimeoutMs({limits}: Gateway, {objectiveMs}: CallRoute, remainingMs: number): number {
+	return Math.min(limits.maxQueueTimeoutMs, objectiveMs * limits.queueTimeoutFraction, remainingMs);
+}
+
 function createCall(gateway: Gateway, arrival: CallArrival, route: CallRoute, tenancy: Tenancy): Call {
-	const {now, limits} = gateway;
+	const {now} = gateway;
 	const remainingMs = Math.min(arrival.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
-	const queueTimeoutMs = Math.min(limits.maxQueueTimeoutMs, route.objectiveMs * limits.queueTimeoutFraction, remainingMs);
 	return {
 		id: arrival.id,
 		route,
@@ -108,7 +114,7 @@
 		cost: computeCost(gateway, arrival),
 		arrivedAt: now,
 		deadline: now + remainingMs,
-		queueTimeoutAt: now + queueTimeoutMs,
+		queueTimeoutAt: now + computeQueueTimeoutMs(gateway, route, remainingMs),
 		state: CallState.Waiting,
 		attempts: 0,
 		sends: 0,
@@ -121,6 +127,10 @@
 		mayHaveRun: false,
 		hasAnswerBytes: false,
 		origin: undefined,
+		stream: route.kind === CallKind.Streamed ? computeStreamKey(tenancy.workspace, arrival.resumption ? arrival.resumption.firstRequestId ?? '' : arrival.requestId) : undefined,
+		records: new Set(),
+		recordedFor: '',
+		lookup: undefined,
 	};
 }
 
@@ -141,11 +151,51 @@
 		return;
 	}
 
+	if (call.resumption && call.stream !== undefined) {
+		const origin = startLookup(gateway, call);
+		if (origin) {
+			resumeStream(gateway, call, origin);
+		}
+
+		return;
+	}
+
+	startCall(gateway, call);
+}
+
+function startCall(gateway: Gateway, call: Call) {
 	recordCall(gateway, call.pool);
 	recordDemand(gateway, call);
 	sendOrQueue(gateway, call);
 }
 
+/** Starts a call with which its caller resumes a stream, now that it is known where that began. */
+function resumeStream(gateway: Gateway, call: Call, origin: StreamOrigin) {
+	call.origin = origin;
+	if (!call.route.weightedPools.some(({pool}) => pool === origin.pool)) {
+		refuse(gateway, call, createRefusal(RefusalKind.StreamVersionGone, origin.pool));
+		return;
+	}
+
+	call.pool = origin.pool;
+	call.queueTimeoutAt = gateway.now + computeQueueTimeoutMs(gateway, call.route, call.deadline - gateway.now);
+	startCall(gateway, call);
+}
+
+/** Starts or refuses the calls for which it has turned out where their streams began, or that nobody knows it. */
+export function locatingCallsSystem(gateway: Gateway) {
+	for (const call of gateway.calls.rows()) {
+		const end = call.state === CallState.Locating ? checkLookup(gateway, call) : undefined;
+		if (end?.kind === 'found') {
+			resumeStream(gateway, call, end.origin);
+		} else if (end) {
+			refuse(gateway, call, createRefusal(RefusalKind.StreamUnknown, call.resumption?.firstRequestId), {
+				asked: call.lookup?.asked.length, replies: call.lookup?.replies.size,
+			});
+		}
+	}
+}
+
 /** Whether a call may still be sent to a target that hasn't failed it. */
 export function hasUntriedTarget(gateway: Gateway, call: Call): boolean {
 	return getHealthyTargets(gateway, call.pool, call.origin).some(({id}) => !call.triedTargets.includes(id));
@@ -190,11 +240,16 @@
 		recordFirstSend(gateway, call.pool);
 	}
 
+	const isOtherVersion = call.targetVersion !== target.softwareVersion;
 	Object.assign(call, {
 		state: CallState.Sent, target: target.id, targetVersion: target.softwareVersion, sentAt: gateway.now, uncachedTokens, firstByteAt: undefined,
 	});
 	call.attempts += 1;
 	call.sends += 1;
+	if (isOtherVersion) {
+		correctRecords(gateway, call);
+	}
+
 	recordColdSend(gateway, target);
 	spendRateShare(target);
 	recordSend(target, uncachedTokens);
@@ -255,15 +310,20 @@
 	gateway.outbox.push({kind: 'closed', call: call.id});
 }
 
+const detachHandlers: Record<CallState, (gateway: Gateway, call: Call) => void> = {
+	[CallState.Locating]() {
+		// Replies to its lookup are ignored.
+	},
+	[CallState.Waiting]: removeFromQueue,
+	[CallState.Sent](gateway, call) {
+		detachFromTarget(gateway, call);
+		gateway.outbox.push({kind: 'cancel', call: call.id});
+	},
+};
+
 /** Removes a call from its queue, or cancels it at its target. */
 function detachCall(gateway: Gateway, call: Call) {
-	if (call.state === CallState.Waiting) {
-		removeFromQueue(gateway, call);
-		return;
-	}
-
-	detachFromTarget(gateway, call);
-	gateway.outbox.push({kind: 'cancel', call: call.id});
+	detachHandlers[call.state](gateway, call);
 }
 
 export function detachFromTarget(gateway: Gateway, call: Call) {
@@ -363,8 +423,9 @@
 	}
 
 	call.hasAnswerBytes = true;
-	if (call.route.kind === CallKind.Streamed) {
+	if (call.stream !== undefined) {
 		call.origin ??= {pool: call.pool, softwareVersion: call.targetVersion};
+		recordOrigin(gateway, call.stream, call.origin);
 	}
 }
 
--- a/packages/core/src/gateway/catalogue.ts
+++ b/packages/core/src/gateway/catalogue.ts
@@ -77,9 +77,11 @@
 	limits: CallerLimits;
 	/** Weighted tokens per second that all engines together serve; 0 when unknown. */
 	tokensPerSecond: number;
+	/** Longest time-out of a streamed answer, in milliseconds; 0 without streams. */
+	maxStreamMs: number;
 };
 
-export type CatalogueOptions = Omit<Catalogue, 'routes' | 'pools'> & {routes: CallRoute[]; pools: CallPool[]};
+export type CatalogueOptions = Omit<Catalogue, 'routes' | 'pools' | 'maxStreamMs'> & {routes: CallRoute[]; pools: CallPool[]};
 
 /** Creates a catalogue with its routes and pools indexed for look-up. */
 export function createCatalogue({routes, pools, ...rest}: CatalogueOptions): Catalogue {
@@ -90,7 +92,12 @@
 		byHost.set(route.host, byPrefix);
 	}
 
-	return {...rest, routes: byHost, pools: new Map(pools.map(pool => [pool.name, pool]))};
+	return {
+		...rest,
+		routes: byHost,
+		pools: new Map(pools.map(pool => [pool.name, pool])),
+		maxStreamMs: Math.max(0, ...routes.filter(({kind}) => kind === CallKind.Streamed).map(({timeoutMs}) => timeoutMs)),
+	};
 }
 
 /** Finds the route of the host with the longest matching path prefix. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -12,7 +12,7 @@
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
 import type {
-	Call, Crash, DataVersion, FormerTarget, Instance, PoolTarget, Quarantine, SendCount, StoredQuarantine, Usage,
+	Call, Crash, DataVersion, FormerTarget, Instance, PoolTarget, Quarantine, SendCount, StoredQuarantine, Usage, StreamOrigin,
 } from './rows.ts';
 
 export type GatewaySelf = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl' | 'capacity'>;
@@ -105,6 +105,14 @@
 	storedQuarantines: Map<string, StoredQuarantine>;
 	/** Whether a quarantine has begun since the open calls were last checked. */
 	hasNewQuarantine: boolean;
+	/** Where streams began that callers may resume, by stream; oldest first. */
+	streamOrigins: Map<number, StreamOrigin & {recordedAt: number}>;
+	/** Instances that may be holders of streams, and their rankings by group of streams; the version changes with the instances. */
+	holderRanking: {candidates: Instance[]; version: number; byGroup: Map<number, Instance[]>};
+	/** When the last target of a software version that a pool no longer has was removed, by pool and version. */
+	formerVersions: Map<string, Map<string, number>>;
+	/** Since when this instance knows all software versions of all pools; undefined before its first list of targets. */
+	versionsKnownSince: number | undefined;
 	instances: Table<Instance>;
 	/** Whether the platform's list of instances has been received. */
 	hasInstanceList: boolean;
@@ -149,10 +157,14 @@
 	seed: number;
 	now: number;
 	limits?: Partial<GatewayLimits>;
+	/** Whether the whole fleet starts for the first time, so that nothing has happened before. */
+	isFirstStart?: boolean;
 };
 
 /** Creates the state of an instance that has just started and has received nothing yet. */
-export function createGateway({self, seed, now, limits}: GatewayOptions): Gateway {
+export function createGateway({
+	self, seed, now, limits, isFirstStart = false,
+}: GatewayOptions): Gateway {
 	return {
 		self,
 		limits: {...defaultGatewayLimits, ...limits},
@@ -185,6 +197,10 @@
 		quarantines: new Map(),
 		storedQuarantines: new Map(),
 		hasNewQuarantine: false,
+		streamOrigins: new Map(),
+		holderRanking: {candidates: [], version: 0, byGroup: new Map()},
+		formerVersions: new Map(),
+		versionsKnownSince: isFirstStart ? Number.NEGATIVE_INFINITY : undefined,
 		instances: createTable<Instance>({key: instance => instance.id}),
 		hasInstanceList: false,
 		unlistedInstances: new Set(),
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -136,6 +136,16 @@
 	maxRequestQuarantineMs: number;
 	/** Crashes after which a request in quarantine gets no trial any more. */
 	crashesBeforeTrialsEnd: number;
+	/** Number of other instances that are told where a stream began. */
+	streamHolders: number;
+	/** Period at which they are told. */
+	streamRecordMs: number;
+	/** Maximum number of instances that are asked where a stream began; its holders are among them. */
+	streamLookupPeers: number;
+	/** Time after which they are asked again. */
+	streamQueryMs: number;
+	/** Time after which a stream whose origin nobody knows can't be resumed. */
+	streamLookupMs: number;
 	/** An instance without a digest for this long is removed from the platform's list. */
 	removalTimeoutMs: number;
 	/** Minimum interval between two registrations. */
@@ -210,6 +220,11 @@
 	requestQuarantineMs: 60 * second,
 	maxRequestQuarantineMs: 24 * 3600 * second,
 	crashesBeforeTrialsEnd: 5,
+	streamHolders: 4,
+	streamRecordMs: 100,
+	streamLookupPeers: 16,
+	streamQueryMs: 150,
+	streamLookupMs: 500,
 	removalTimeoutMs: 10 * second,
 	minRegisterIntervalMs: 2 * second,
 	lingerMs: 2.5 * second,
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -1,7 +1,9 @@
 /*
 Messages between the gateway's core and its adapters: inbound events and outbound actions.
 */
-import type {Digest, QuarantineEntry} from '../messages.ts';
+import type {
+	Digest, QuarantineEntry, StreamMessage, StreamQuery, StreamRecords, StreamReply,
+} from '../messages.ts';
 import type {LogPart} from '../ports.ts';
 import type {Refusal, RefusalKind} from '../refusal.ts';
 import type {Catalogue} from './catalogue.ts';
@@ -62,6 +64,9 @@
 		/** How a write of a quarantine to the store, or its removal, ended. */
 		| {kind: 'quarantineWritten'; suspect: string; isRemoval: boolean; isSuccessful: boolean}
 		| {kind: 'digest'; from: string; incarnation: string; digest: Digest}
+		| {kind: 'streamRecords'; from: string; message: StreamRecords}
+		| {kind: 'streamQuery'; from: string; message: StreamQuery}
+		| {kind: 'streamReply'; from: string; message: StreamReply}
 		/** The latest change of a kind of the platform's data, and the revision up to which this instance has all changes. */
 		| {kind: 'dataVersion'; version: DataVersion; coveredRevision: number}
 		/** Fraction of its processor capacity that this process used recently. */
@@ -100,6 +105,7 @@
 	/** The target was removed: close idle connections to it. */
 	| {kind: 'targetGone'; address: string}
 	| {kind: 'sendDigest'; to: string; peerUrl: string; digest: Digest}
+	| {kind: 'sendStreamMessage'; to: string; peerUrl: string; message: StreamMessage}
 	/** Register this instance with the platform, or update its registration. */
 	| {kind: 'register'; registration: Registration}
 	/** Accept no more connections, and close idle ones. */
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -3,7 +3,7 @@
 monotonic clock.
 */
 import type {
-	MemberState, PoolEntry, ServiceEntry, TargetEntry,
+	MemberState, PoolEntry, PoolVersions, ServiceEntry, TargetEntry,
 } from '../messages.ts';
 import type {CallRoute} from './catalogue.ts';
 import type {DataKind} from './data-sources.ts';
@@ -58,7 +58,21 @@
 /** Software version of an origin that isn't known for certain; no target has it. */
 export const unknownSoftwareVersion = '';
 
+/** Lookup of where the stream of a call began. */
+export type StreamLookup = {
+	startedAt: number;
+	/** When the instances were last asked. */
+	queriedAt: number;
+	asked: string[];
+	/** Versions of the pools in the replies, by instance. */
+	replies: Map<string, PoolVersions[]>;
+	/** Origin that an instance replied. */
+	origin: StreamOrigin | undefined;
+};
+
 export enum CallState {
+	/** Waits for an answer of other instances where its stream began. */
+	Locating = 'locating',
 	/** Waits in the queue of its pool for a slot at a target. */
 	Waiting = 'waiting',
 	/** Sent to a target. */
@@ -103,6 +117,14 @@
 	hasAnswerBytes: boolean;
 	/** Where the stream began of which the caller has received events: it is resumed only at this pool and version. */
 	origin: StreamOrigin | undefined;
+	/** Key of its stream; undefined when the answer is no stream. */
+	stream: number | undefined;
+	/** Records of its stream that were sent: holder, incarnation and version. */
+	records: Set<string>;
+	/** Version and possible holders for which the records were last sent. */
+	recordedFor: string;
+	/** Lookup of its stream; undefined when there is none. */
+	lookup: StreamLookup | undefined;
 };
 
 export enum TargetStanding {
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -2,7 +2,7 @@
 One step of the gateway: each message of the inbox goes to its handler, then the systems run in order.
 */
 import {
-	callsSystem, onAnswerDelivered, onAnswerStarted, onCallArrived, onCallerGone, quarantinedCallsSystem, timeoutsSystem,
+	callsSystem, locatingCallsSystem, onAnswerDelivered, onAnswerStarted, onCallArrived, onCallerGone, quarantinedCallsSystem, timeoutsSystem,
 } from './calls.ts';
 import {crashEvidenceSystem} from './crash-evidence.ts';
 import {missingDataSystem, onDataVersion} from './data-sources.ts';
@@ -17,6 +17,8 @@
 import {onProcessorUse} from './serving-set.ts';
 import {quarantinesSystem} from './quarantines.ts';
 import {onSendEnded} from './send-ends.ts';
+import {onStreamQuery, onStreamReply} from './stream-lookups.ts';
+import {onStreamRecords, streamRecordsSystem} from './stream-origins.ts';
 import {fairLevelsSystem} from './shares.ts';
 import {onQuarantineWritten, onStoredQuarantines, storedQuarantinesSystem} from './stored-quarantines.ts';
 import {formerTargetsSystem, onTargetLeaving, onTargetPause} from './target-notices.ts';
@@ -44,6 +46,9 @@
 	storedQuarantines: onStoredQuarantines,
 	quarantineWritten: onQuarantineWritten,
 	digest: onDigest,
+	streamRecords: onStreamRecords,
+	streamQuery: onStreamQuery,
+	streamReply: onStreamReply,
 	stalled: onStalled,
 	processorUse: onProcessorUse,
 	dataVersion: onDataVersion,
@@ -63,10 +68,12 @@
 	quarantinesSystem,
 	storedQuarantinesSystem,
 	quarantinedCallsSystem,
+	locatingCallsSystem,
 	timeoutsSystem,
 	callsSystem,
 	registrationSystem,
 	digestsSystem,
+	streamRecordsSystem,
 	removalSystem,
 	stopSystem,
 ];
--- /dev/null
+++ b/packages/core/src/gateway/stream-lookups.ts
@@ -0,0 +1,153 @@
+/*
+Lookups of where a stream began, for calls with which callers resume one. The instance asks the holders of the stream, and in a small fleet
+all others. The call goes on where one of them knows the origin, or where no version but one can have begun the stream by what all of them
+know. Otherwise it is refused: an answer must not be put together from events of two versions.
+*/
+import type {PoolVersions} from '../messages.ts';
+import {LogPart} from '../ports.ts';
+import {addLogLine, isAlive, type Gateway} from './gateway.ts';
+import {createPoolVersions, findOnlyVersion} from './pool-versions.ts';
+import type {GatewayInboundOf} from './ports.ts';
+import {
+	CallState, type Call, type Instance, type StreamOrigin,
+} from './rows.ts';
+import {findOrigin, rankHolders, updateHolderRanking} from './stream-origins.ts';
+
+/** How the origin of a stream was found. */
+enum OriginSource {
+	/** This instance kept it. */
+	Own = 'own record',
+	/** Another instance told it. */
+	Holder = 'record of another instance',
+	/** Only one version can have begun the stream. */
+	OnlyVersion = 'only version',
+}
+
+/** How a lookup ended. */
+export type LookupEnd = {kind: 'found'; origin: StreamOrigin} | {kind: 'unknown'};
+
+/** An instance that hasn't sent a digest yet may be alive: this one may have started only just. */
+function mayAnswer(gateway: Gateway, instance: Instance): boolean {
+	return instance.lastDigestAt === Number.NEGATIVE_INFINITY || isAlive(gateway, instance);
+}
+
+function query(gateway: Gateway, call: Call) {
+	const {lookup, stream, route} = call;
+	updateHolderRanking(gateway);
+	const asked = rankHolders(gateway, stream!).filter(instance => mayAnswer(gateway, instance)).slice(0, gateway.limits.streamLookupPeers);
+	lookup!.queriedAt = gateway.now;
+	lookup!.asked = asked.map(({id}) => id);
+	lookup!.replies.clear();
+	for (const {id, peerUrl} of asked) {
+		gateway.outbox.push({
+			kind: 'sendStreamMessage', to: id, peerUrl, message: {kind: 'streamQuery', stream: stream!, pools: route.weightedPools.map(({pool}) => pool)},
+		});
+	}
+}
+
+/** Starts to look up the origin of a call's stream; returns it when this instance knows it. */
+export function startLookup(gateway: Gateway, call: Call): StreamOrigin | undefined {
+	const known = findOrigin(gateway, call.stream!);
+	if (known) {
+		logFound(gateway, call, known, OriginSource.Own);
+		return known;
+	}
+
+	call.state = CallState.Locating;
+	call.lookup = {
+		startedAt: gateway.now, queriedAt: gateway.now, asked: [], replies: new Map(), origin: undefined,
+	};
+	query(gateway, call);
+	return undefined;
+}
+
+export function onStreamQuery(gateway: Gateway, {from, message: {stream, pools}}: GatewayInboundOf<'streamQuery'>) {
+	const sender = gateway.instances.get(from);
+	if (!sender) {
+		return;
+	}
+
+	const origin = findOrigin(gateway, stream);
+	gateway.outbox.push({
+		kind: 'sendStreamMessage',
+		to: from,
+		peerUrl: sender.peerUrl,
+		message: {
+			kind: 'streamReply',
+			stream,
+			pool: origin?.pool,
+			softwareVersion: origin?.softwareVersion,
+			versions: origin ? [] : pools.map(pool => createPoolVersions(gateway, pool)),
+		},
+	});
+}
+
+export function onStreamReply(gateway: Gateway, {from, message}: GatewayInboundOf<'streamReply'>) {
+	for (const {lookup, stream} of gateway.calls.rows()) {
+		if (!lookup || stream !== message.stream) {
+			continue;
+		}
+
+		lookup.replies.set(from, message.versions);
+		if (message.pool !== undefined && message.softwareVersion !== undefined) {
+			lookup.origin = {pool: message.pool, softwareVersion: message.softwareVersion};
+		}
+	}
+}
+
+function logFound(gateway: Gateway, call: Call, {pool, softwareVersion}: StreamOrigin, source: OriginSource) {
+	addLogLine(gateway, {
+		part: LogPart.Request,
+		text: 'stream located',
+		request: call.id,
+		fields: {
+			resumes: call.resumption?.firstRequestId, pool, softwareVersion, source, asked: call.lookup?.asked.length, afterMs: Math.round(gateway.now - call.arrivedAt),
+		},
+	});
+}
+
+/** Derives the origin of a stream from the versions of its pool; undefined while several can have begun it. */
+function inferOrigin(gateway: Gateway, {route, lookup}: Call): StreamOrigin | undefined {
+	const [only, ...others] = route.weightedPools;
+	const {asked, replies} = lookup!;
+	// An instance that is cut off from the others may have missed a new version.
+	if (!only || others.length > 0 || (asked.length > 0 && replies.size === 0)) {
+		return undefined;
+	}
+
+	const reports: PoolVersions[] = [...replies.values()].flat().filter(({pool}) => pool === only.pool);
+	const softwareVersion = findOnlyVersion([createPoolVersions(gateway, only.pool), ...reports]);
+	return softwareVersion === undefined ? undefined : {pool: only.pool, softwareVersion};
+}
+
+/** Checks a lookup; undefined while it goes on. */
+export function checkLookup(gateway: Gateway, call: Call): LookupEnd | undefined {
+	const {limits: {streamQueryMs, streamRecordMs, streamLookupMs}, now} = gateway;
+	const {startedAt, queriedAt, asked, replies, origin} = call.lookup!;
+	if (origin) {
+		logFound(gateway, call, origin, OriginSource.Holder);
+		return {kind: 'found', origin};
+	}
+
+	const isAnswered = asked.every(id => replies.has(id));
+	if (!isAnswered && now - queriedAt < streamQueryMs) {
+		return undefined;
+	}
+
+	const inferred = inferOrigin(gateway, call);
+	if (inferred) {
+		logFound(gateway, call, inferred, OriginSource.OnlyVersion);
+		return {kind: 'found', origin: inferred};
+	}
+
+	// A record that was written just before the stream broke may still be on its way.
+	if ((isAnswered && queriedAt - startedAt >= streamRecordMs) || now - startedAt >= streamLookupMs) {
+		return {kind: 'unknown'};
+	}
+
+	if (now - queriedAt >= streamQueryMs) {
+		query(gateway, call);
+	}
+
+	return undefined;
+}
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -7,6 +7,7 @@
 import {confirmCrash} from './crash-evidence.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
 import {findIncompleteListReason, isDataReturnRecent, type IncompleteListReason} from './platform-data.ts';
+import {recordFormerVersion} from './pool-versions.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {
 	CallState, TargetStanding, unknownSoftwareVersion, type ListedTarget, type PoolTarget,
@@ -115,6 +116,7 @@
 		// already.
 		const {running, coldSendTimes, coldUntil} = target;
 		forgetOrigins(gateway, target, listed);
+		recordFormerVersion(gateway, target);
 		recordFormerTarget(gateway, target);
 		confirmCrash(gateway, target);
 		const next = {...createListedTarget(gateway, listed), running, coldSendTimes};
@@ -131,6 +133,7 @@
 }
 
 function deleteTarget(gateway: Gateway, target: PoolTarget, reason: string) {
+	recordFormerVersion(gateway, target);
 	recordFormerTarget(gateway, target);
 	confirmCrash(gateway, target);
 	gateway.targets.delete(target.id);
@@ -149,6 +152,7 @@
 
 export function onTargets(gateway: Gateway, {targets}: GatewayInboundOf<'targets'>) {
 	gateway.hasTargetList = true;
+	gateway.versionsKnownSince ??= gateway.now;
 	const listed = new Set(targets.map(({id}) => id));
 	for (const target of targets) {
 		const known = gateway.targets.get(target.id);
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -301,6 +301,43 @@
 	version: number;
 };
 
+/** Streams that began at one pool and software version, by their keys. */
+export type StreamGroup = {pool: string; softwareVersion: string; streams: number[]};
+
+/** Tells a holder of streams where these began. */
+export type StreamRecords = {
+	kind: 'streamRecords';
+	groups: StreamGroup[];
+};
+
+/** Asks where a stream began, and which versions the pools have at which it may have begun. */
+export type StreamQuery = {
+	kind: 'streamQuery';
+	stream: number;
+	pools: string[];
+};
+
+/** Software versions of a pool at which a stream that may still be resumed can have begun, as the sender knows them. */
+export type PoolVersions = {
+	pool: string;
+	softwareVersions: string[];
+	/** Whether the sender knows all of them. */
+	isComplete: boolean;
+};
+
+export type StreamReply = {
+	kind: 'streamReply';
+	stream: number;
+	/** Where the stream began; undefined when the sender doesn't know it. */
+	pool?: string | undefined;
+	softwareVersion?: string | undefined;
+	/** Empty when the origin is known. */
+	versions: PoolVersions[];
+};
+
+/** Messages about streams, between instances that serve routed calls. */
+export type StreamMessage = StreamRecords | StreamQuery | StreamReply;
+
 export type PeerMessage
 	= | TicketOffer
 		| TicketCancel
@@ -315,7 +352,8 @@
 		| ReleaseRequest
 		| ReleaseNotes
 		| LeaseRelay
-		| LeaseRelayResult;
+		| LeaseRelayResult
+		| StreamMessage;
 
 /** One peer message by its kind. */
 export type PeerMessageOf<Kind extends PeerMessage['kind']> = Extract<PeerMessage, {kind: Kind}>;
--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -22,6 +22,7 @@
 	NoCapacity = 'no-capacity',
 	PromptQuarantined = 'prompt-quarantined',
 	RequestQuarantined = 'request-quarantined',
+	StreamUnknown = 'stream-unknown',
 	StreamVersionGone = 'stream-version-gone',
 	NotReady = 'not-ready',
 	CutOff = 'cut-off',
@@ -113,6 +114,11 @@
 		message: detail => `targets crashed each time they ran this request (content ${detail})`,
 		hint: 'Change the request; with the same path and body, send it only after the time in the Retry-After header.',
 	},
+	[RefusalKind.StreamUnknown]: {
+		status: 503,
+		message: detail => `it isn't known at which software version the stream "${detail}" began`,
+		hint: 'Discard the partial answer and send the request again from the start.',
+	},
 	[RefusalKind.StreamVersionGone]: {
 		status: 503,
 		message: detail => `no target of "${detail}" has the software version at which the stream began`,
--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -92,6 +92,11 @@
 	onReply?.({result: reply.result, objects: reply.objects ?? []});
 }
 
+/** Messages about routed calls, which this core doesn't serve. */
+function ignoreMessage() {
+	// Nothing to do.
+}
+
 const peerHandlers: PeerHandlers = {
 	ticketOffer: onTicketOffer,
 	ticketCancel: onTicketCancel,
@@ -107,6 +112,9 @@
 	releaseNotes: onReleaseNotes,
 	leaseRelay: onLeaseRelay,
 	leaseRelayResult: onLeaseRelayResult,
+	streamRecords: ignoreMessage,
+	streamQuery: ignoreMessage,
+	streamReply: ignoreMessage,
 };
 
 function onPeerMessage(world: World, from: string, message: PeerMessage, incarnation: string) {
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -32,7 +32,7 @@
 const msPerSecond = 1000;
 
 /** Causes of refusals that concern only streams to be resumed. */
-const streamCauses = new Set([RefusalKind.StreamVersionGone]);
+const streamCauses = new Set([RefusalKind.StreamUnknown, RefusalKind.StreamVersionGone]);
 
 export function createGatewayMetrics(): GatewayMetrics {
 	const registers = [new Registry()];
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -11,7 +11,9 @@
 import type {GatewayInbound, GatewayOutbound, Registration} from '@shallotloom/core/gateway/ports.ts';
 import {isRateLimited} from '@shallotloom/core/gateway/rate-limits.ts';
 import {runGatewayStep} from '@shallotloom/core/gateway/step.ts';
-import {MemberState, type QuarantineEntry} from '@shallotloom/core/messages.ts';
+import {
+	MemberState, type PeerMessage, type PeerMessageOf, type QuarantineEntry,
+} from '@shallotloom/core/messages.ts';
 import {LogPart} from '@shallotloom/core/ports.ts';
 import {Outcome, RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 import {createCoreLoop, type CoreLoop} from '../core-loop.ts';
@@ -53,6 +55,8 @@
 	/** IP number and port for peers. */
 	peerListenAddress: string;
 	limits: Partial<GatewayLimits>;
+	/** Whether the whole fleet starts for the first time. */
+	isFirstStart: boolean;
 	format: CallFormat;
 	registry: InstanceRegistry;
 	quarantineStore: QuarantineStore;
@@ -90,6 +94,7 @@
 		seed: randomBytes(4).readInt32LE(),
 		now: timer.now(),
 		limits: options.limits,
+		isFirstStart: options.isFirstStart,
 	});
 	const exchanges = new Map<string, CallExchange>();
 	const connectionPools = createConnectionPools();
@@ -200,6 +205,9 @@
 			sendDigest({to, peerUrl, digest}) {
 				peers.send(to, peerUrl, digest);
 			},
+			sendStreamMessage({to, peerUrl, message}) {
+				peers.send(to, peerUrl, message);
+			},
 			register({registration}) {
 				registry.register(registration);
 			},
@@ -310,15 +318,29 @@
 		onRequest: handleCall,
 		isLeaving: () => gateway.state === MemberState.Leaving,
 	});
+	/** Handlers of the messages between instances that routed calls need; other kinds are ignored. */
+	const messageHandlers: {[Kind in PeerMessage['kind']]?: (from: string, incarnation: string, message: PeerMessageOf<Kind>) => void} = {
+		digest(from, incarnation, digest) {
+			push({
+				kind: 'digest', from, incarnation, digest,
+			});
+		},
+		streamRecords(from, _incarnation, message) {
+			push({kind: 'streamRecords', from, message});
+		},
+		streamQuery(from, _incarnation, message) {
+			push({kind: 'streamQuery', from, message});
+		},
+		streamReply(from, _incarnation, message) {
+			push({kind: 'streamReply', from, message});
+		},
+	};
+
 	const peerServer = await startPeerServer({
 		...parseAddress(options.peerListenAddress),
 		traffic,
 		onMessage(from, incarnation, message) {
-			if (message.kind === 'digest') {
-				push({
-					kind: 'digest', from, incarnation, digest: message,
-				});
-			}
+			messageHandlers[message.kind]?.(from, incarnation, message as never);
 		},
 	});
 	loop.start();
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -75,6 +75,7 @@
 		callerListenAddress: callers,
 		peerListenAddress: peers,
 		limits: {lingerMs: 100, maxStopMs: 3000},
+		isFirstStart: true,
 		format: testCallFormat,
 		quarantineStore: {
 			put: async () => true,
