Resume no stream at a target that may have restarted with another version

A target may start again under its id with another software version. The expected id doesn't catch that, and until the list of targets says so, streams are resumed at the wrong version and new ones are recorded with it. After the end of a target's process is known, from several answers that break together or a failed connection, here or at another instance, no stream is resumed there until the list names a new process, and the origin of streams that begin there is left open until then. The same holds for a second after any broken answer, for 0.3 s after a stall of this instance, and while other instances have a later list. A resumed stream is placed at the end of a step, after all messages about targets, and may wait anew: before, one that broke later than its queue timeout after its arrival was refused when no slot was free in that instant.

The model's restarts take their time and spare targets that are down, as a target can't start twice.

--- a/packages/bench/src/rollout-model/draws.ts
+++ b/packages/bench/src/rollout-model/draws.ts
@@ -56,6 +56,14 @@
 	return faults;
 }
 
+/** Draws the options of a run in which half of the faults are restarts of targets under their ids. */
+export function drawRestarts(seed: number, size: FleetSize): RolloutOptions {
+	const options = drawRollout(seed, size);
+	return {
+		...options, faults: options.faults.map((fault, index) => index % 2 === 0 ? {...fault, kind: FaultKind.RestartTargets} : fault),
+	};
+}
+
 /** Draws the options of a run. */
 export function drawRollout(seed: number, size: FleetSize): RolloutOptions {
 	const random = createRandom(seed, 1);
--- a/packages/bench/src/rollout-model/fleet.ts
+++ b/packages/bench/src/rollout-model/fleet.ts
@@ -4,6 +4,7 @@
 streams that break. The platform's lists reach each instance at a time of its own.
 */
 import {CallKind, createCatalogue} from '@shallotloom/core/gateway/catalogue.ts';
+import {DataKind} from '@shallotloom/core/gateway/data-sources.ts';
 import {createGateway, type Gateway} from '@shallotloom/core/gateway/gateway.ts';
 import type {GatewayLimits} from '@shallotloom/core/gateway/limits.ts';
 import {
@@ -142,6 +143,8 @@
 		streams: 0, mixedStreams: 0, begun: {attempts: 0, successes: 0}, resumed: {attempts: 0, successes: 0}, refusals: {}, messages: {},
 	};
 	const instances = new Map<string, ModelInstance>();
+	/** Increases with each change of the platform's list of targets. */
+	let listRevision = 0;
 	/** How to cancel the sends in progress, by call. */
 	const openSends = new Map<string, () => void>();
 	const targets = createVersionedTargets({
@@ -262,15 +265,23 @@
 		}
 	}
 
+	function createTargetMessages(): GatewayInbound[] {
+		return [
+			{kind: 'targets', targets: [...targets.listed.values()]},
+			{kind: 'dataVersion', version: {kind: DataKind.Targets, era: 0, revision: listRevision}, coveredRevision: listRevision},
+		];
+	}
+
 	function deliverTargets(instance: ModelInstance, delayMs: number) {
 		queue.schedule(delayMs, () => {
 			if (queue.now >= instance.cutFromPlatformUntil) {
-				push(instance, {kind: 'targets', targets: [...targets.listed.values()]});
+				push(instance, ...createTargetMessages());
 			}
 		});
 	}
 
 	function publishTargets() {
+		listRevision += 1;
 		for (const instance of instances.values()) {
 			deliverTargets(instance, minListDelayMs + ((random.uniform() ** 3) * (maxListDelayMs - minListDelayMs)));
 		}
@@ -293,7 +304,7 @@
 		push(
 			instance,
 			{kind: 'catalogue', catalogue},
-			{kind: 'targets', targets: [...targets.listed.values()]},
+			...createTargetMessages(),
 			{kind: 'domainsOut', domains: []},
 			{kind: 'platformReach', isReached: true},
 		);
@@ -366,17 +377,22 @@
 			}
 		},
 		[FaultKind.CrashTargets]({fraction, durationMs}) {
-			for (const {id, softwareVersion} of [...targets.listed.values()].filter(() => random.uniform() < fraction)) {
+			for (const {id, softwareVersion} of [...targets.listed.values()].filter(target => random.uniform() < fraction && targets.isRunning(target.id))) {
 				targets.crash(id);
 				queue.schedule(durationMs, () => {
 					targets.start(softwareVersion);
 				});
 			}
 		},
-		[FaultKind.RestartTargets]({fraction}) {
+		[FaultKind.RestartTargets]({fraction, durationMs}) {
 			const versions = [...targets.listed.values()].map(({softwareVersion}) => softwareVersion);
-			for (const {id} of [...targets.listed.values()].filter(() => random.uniform() < fraction)) {
-				targets.start(versions[Math.floor(random.uniform() * versions.length)]!, id);
+			for (const {id} of [...targets.listed.values()].filter(target => random.uniform() < fraction && targets.isRunning(target.id))) {
+				targets.crash(id, true);
+				queue.schedule(durationMs, () => {
+					if (targets.listed.has(id)) {
+						targets.start(versions[Math.floor(random.uniform() * versions.length)]!, id);
+					}
+				});
 			}
 		},
 		[FaultKind.ResetCallers]({fraction}) {
--- a/packages/bench/src/rollout-model/targets.ts
+++ b/packages/bench/src/rollout-model/targets.ts
@@ -20,14 +20,15 @@
 export type VersionedTargets = {
 	/** Entries of the running targets as the platform lists them. */
 	readonly listed: Map<string, ListedTarget>;
-	/** Number of targets of a version that take new work. */
+	/** Number of running targets of a version that take new work. */
 	countReady(softwareVersion: string): number;
+	isRunning(id: string): boolean;
 	/** Starts a target; returns its id. */
 	start(softwareVersion: string, id?: string): string;
 	/** Marks a target as leaving; it ends when its answers are complete, `drainMs` later at the earliest. */
 	drain(id: string): void;
-	/** Ends a target's process with its answers. */
-	crash(id: string): void;
+	/** Ends a target's process with its answers; its entry lapses, or remains until the target starts again. */
+	crash(id: string, isEntryKept?: boolean): void;
 	/** Sends a request to a target; returns how to cancel it, or undefined when no such target runs. */
 	send(id: string, answer: Answer): (() => void) | undefined;
 };
@@ -62,7 +63,7 @@
 			return;
 		}
 
-		if (answers.get(id)!.size > 0) {
+		if ((answers.get(id)?.size ?? 0) > 0) {
 			queue.schedule(drainMs, () => {
 				stop(id, startId);
 			});
@@ -100,10 +101,10 @@
 
 	return {
 		listed,
-		countReady: softwareVersion => [...listed.values()].filter(target => target.softwareVersion === softwareVersion && target.standing === TargetStanding.Ready).length,
+		countReady: softwareVersion => [...listed.values()].filter(target => target.softwareVersion === softwareVersion && target.standing === TargetStanding.Ready && answers.has(target.id)).length,
+		isRunning: id => answers.has(id),
 		start(softwareVersion, id = `t${startCount}`) {
 			startCount += 1;
-			breakAnswers(id);
 			answers.set(id, new Set());
 			listed.set(id, {
 				id,
@@ -132,10 +133,11 @@
 				});
 			}
 		},
-		crash(id) {
-			if (listed.delete(id)) {
-				breakAnswers(id);
-				answers.delete(id);
+		crash(id, isEntryKept = false) {
+			breakAnswers(id);
+			answers.delete(id);
+			if (!isEntryKept) {
+				listed.delete(id);
 				onChange();
 			}
 		},
--- a/packages/bench/src/scenarios/scenarios.ts
+++ b/packages/bench/src/scenarios/scenarios.ts
@@ -12,6 +12,7 @@
 import {harmfulPrompts, harmfulRequests} from './quarantine.ts';
 import {overhead} from './overhead.ts';
 import {placement} from './placement.ts';
+import {rollouts, targetRestarts} from './rollouts.ts';
 import {rollingRestart} from './rolling-restart.ts';
 import type {Scenario} from './scenario.ts';
 import {streaming} from './streaming.ts';
@@ -32,6 +33,8 @@
 	placement,
 	'harmful-prompts': harmfulPrompts,
 	'harmful-requests': harmfulRequests,
+	rollouts,
+	'target-restarts': targetRestarts,
 	stop,
 	'rolling-restart': rollingRestart,
 	configuration,
--- a/packages/bench/test/rollouts.test.ts
+++ b/packages/bench/test/rollouts.test.ts
@@ -1,4 +1,4 @@
-import {drawRollout, fleetSizes} from '../src/rollout-model/draws.ts';
+import {drawRestarts, drawRollout, fleetSizes} from '../src/rollout-model/draws.ts';
 import {runRollout, type RolloutRun} from '../src/rollout-model/fleet.ts';
 
 const runs = new Map<string, RolloutRun>();
@@ -21,3 +21,9 @@
 	expect(resumed.attempts).toBeGreaterThanOrEqual(12);
 	expect(resumed.successes / resumed.attempts).toBeGreaterThanOrEqual(begun.successes / begun.attempts / 2);
 });
+
+test.each([
+	['six', 10], ['six', 15], ['six', 20], ['nine', 20], ['nine', 21],
+])('no stream holds events of two software versions when targets start again under their ids: %s instances, seed %i', (size, seed) => {
+	expect(runRollout(drawRestarts(seed, fleetSizes[size]!)).mixedStreams).toBe(0);
+});
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -12,7 +12,7 @@
 	CallKind, findRoute, type CallRoute, type Catalogue, type Tenancy,
 } from './catalogue.ts';
 import {recordColdSend} from './cold-limits.ts';
-import {disproveCrash} from './crash-evidence.ts';
+import {disproveCrash, mayHaveRestarted} from './crash-evidence.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
 import {adjustLimit} from './engine-limits.ts';
 import {
@@ -178,7 +178,6 @@
 	}
 
 	call.pool = origin.pool;
-	call.queueTimeoutAt = gateway.now + computeQueueTimeoutMs(gateway, call.route, call.deadline - gateway.now);
 	startCall(gateway, call);
 }
 
@@ -220,6 +219,12 @@
 	}
 
 	enqueue(gateway, call);
+	if (call.origin) {
+		// Messages about the targets may follow in this inbox; queued calls are started at the end of the step.
+		call.queueTimeoutAt = Math.max(gateway.now, gateway.streamsHeldUntil) + computeQueueTimeoutMs(gateway, call.route, call.deadline - gateway.now);
+		return;
+	}
+
 	startPoolCalls(gateway, call.pool);
 	const evicted = call.state === CallState.Waiting ? findEvictionCandidate(gateway, call) : undefined;
 	if (evicted) {
@@ -240,9 +245,10 @@
 		recordFirstSend(gateway, call.pool);
 	}
 
-	const isOtherVersion = call.targetVersion !== target.softwareVersion;
+	const targetVersion = mayHaveRestarted(gateway, target) ? unknownSoftwareVersion : target.softwareVersion;
+	const isOtherVersion = call.targetVersion !== targetVersion;
 	Object.assign(call, {
-		state: CallState.Sent, target: target.id, targetVersion: target.softwareVersion, sentAt: gateway.now, uncachedTokens, firstByteAt: undefined,
+		state: CallState.Sent, target: target.id, targetVersion, sentAt: gateway.now, uncachedTokens, firstByteAt: undefined,
 	});
 	call.attempts += 1;
 	call.sends += 1;
--- a/packages/core/src/gateway/crash-evidence.ts
+++ b/packages/core/src/gateway/crash-evidence.ts
@@ -89,6 +89,22 @@
 	}
 }
 
+/**
+Whether a target's process has ended so recently that another one, with another software version, may have taken its place under its id
+before the platform lists that start. An answer that it begins meanwhile doesn't show which of the two it is.
+*/
+export function mayHaveRestarted({crashes, now, limits}: Gateway, target: Pick<PoolTarget, 'id' | 'startId' | 'connectionFailedAt'>): boolean {
+	const crash = crashes.get(createKey(target));
+	const endedAt = Math.max(target.connectionFailedAt, crash?.isConfirmed ? crash.at : Number.NEGATIVE_INFINITY);
+	return now - endedAt <= limits.restartListingMs;
+}
+
+/** Whether an answer of a target's process broke so recently that no further evidence can have arrived yet whether that has ended. */
+export function mayHaveCrashed({crashes, now, limits}: Gateway, target: TargetProcess): boolean {
+	const crash = crashes.get(createKey(target));
+	return crash !== undefined && now - crash.at <= limits.crashEvidenceMs;
+}
+
 /** Records that a process began an answer, so that it hadn't ended before. */
 export function disproveCrash({crashes, now, limits}: Gateway, target: TargetProcess) {
 	const crash = crashes.get(createKey(target));
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -147,6 +147,8 @@
 	/** Processor use of the fleet for which the serving set is sized, in cores, and when it was computed. */
 	demandCapacity: number;
 	demandUpdatedAt: number;
+	/** Time until which no stream is resumed, after a stall: what became of the targets meanwhile isn't read yet. */
+	streamsHeldUntil: number;
 	/** Time until which this instance counts as overloaded. */
 	overloadedUntil: number;
 	outbox: GatewayOutbound[];
@@ -158,7 +160,7 @@
 	now: number;
 	limits?: Partial<GatewayLimits>;
 	/** Whether the whole fleet starts for the first time, so that nothing has happened before. */
-	isFirstStart?: boolean;
+	isFirstStart?: boolean | undefined;
 };
 
 /** Creates the state of an instance that has just started and has received nothing yet. */
@@ -220,6 +222,7 @@
 		usedCapacity: 0,
 		demandCapacity: 0,
 		demandUpdatedAt: now,
+		streamsHeldUntil: Number.NEGATIVE_INFINITY,
 		overloadedUntil: Number.NEGATIVE_INFINITY,
 		outbox: [],
 	};
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -119,6 +119,8 @@
 	crashWindowMs: number;
 	/** Time within which other evidence that a target's process has ended must follow broken answers. */
 	crashConfirmationMs: number;
+	/** Time within which such evidence mostly arrives, in digests too. */
+	crashEvidenceMs: number;
 	/** Crashes closer together than this have one cause, which is no prompt: that crashes one target at a time. */
 	commonCauseMs: number;
 	/** Time for which crashes, and answers that show a suspect to be sound, are remembered. */
@@ -146,6 +148,10 @@
 	streamQueryMs: number;
 	/** Time after which a stream whose origin nobody knows can't be resumed. */
 	streamLookupMs: number;
+	/** Time after a stall for which no stream is resumed. */
+	streamHoldMs: number;
+	/** Time within which the platform lists the restart of a target whose process has ended, or removes the target. */
+	restartListingMs: number;
 	/** An instance without a digest for this long is removed from the platform's list. */
 	removalTimeoutMs: number;
 	/** Minimum interval between two registrations. */
@@ -210,6 +216,7 @@
 	crashDelayMs: 2 * second,
 	crashWindowMs: 100,
 	crashConfirmationMs: 10 * second,
+	crashEvidenceMs: second,
 	commonCauseMs: 30,
 	crashMemoryMs: 120 * second,
 	soundMemoryMs: 60 * second,
@@ -225,6 +232,8 @@
 	streamLookupPeers: 16,
 	streamQueryMs: 150,
 	streamLookupMs: 500,
+	streamHoldMs: 300,
+	restartListingMs: 5 * second,
 	removalTimeoutMs: 10 * second,
 	minRegisterIntervalMs: 2 * second,
 	lingerMs: 2.5 * second,
--- a/packages/core/src/gateway/overload.ts
+++ b/packages/core/src/gateway/overload.ts
@@ -13,6 +13,7 @@
 	}
 
 	if (ms >= limits.overloadStallMs) {
+		gateway.streamsHeldUntil = gateway.now + limits.streamHoldMs;
 		extendOverload(gateway, {stallMs: Math.round(ms)});
 	}
 }
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -5,6 +5,8 @@
 */
 import {randomFraction} from '../world.ts';
 import {isWithinColdRate} from './cold-limits.ts';
+import {mayHaveCrashed, mayHaveRestarted} from './crash-evidence.ts';
+import {DataKind} from './data-sources.ts';
 import {isEnginePool, getOrCreatePoolEstimates, type Gateway} from './gateway.ts';
 import {hasFreeSlot, estimateLoad} from './loads.ts';
 import {
@@ -90,7 +92,13 @@
 
 /** Whether a call may be sent to a target now. */
 function canSendTo(gateway: Gateway, call: Call, target: PoolTarget): boolean {
-	return !call.triedTargets.includes(target.id) && isAvailable(gateway, target);
+	return !call.triedTargets.includes(target.id) && isAvailable(gateway, target) && (call.origin === undefined || isVersionCertain(gateway, target));
+}
+
+/** Whether the process of a target, and so the version of its software, is certainly the listed one. */
+function isVersionCertain(gateway: Gateway, target: PoolTarget): boolean {
+	const isListCurrent = gateway.now >= gateway.streamsHeldUntil && !gateway.missingData.has(DataKind.Targets);
+	return isListCurrent && !mayHaveCrashed(gateway, target) && !mayHaveRestarted(gateway, target);
 }
 
 /** Whether a target takes one more call of this instance now. */
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -168,6 +168,8 @@
 	reportedColdUntil: number;
 	/** It may have restarted unnoticed, and is treated as cold until this time. */
 	suspectedRestartUntil: number;
+	/** When a connection to it last failed; -Infinity while none has. */
+	connectionFailedAt: number;
 	/** Time of its last answer to this instance. */
 	lastAnswerAt: number;
 	/** Times of the sends while it was, or was suspected to be, cold; oldest first. */
--- a/packages/core/src/gateway/target-health.ts
+++ b/packages/core/src/gateway/target-health.ts
@@ -37,6 +37,7 @@
 		target.consecutiveFailures = 0;
 	},
 	[SendEnd.NotSent](gateway, target) {
+		target.connectionFailedAt = gateway.now;
 		suspectRestart(gateway, target);
 		target.consecutiveFailures = Math.max(target.consecutiveFailures + 1, gateway.limits.failuresBeforeSetAside);
 		setAside(gateway, target, 'no connection');
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -20,6 +20,7 @@
 		coldUntil: now + listed.coldForMs,
 		reportedColdUntil: Number.NEGATIVE_INFINITY,
 		suspectedRestartUntil: Number.NEGATIVE_INFINITY,
+		connectionFailedAt: Number.NEGATIVE_INFINITY,
 		lastAnswerAt: Number.NEGATIVE_INFINITY,
 		coldSendTimes: [],
 		running: 0,
@@ -85,18 +86,21 @@
 }
 
 /**
-Marks the streams whose answers are in work at a target as of unknown origin when another process with another software version has taken
-its place: which of the two answers isn't known.
+Updates the origins of the streams whose answers are in work at a target when another process has taken its place. Those that were sent after
+the previous process had ended began at the new one. Of the others it isn't known which of the two answers them.
 */
-function forgetOrigins(gateway: Gateway, {id, softwareVersion}: PoolTarget, listed: ListedTarget) {
-	if (listed.softwareVersion === softwareVersion) {
-		return;
-	}
-
+function updateOrigins(gateway: Gateway, {id, softwareVersion}: PoolTarget, listed: ListedTarget) {
 	for (const call of gateway.calls.rows()) {
-		if (call.state === CallState.Sent && call.target === id) {
-			call.targetVersion = unknownSoftwareVersion;
-			call.origin &&= {...call.origin, softwareVersion: unknownSoftwareVersion};
+		if (call.state !== CallState.Sent || call.target !== id) {
+			continue;
+		}
+
+		const isOfNewProcess = call.targetVersion === unknownSoftwareVersion;
+		const version = isOfNewProcess || listed.softwareVersion === softwareVersion ? listed.softwareVersion : unknownSoftwareVersion;
+		const isAffected = isOfNewProcess ? call.origin?.softwareVersion === unknownSoftwareVersion : version === unknownSoftwareVersion;
+		call.targetVersion = version;
+		if (call.origin && isAffected) {
+			call.origin = {...call.origin, softwareVersion: version};
 		}
 	}
 }
@@ -115,7 +119,7 @@
 		// Another process: what is known of the previous one no longer holds, but recent sends may have reached the new one
 		// already.
 		const {running, coldSendTimes, coldUntil} = target;
-		forgetOrigins(gateway, target, listed);
+		updateOrigins(gateway, target, listed);
 		recordFormerVersion(gateway, target);
 		recordFormerTarget(gateway, target);
 		confirmCrash(gateway, target);
--- a/packages/core/test/support/gateways.ts
+++ b/packages/core/test/support/gateways.ts
@@ -69,7 +69,8 @@
 
 export function createListedTarget(id: string, options: Partial<ListedTarget> = {}): ListedTarget {
 	return {
-		id, pool: 'desk', address: `10.0.0.1:${id.length}`, softwareVersion: 'v1', failureDomain: 'suva', standing: TargetStanding.Ready, slots: 6, coldForMs: 0, startId: '1', revision: 1, isRestored: false, ...options,
+		id, pool: 'desk', address: `10.0.0.1:${id.length}`, softwareVersion: 'v1',
+		failureDomain: 'suva', standing: TargetStanding.Ready, slots: 6, coldForMs: 0, startId: '1', revision: 1, isRestored: false, ...options,
 	};
 }
 
@@ -119,17 +120,18 @@
 	catalogue?: Catalogue;
 	limits?: Partial<GatewayLimits>;
 	seed?: number;
+	isFirstStart?: boolean;
 };
 
 /** Creates a gateway that has received its catalogue, targets and registrations. */
 export function createBench({
-	targets = [createListedTarget('t1')], instances = ['self'], catalogue = createTestCatalogue(), limits, seed = 1,
+	targets = [createListedTarget('t1')], instances = ['self'], catalogue = createTestCatalogue(), limits, seed = 1, isFirstStart,
 }: BenchOptions = {}): Bench {
 	let now = 10_000;
 	let calls = 0;
 	const self = createRegistration(instances[0]!);
 	const gateway = createGateway({
-		self, seed, now, limits: {...limits},
+		self, seed, now, limits: {...limits}, isFirstStart,
 	});
 	const step = (...inbox: GatewayInbound[]) => runGatewayStep(gateway, now, inbox);
 	step(
