Start streams that callers resume before calls that wait with them

While few targets of a version are left, new calls took their slots and streams to be resumed were refused for lack of one, although part of their answers had been served. In the queue of a workspace they come first now and are evicted last; shares between workspaces are as before. A test of the core shows the order.

--- a/packages/core/src/gateway/queues.ts
+++ b/packages/core/src/gateway/queues.ts
@@ -110,7 +110,7 @@
 	let highest = -1;
 	for (const call of calls) {
 		const usage = waitingCosts.get(call.workspace)! + getServedTokens(gateway, call.pool, call.workspace);
-		if (usage > highest || (usage === highest && call.priority >= candidate.priority)) {
+		if (usage > highest || (usage === highest && compareUrgency(call, candidate) >= 0)) {
 			candidate = call;
 			highest = usage;
 		}
@@ -142,6 +142,11 @@
 	return candidate;
 }
 
+/** Orders calls by urgency: first streams to be resumed, since part of their answers has been served, then by priority. */
+function compareUrgency(a: Call, b: Call): number {
+	return Number(b.origin !== undefined) - Number(a.origin !== undefined) || a.priority - b.priority;
+}
+
 /** Waiting calls of one workspace, in the order in which they are started. */
 type WorkspaceQueue = {workspace: string; servedTokens: number; calls: Call[]};
 
@@ -161,7 +166,7 @@
 	}
 
 	for (const queue of workspaceQueues.values()) {
-		queue.calls.sort((a, b) => a.priority - b.priority);
+		queue.calls.sort(compareUrgency);
 	}
 
 	return [...workspaceQueues.values()];
@@ -181,7 +186,7 @@
 
 /**
 Starts the queued calls of a pool for which a slot is free: first those of the workspace with the fewest served tokens,
-within a workspace by priority, then by age. A call whose targets are full doesn't block calls that other targets can
+within a workspace streams to be resumed, then by priority, then by age. A call whose targets are full doesn't block calls that other targets can
 accept.
 */
 export function startQueuedCalls(gateway: Gateway, pool: string, start: (call: Call, choice: Choice) => void) {
--- a/packages/core/test/gateway/stream-versions.test.ts
+++ b/packages/core/test/gateway/stream-versions.test.ts
@@ -1,5 +1,7 @@
-import {SendEnd, type GatewayOutboundOf} from '../../src/gateway/ports.ts';
-import {Outcome} from '../../src/refusal.ts';
+import {
+	SendEnd, type GatewayInbound, type GatewayOutbound, type GatewayOutboundOf,
+} from '../../src/gateway/ports.ts';
+import {Outcome, RefusalKind} from '../../src/refusal.ts';
 import {
 	createBench, createListedTarget, createPrompt, endSend, filterByKind, type Bench,
 } from '../support/gateways.ts';
@@ -8,9 +10,11 @@
 	return createListedTarget(id, {pool: 'engines', slots: 64, softwareVersion});
 }
 
-/** Starts a stream at a target, of which the caller receives the first event. */
-function startStream(bench: Bench): GatewayOutboundOf<'send'> {
-	const [send] = filterByKind(bench.call({path: '/chat/x', prompt: createPrompt('p', 100)}), 'send');
+/** Starts a stream at a target, of which the caller receives the first event. The rest of the outbox is passed on. */
+function startStream(bench: Bench, onOutbox: (outbox: GatewayOutbound[]) => void = () => undefined): GatewayOutboundOf<'send'> {
+	const outbox = bench.call({path: '/chat/x', prompt: createPrompt('p', 100)});
+	onOutbox(outbox);
+	const [send] = filterByKind(outbox, 'send');
 	bench.step({
 		kind: 'answerStarted', call: send!.call, send: send!.send, load: undefined,
 	}, {kind: 'answerDelivered', call: send!.call});
@@ -42,3 +46,68 @@
 	expect(filterByKind([...outbox, ...later], 'send')).toEqual([]);
 	expect(filterByKind([...outbox, ...later], 'refuse')).toMatchObject([{refusal: {outcome: Outcome.NotRun}}]);
 });
+
+/** Delivers the messages about streams of one instance to another. */
+function deliver(outbox: GatewayOutbound[], from: Bench, to: Bench): GatewayOutbound[] {
+	return filterByKind(outbox, 'sendStreamMessage').flatMap(({message}) => to.step({kind: message.kind, from: from.gateway.self.id, message} as GatewayInbound));
+}
+
+describe('an attempt at another instance', () => {
+	const targets = ['v1', 'v2', 'v1', 'v2'].map((version, index) => createEngine(`t${index}`, version));
+	let first: Bench;
+	let second: Bench;
+	let begun: GatewayOutboundOf<'send'>;
+
+	beforeEach(() => {
+		first = createBench({targets, instances: ['a', 'b']});
+		second = createBench({targets, instances: ['b', 'a']});
+		begun = startStream(first, outbox => {
+			deliver(outbox, first, second);
+		});
+	});
+
+	test('resumes a stream at the software version that began it', () => {
+		const [resumed] = filterByKind(second.call({path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId: 'c1'}}), 'send');
+		const getVersion = (target: string) => targets.find(({id}) => id === target)!.softwareVersion;
+		expect(getVersion(resumed!.target)).toBe(getVersion(begun.target));
+	});
+
+	test('doesn\'t resume a stream that another workspace began', () => {
+		const outbox = second.call({
+			path: '/chat/x', key: 'key-b', prompt: createPrompt('p', 100), resumption: {firstRequestId: 'c1'},
+		});
+		expect(filterByKind([...outbox, ...second.wait(2000)], 'send')).toEqual([]);
+	});
+
+	test('asks for a stream that it doesn\'t know, and is refused at once when no other instance knows it', () => {
+		const outbox = second.call({path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId: 'unknown'}});
+		expect(filterByKind(outbox, 'sendStreamMessage')).toMatchObject([{to: 'a', message: {kind: 'streamQuery'}}]);
+		const replied = deliver(deliver(outbox, second, first), first, second);
+		const asked = second.wait(150);
+		const refused = deliver(deliver(asked, second, first), first, second);
+		expect(filterByKind(replied, 'refuse')).toEqual([]);
+		expect(filterByKind(refused, 'refuse')).toMatchObject([{refusal: {kind: RefusalKind.StreamUnknown, outcome: Outcome.NotRun}}]);
+	});
+});
+
+test.each([
+	['names', 'unknown'], ['does not name', undefined],
+])('an attempt that %s its stream resumes it where only one software version can have begun it', (_name, firstRequestId) => {
+	const bench = createBench({targets: [createEngine('t1', 'v1')], isFirstStart: true});
+	expect(filterByKind(bench.call({path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId}}), 'send')).toHaveLength(1);
+});
+
+test('a version that has just been removed may have begun an unknown stream', () => {
+	const bench = createBench({targets: [createEngine('t1', 'v1'), createEngine('t2', 'v2')], isFirstStart: true});
+	bench.step({kind: 'targets', targets: [createEngine('t2', 'v2')]});
+	const outbox = bench.call({path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId: 'unknown'}});
+	expect(filterByKind([...outbox, ...bench.wait(1000)], 'send')).toEqual([]);
+});
+
+test('streams that callers resume are started before calls that wait with them', () => {
+	const bench = createBench({targets: [createListedTarget('t1', {pool: 'engines', slots: 0})], isFirstStart: true});
+	bench.call({path: '/chat/x', prompt: createPrompt('p', 100)});
+	bench.call({path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId: 'unknown'}});
+	bench.gateway.targets.get('t1')!.slots = 1;
+	expect(filterByKind(bench.wait(20), 'send').map(({call}) => call)[0]).toBe('c2');
+});
