Tell streams that callers do not name from each other, and heed unnoticed restarts

Found by reading: attempts that don't name their stream had one key in common, so that a record of one told the version of another. They have none now and are resumed only where one version can have begun them; the test failed before. While the platform can't be reached, a target without answers for a second may have restarted unnoticed, as for cold limits: no stream is resumed there and the version of one that begins there stays open. An older copy of the list says nothing of the process that answers.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -11,7 +11,7 @@
 import {
 	CallKind, findRoute, type CallRoute, type Catalogue, type Tenancy,
 } from './catalogue.ts';
-import {recordColdSend} from './cold-limits.ts';
+import {mayHaveRestartedUnnoticed, recordColdSend} from './cold-limits.ts';
 import {disproveCrash, mayHaveRestarted} from './crash-evidence.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
 import {adjustLimit} from './engine-limits.ts';
@@ -99,6 +99,12 @@
 	return Math.min(limits.maxQueueTimeoutMs, objectiveMs * limits.queueTimeoutFraction, remainingMs);
 }
 
+/** Key of the stream that a call begins or resumes; undefined when it is no stream, or resumes one that its caller doesn't name. */
+function getStreamKey({requestId, resumption}: CallArrival, {kind}: CallRoute, {workspace}: Tenancy): number | undefined {
+	const firstRequestId = resumption ? resumption.firstRequestId : requestId;
+	return kind === CallKind.Streamed && firstRequestId !== undefined ? computeStreamKey(workspace, firstRequestId) : undefined;
+}
+
 function createCall(gateway: Gateway, arrival: CallArrival, route: CallRoute, tenancy: Tenancy): Call {
 	const {now} = gateway;
 	const remainingMs = Math.min(arrival.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -127,7 +133,7 @@
 		mayHaveRun: false,
 		hasAnswerBytes: false,
 		origin: undefined,
-		stream: route.kind === CallKind.Streamed ? computeStreamKey(tenancy.workspace, arrival.resumption ? arrival.resumption.firstRequestId ?? '' : arrival.requestId) : undefined,
+		stream: getStreamKey(arrival, route, tenancy),
 		records: new Set(),
 		recordedFor: '',
 		lookup: undefined,
@@ -151,7 +157,7 @@
 		return;
 	}
 
-	if (call.resumption && call.stream !== undefined) {
+	if (call.resumption && call.route.kind === CallKind.Streamed) {
 		const origin = startLookup(gateway, call);
 		if (origin) {
 			resumeStream(gateway, call, origin);
@@ -245,7 +251,8 @@
 		recordFirstSend(gateway, call.pool);
 	}
 
-	const targetVersion = mayHaveRestarted(gateway, target) ? unknownSoftwareVersion : target.softwareVersion;
+	const isOtherProcessPossible = mayHaveRestarted(gateway, target) || mayHaveRestartedUnnoticed(gateway, target);
+	const targetVersion = isOtherProcessPossible ? unknownSoftwareVersion : target.softwareVersion;
 	const isOtherVersion = call.targetVersion !== targetVersion;
 	Object.assign(call, {
 		state: CallState.Sent, target: target.id, targetVersion, sentAt: gateway.now, uncachedTokens, firstByteAt: undefined,
@@ -364,7 +371,7 @@
 		? {kind: RefusalKind.TargetFailed, outcome: Outcome.Unknown, detail: answer.detail}
 		: answer;
 	gateway.outbox.push({
-		kind: 'refuse', call: call.id, refusal: finalRefusal, stream: {pool: call.pool, cause: answer.kind},
+		kind: 'refuse', call: call.id, refusal: finalRefusal, pool: call.pool, cause: answer.kind,
 	});
 	logRefusal(gateway, call.id, finalRefusal, {
 		cause: answer.kind === finalRefusal.kind ? undefined : answer.kind,
@@ -429,8 +436,11 @@
 	}
 
 	call.hasAnswerBytes = true;
-	if (call.stream !== undefined) {
+	if (call.route.kind === CallKind.Streamed) {
 		call.origin ??= {pool: call.pool, softwareVersion: call.targetVersion};
+	}
+
+	if (call.origin && call.stream !== undefined) {
 		recordOrigin(gateway, call.stream, call.origin);
 	}
 }
--- a/packages/core/src/gateway/cold-limits.ts
+++ b/packages/core/src/gateway/cold-limits.ts
@@ -39,7 +39,7 @@
 Whether a target may have restarted unnoticed: the platform can't be reached or lists an older entry of it, and it hasn't answered
 recently.
 */
-function mayHaveRestartedUnnoticed(gateway: Gateway, {running, lastAnswerAt, isRestored}: PoolTarget): boolean {
+export function mayHaveRestartedUnnoticed(gateway: Gateway, {running, lastAnswerAt, isRestored}: PoolTarget): boolean {
 	const isListCurrent = gateway.platform.isReached && !(isRestored && isDataReturnRecent(gateway));
 	return !isListCurrent && running === 0 && gateway.now - lastAnswerAt > gateway.limits.suspectedRestartAfterMs;
 }
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -4,7 +4,7 @@
 request in flight there; for services it is the time in the target's queue and the round trip to its failure domain.
 */
 import {randomFraction} from '../world.ts';
-import {isWithinColdRate} from './cold-limits.ts';
+import {isWithinColdRate, mayHaveRestartedUnnoticed} from './cold-limits.ts';
 import {mayHaveCrashed, mayHaveRestarted} from './crash-evidence.ts';
 import {DataKind} from './data-sources.ts';
 import {isEnginePool, getOrCreatePoolEstimates, type Gateway} from './gateway.ts';
@@ -53,8 +53,9 @@
 }
 
 /**
-Finds the engines that a call may be sent to now. A stream is resumed at any engine of its software version. Otherwise a long shared prompt segment stays at its preferred targets. While they are
-full and several calls wait for it, it spreads to further targets in rendezvous order.
+Finds the engines that a call may be sent to now. A stream is resumed at any engine of its software version, since the preferred ones
+may all be of another. Otherwise a long shared prompt segment stays at its preferred targets. While they are full and several calls
+wait for it, it spreads to further targets in rendezvous order.
 */
 function findEngineCandidates(gateway: Gateway, call: Call, round: PlacementRound): Candidate[] {
 	const {
@@ -98,7 +99,7 @@
 /** Whether the process of a target, and so the version of its software, is certainly the listed one. */
 function isVersionCertain(gateway: Gateway, target: PoolTarget): boolean {
 	const isListCurrent = gateway.now >= gateway.streamsHeldUntil && !gateway.missingData.has(DataKind.Targets);
-	return isListCurrent && !mayHaveCrashed(gateway, target) && !mayHaveRestarted(gateway, target);
+	return isListCurrent && !mayHaveCrashed(gateway, target) && !mayHaveRestarted(gateway, target) && !mayHaveRestartedUnnoticed(gateway, target);
 }
 
 /** Whether a target takes one more call of this instance now. */
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -97,8 +97,10 @@
 	| {kind: 'deliverFailure'; call: string}
 	| {
 		kind: 'refuse'; call: string; refusal: Refusal;
-		/** Pool of the call, and why it was refused before it turned out that a target may have run it; undefined for calls that weren't admitted. */
-		stream?: {pool: string; cause: RefusalKind};
+		/** Pool of the call; undefined when it wasn't admitted. */
+		pool?: string;
+		/** Reason for which it ended, also where its refusal says only that a target may have run it. */
+		cause?: RefusalKind;
 	}
 	/** Discard the state of the call. */
 	| {kind: 'closed'; call: string}
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -60,6 +60,8 @@
 
 /** Lookup of where the stream of a call began. */
 export type StreamLookup = {
+	/** Key by which the stream is asked for. */
+	key: number;
 	startedAt: number;
 	/** When the instances were last asked. */
 	queriedAt: number;
@@ -117,7 +119,7 @@
 	hasAnswerBytes: boolean;
 	/** Where the stream began of which the caller has received events: it is resumed only at this pool and version. */
 	origin: StreamOrigin | undefined;
-	/** Key of its stream; undefined when the answer is no stream. */
+	/** Key of its stream; undefined when the answer is no stream, or resumes one that its caller doesn't name. */
 	stream: number | undefined;
 	/** Records of its stream that were sent: holder, incarnation and version. */
 	records: Set<string>;
--- a/packages/core/src/gateway/stream-lookups.ts
+++ b/packages/core/src/gateway/stream-lookups.ts
@@ -5,11 +5,12 @@
 */
 import type {PoolVersions} from '../messages.ts';
 import {LogPart} from '../ports.ts';
+import type {CallRoute} from './catalogue.ts';
 import {addLogLine, isAlive, type Gateway} from './gateway.ts';
 import {createPoolVersions, findOnlyVersion} from './pool-versions.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {
-	CallState, type Call, type Instance, type StreamOrigin,
+	CallState, type Call, type Instance, type StreamLookup, type StreamOrigin,
 } from './rows.ts';
 import {findOrigin, rankHolders, updateHolderRanking} from './stream-origins.ts';
 
@@ -26,28 +27,31 @@
 /** How a lookup ended. */
 export type LookupEnd = {kind: 'found'; origin: StreamOrigin} | {kind: 'unknown'};
 
+/** Key by which a stream is asked for that its caller doesn't name; no record has it. */
+const unnamedStream = 0;
+
 /** An instance that hasn't sent a digest yet may be alive: this one may have started only just. */
 function mayAnswer(gateway: Gateway, instance: Instance): boolean {
 	return instance.lastDigestAt === Number.NEGATIVE_INFINITY || isAlive(gateway, instance);
 }
 
-function query(gateway: Gateway, call: Call) {
-	const {lookup, stream, route} = call;
+function query(gateway: Gateway, lookup: StreamLookup, {weightedPools}: CallRoute) {
 	updateHolderRanking(gateway);
-	const asked = rankHolders(gateway, stream!).filter(instance => mayAnswer(gateway, instance)).slice(0, gateway.limits.streamLookupPeers);
-	lookup!.queriedAt = gateway.now;
-	lookup!.asked = asked.map(({id}) => id);
-	lookup!.replies.clear();
+	const asked = rankHolders(gateway, lookup.key).filter(instance => mayAnswer(gateway, instance)).slice(0, gateway.limits.streamLookupPeers);
+	lookup.queriedAt = gateway.now;
+	lookup.asked = asked.map(({id}) => id);
+	lookup.replies.clear();
 	for (const {id, peerUrl} of asked) {
 		gateway.outbox.push({
-			kind: 'sendStreamMessage', to: id, peerUrl, message: {kind: 'streamQuery', stream: stream!, pools: route.weightedPools.map(({pool}) => pool)},
+			kind: 'sendStreamMessage', to: id, peerUrl, message: {kind: 'streamQuery', stream: lookup.key, pools: weightedPools.map(({pool}) => pool)},
 		});
 	}
 }
 
 /** Starts to look up the origin of a call's stream; returns it when this instance knows it. */
 export function startLookup(gateway: Gateway, call: Call): StreamOrigin | undefined {
-	const known = findOrigin(gateway, call.stream!);
+	const key = call.stream ?? unnamedStream;
+	const known = findOrigin(gateway, key);
 	if (known) {
 		logFound(gateway, call, known, OriginSource.Own);
 		return known;
@@ -55,9 +59,9 @@
 
 	call.state = CallState.Locating;
 	call.lookup = {
-		startedAt: gateway.now, queriedAt: gateway.now, asked: [], replies: new Map(), origin: undefined,
+		key, startedAt: gateway.now, queriedAt: gateway.now, asked: [], replies: new Map(), origin: undefined,
 	};
-	query(gateway, call);
+	query(gateway, call.lookup, call.route);
 	return undefined;
 }
 
@@ -83,8 +87,8 @@
 }
 
 export function onStreamReply(gateway: Gateway, {from, message}: GatewayInboundOf<'streamReply'>) {
-	for (const {lookup, stream} of gateway.calls.rows()) {
-		if (!lookup || stream !== message.stream) {
+	for (const {lookup} of gateway.calls.rows()) {
+		if (lookup?.key !== message.stream) {
 			continue;
 		}
 
@@ -146,7 +150,7 @@
 	}
 
 	if (now - queriedAt >= streamQueryMs) {
-		query(gateway, call);
+		query(gateway, call.lookup!, call.route);
 	}
 
 	return undefined;
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -86,8 +86,8 @@
 }
 
 /**
-Updates the origins of the streams whose answers are in work at a target when another process has taken its place. Those that were sent after
-the previous process had ended began at the new one. Of the others it isn't known which of the two answers them.
+Updates the origins of the streams whose answers are in work at a target when another process has taken its place. Those that were sent
+after the previous process had ended began at the new one. Of the others it isn't known which of the two answers them.
 */
 function updateOrigins(gateway: Gateway, {id, softwareVersion}: PoolTarget, listed: ListedTarget) {
 	for (const call of gateway.calls.rows()) {
@@ -95,12 +95,13 @@
 			continue;
 		}
 
-		const isOfNewProcess = call.targetVersion === unknownSoftwareVersion;
-		const version = isOfNewProcess || listed.softwareVersion === softwareVersion ? listed.softwareVersion : unknownSoftwareVersion;
-		const isAffected = isOfNewProcess ? call.origin?.softwareVersion === unknownSoftwareVersion : version === unknownSoftwareVersion;
-		call.targetVersion = version;
-		if (call.origin && isAffected) {
-			call.origin = {...call.origin, softwareVersion: version};
+		if (call.targetVersion !== unknownSoftwareVersion) {
+			const isSame = listed.softwareVersion === softwareVersion;
+			call.targetVersion = isSame ? softwareVersion : unknownSoftwareVersion;
+			call.origin = isSame ? call.origin : call.origin && {...call.origin, softwareVersion: unknownSoftwareVersion};
+		} else if (!listed.isRestored) {
+			call.targetVersion = listed.softwareVersion;
+			call.origin = call.origin?.softwareVersion === unknownSoftwareVersion ? {...call.origin, softwareVersion: listed.softwareVersion} : call.origin;
 		}
 	}
 }
--- a/packages/core/test/gateway/stream-versions.test.ts
+++ b/packages/core/test/gateway/stream-versions.test.ts
@@ -111,3 +111,13 @@
 	bench.gateway.targets.get('t1')!.slots = 1;
 	expect(filterByKind(bench.wait(20), 'send').map(({call}) => call)[0]).toBe('c2');
 });
+
+test('an attempt that does not name its stream learns nothing from another one that did not', () => {
+	const bench = createBench({targets: [createEngine('t1', 'v1')], isFirstStart: true});
+	const resume = () => filterByKind(bench.call({path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId: undefined}}), 'send');
+	const [send] = resume();
+	bench.step({
+		kind: 'answerStarted', call: send!.call, send: send!.send, load: undefined,
+	}, {kind: 'answerDelivered', call: send!.call}, {kind: 'targets', targets: [createEngine('t1', 'v1'), createEngine('t2', 'v2')]});
+	expect(resume()).toEqual([]);
+});
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -17,7 +17,7 @@
 import {RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 
 export type GatewayMetrics = {
-	countRefusal(refusal: Refusal, stream?: GatewayOutboundOf<'refuse'>['stream']): void;
+	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
 	/** Counts a send that resumes a stream. */
 	countSend(send: GatewayOutboundOf<'send'>): void;
 	/** Counts the call events that an inbound message reports. */
@@ -137,10 +137,10 @@
 	}
 
 	return {
-		countRefusal({kind, outcome}, stream) {
+		countRefusal({kind, outcome}, {pool, cause} = {}) {
 			refusedCalls.inc({reason: kind, outcome});
-			if (stream && streamCauses.has(stream.cause)) {
-				refusedStreams.inc({pool: stream.pool, cause: stream.cause});
+			if (cause !== undefined && streamCauses.has(cause)) {
+				refusedStreams.inc({pool: pool ?? '', cause});
 			}
 		},
 		countSend({pool, isResumed, isResumedByCaller}) {
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -188,9 +188,9 @@
 					sendBufferedAnswer(exchange, exchange.failedAnswer);
 				}
 			},
-			refuse({call, refusal, stream}) {
+			refuse({call, refusal, pool, cause}) {
 				const exchange = exchanges.get(call);
-				metrics.countRefusal(refusal, stream);
+				metrics.countRefusal(refusal, {pool, cause});
 				if (exchange) {
 					cancelSend(exchange);
 					endWithRefusal(exchange, refusal);
