--- a/packages/bench/src/cli/explore.ts
+++ b/packages/bench/src/cli/explore.ts
@@ -7,6 +7,8 @@
 	seed: number;
 	minutes: number;
 	instances: number;
+	/** Whether the sequences have rollouts of targets. */
+	hasRollouts: boolean;
 };
 
 /** Sequences between two looks at the clock. */
@@ -15,11 +17,15 @@
 const minuteMs = 60_000;
 
 /** Runs until the time is over or something breaks; returns the exit code. */
-export function runExploration({seed, minutes, instances}: ExploreOptions): number {
+export function runExploration({
+	seed, minutes, instances, hasRollouts,
+}: ExploreOptions): number {
 	const until = performance.now() + (minutes * minuteMs);
 	let sequences = 0;
 	for (let turn = seed; performance.now() < until; turn += 1) {
-		const exploration = explore({seed: turn, sequences: sequencesAtOnce, instances});
+		const exploration = explore({
+			seed: turn, sequences: sequencesAtOnce, instances, hasRollouts,
+		});
 		sequences += exploration.sequences;
 		if (exploration.violation) {
 			const {faults, sequence} = exploration.violation;
--- a/packages/bench/src/cli/main.ts
+++ b/packages/bench/src/cli/main.ts
@@ -43,11 +43,13 @@
 	.option('--seed', 'Seed of the first sequences', 1)
 	.option('--minutes', 'Time to explore', 1)
 	.option('--instances', 'Instances of a fleet', 3)
+	.option('--rollouts', 'Replace targets by ones of other software versions, and resume streams', false)
 	.example('explore --minutes 5 --seed 7')
-	.action(async (options: {seed: number; minutes: number; instances: number}) => finish(Promise.resolve(runExploration({
+	.action(async (options: {seed: number; minutes: number; instances: number; rollouts?: boolean}) => finish(Promise.resolve(runExploration({
 		seed: Number(options.seed),
 		minutes: Number(options.minutes),
 		instances: Number(options.instances),
+		hasRollouts: options.rollouts === true,
 	}))));
 
 program
--- a/packages/bench/src/exploration/explore.ts
+++ b/packages/bench/src/exploration/explore.ts
@@ -36,7 +36,15 @@
 	configure: 1,
 };
 
-type ActionKind = keyof typeof weights;
+/**
+Kinds of actions with rollouts of targets and callers that resume their streams. The platform doesn't return from older copies here: that
+exceeds the rate of cold targets in a known way, and would end the search.
+*/
+const rolloutWeights = {
+	...weights, copyStore: 0, returnStore: 0, upgradeTarget: 3, resume: 8,
+};
+
+type ActionKind = keyof typeof rolloutWeights;
 
 type ActionHandler = (fleet: ExplorationFleet, a: number, b: number) => void;
 
@@ -72,9 +80,13 @@
 
 export type Action = {kind: ActionKind; a: number; b: number};
 
-const actionKinds = fc.oneof(...(Object.entries(weights) as Array<[ActionKind, number]>).map(([kind, weight]) => ({weight, arbitrary: fc.constant(kind)})));
+function createActions(kindWeights: Partial<Record<ActionKind, number>>): fc.Arbitrary<Action> {
+	const kinds = fc.oneof(...(Object.entries(kindWeights) as Array<[ActionKind, number]>).map(([kind, weight]) => ({weight, arbitrary: fc.constant(kind)})));
+	return fc.record({kind: kinds, a: fc.nat({max: 1000}), b: fc.nat({max: 1000})});
+}
 
-const actions: fc.Arbitrary<Action> = fc.record({kind: actionKinds, a: fc.nat({max: 1000}), b: fc.nat({max: 1000})});
+const actions = createActions(weights);
+const rolloutActions = createActions(rolloutWeights);
 
 const maxSequenceLength = 120;
 
@@ -97,9 +109,19 @@
 	return fleet.faults;
 }
 
+export type ExploreOptions = Partial<ExplorationOptions> & {
+	seed: number;
+	sequences: number;
+	/** Whether targets are replaced by ones of another software version, and callers resume their streams. */
+	hasRollouts?: boolean;
+};
+
 /** Runs random sequences until one causes a fault. */
-export function explore({seed, sequences, ...options}: {seed: number; sequences: number} & Partial<ExplorationOptions>): Exploration {
-	const result = fc.check(fc.property(fc.array(actions, {maxLength: maxSequenceLength, size: 'max'}), sequence => runSequence(sequence, options).length === 0), {seed, numRuns: sequences});
+export function explore({
+	seed, sequences, hasRollouts = false, ...options
+}: ExploreOptions): Exploration {
+	const sequenceArbitrary = fc.array(hasRollouts ? rolloutActions : actions, {maxLength: maxSequenceLength, size: 'max'});
+	const result = fc.check(fc.property(sequenceArbitrary, sequence => runSequence(sequence, options).length === 0), {seed, numRuns: sequences});
 	const sequence = result.counterexample?.[0];
 	return {
 		sequences: result.numRuns,
--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -73,8 +73,16 @@
 	path: string;
 	arrivedAt: number;
 	isClosed: boolean;
-	/** The send in progress; undefined while there is none. */
-	openSend: {send: number; target: string; pool: string; at: number} | undefined;
+	/** The send in progress, with the software version of the process that accepted it; undefined while there is none. */
+	openSend: {send: number; target: string; pool: string; at: number; softwareVersion: string} | undefined;
+	stream: ExploredStream;
+};
+
+/** Stream of a caller over its attempts. */
+type ExploredStream = {
+	/** Attempt that received the first event, and the software version that sent it; undefined before. */
+	firstRequestId: string | undefined;
+	softwareVersion: string | undefined;
 };
 
 /** Actions on the fleet. A `choice` or `path` is any number; it selects among the candidates modulo their number. */
@@ -93,6 +101,10 @@
 	heal(choice: number): void;
 	loseDigests(): void;
 	restartTarget(choice: number): void;
+	/** A target starts again under its id, with one of two software versions. */
+	upgradeTarget(choice: number, version: number): void;
+	/** The caller of a stream of which it has received events resumes it at an instance. */
+	resume(choice: number, instance: number): void;
 	drainTarget(choice: number): void;
 	/** A target announces to an instance, in an answer, that it is leaving. */
 	announceLeaving(choice: number, target: number): void;
@@ -215,14 +227,14 @@
 			findCall(instance, id).isClosed = true;
 		},
 		sendDigest(instance, {to, digest}) {
-			// The delay follows a fixed pattern between 0 and the maximum, so that a sequence always runs the same way.
-			const delayMs = ((now * 7) + (to.length * 13) + instance.id.codePointAt(0)!) % maxDigestDelayMs;
-			digests.push({
-				at: now + delayMs, from: instance, to, inbound: {
-					kind: 'digest', from: instance.id, incarnation: instance.gateway.self.incarnation, digest,
-				},
+			sendToPeer(instance, to, {
+				kind: 'digest', from: instance.id, incarnation: instance.gateway.self.incarnation, digest,
 			});
 		},
+		sendStreamMessage(instance, {to, message}) {
+			// The kind of the message is that of the inbound event.
+			sendToPeer(instance, to, {kind: message.kind, from: instance.id, message} as GatewayInbound);
+		},
 		register(instance, {registration}) {
 			if (!instance.isPlatformCut) {
 				registrations.set(instance.id, registration);
@@ -236,6 +248,15 @@
 			}
 		},
 	};
+
+	function sendToPeer(from: Instance, to: string, inbound: GatewayInbound) {
+		// The delay follows a fixed pattern between 0 and the maximum, so that a sequence always runs the same way.
+		const delayMs = ((now * 7) + (to.length * 13) + from.id.codePointAt(0)!) % maxDigestDelayMs;
+		digests.push({
+			at: now + delayMs, from, to, inbound,
+		});
+	}
+
 	/** Events to run after the outbound items of the current step have been handled. */
 	let deferred: Array<() => void> = [];
 
@@ -297,8 +318,13 @@
 
 		instance.connectedStartIds.set(targetId, target.startId);
 		call.openSend = {
-			send, target: targetId, pool, at: now,
+			send, target: targetId, pool, at: now, softwareVersion: target.softwareVersion,
 		};
+		const {firstRequestId, softwareVersion} = call.stream;
+		if (softwareVersion !== undefined && softwareVersion !== target.softwareVersion) {
+			reportFault(`${instance.id} sent ${id}, which resumes ${firstRequestId} of version ${softwareVersion}, to ${targetId} of version ${target.softwareVersion}`);
+		}
+
 		call.acceptedSends += 1;
 		rules.onSendAccepted(call, {pool, target: targetId, maxAttempts: instance.gateway.calls.get(id)!.route.maxAttempts});
 	}
@@ -397,37 +423,82 @@
 		}
 	}
 
+	function startCall(instance: Instance, path: number, resumed?: ExploredStream) {
+		if (!instance.isUp) {
+			return;
+		}
+
+		callCount += 1;
+		const id = `c${callCount}`;
+		const pathPrefix = paths[path % paths.length]!;
+		const isEngine = path % paths.length >= 2;
+		const stream = resumed ?? {firstRequestId: undefined, softwareVersion: undefined};
+		calls.push({
+			instance, id, path: pathPrefix, arrivedAt: now, possibleRuns: 0, acceptedSends: 0, finalAnswers: 0, isClosed: false, openSend: undefined, stream,
+		});
+		rules.onArrival(isEngine ? 'engines' : 'desk');
+		runStep(instance, {
+			kind: 'callArrived',
+			call: {
+				id,
+				requestId: id,
+				resumption: resumed && {firstRequestId: resumed.firstRequestId},
+				host,
+				path: `${pathPrefix}x`,
+				key: 'a',
+				remainingMs: timeoutMs,
+				fingerprint: id,
+				prompt: isEngine ? {inputTokens: 500, outputTokens: 50, segments: [{id: `p${path}`, tokens: 400}, {id, tokens: 100}]} : undefined,
+			},
+		});
+		runDeferred();
+	}
+
+	/** Starts a target's process again; the answers of the previous one break. */
+	function restartTarget(choice: number, softwareVersion?: string) {
+		rewriteLostData();
+		const target = selectTarget(choice);
+		if (!target) {
+			return;
+		}
+
+		rules.onTargetStart(target.id, coldMs);
+		startCount += 1;
+		const startId = String(startCount);
+		targets.set(target.id, {
+			...target, softwareVersion: softwareVersion ?? target.softwareVersion, startId, standing: TargetStanding.Ready, coldForMs: coldMs, revision: startCount,
+		});
+		for (const call of calls) {
+			if (call.openSend?.target === target.id && !call.isClosed && call.instance.isUp) {
+				call.instance.connectedStartIds.delete(target.id);
+				endSend(call, SendEnd.Broken);
+			}
+		}
+
+		publish();
+	}
+
 	return {
 		faults: rules.faults,
 		call(choice, path) {
-			const instance = selectInstance(choice);
-			if (!instance.isUp) {
+			startCall(selectInstance(choice), path);
+		},
+		resume(choice, instanceChoice) {
+			const begun = calls.filter(({stream}) => stream.softwareVersion !== undefined);
+			const call = begun[choice % Math.max(1, begun.length)];
+			const instance = selectInstance(instanceChoice);
+			if (!call || !instance.isUp) {
 				return;
 			}
 
-			callCount += 1;
-			const id = `c${callCount}`;
-			const pathPrefix = paths[path % paths.length]!;
-			const isEngine = path % paths.length >= 2;
-			calls.push({
-				instance, id, path: pathPrefix, arrivedAt: now, possibleRuns: 0, acceptedSends: 0, finalAnswers: 0, isClosed: false, openSend: undefined,
-			});
-			rules.onArrival(isEngine ? 'engines' : 'desk');
-			runStep(instance, {
-				kind: 'callArrived',
-				call: {
-					id,
-					requestId: id,
-					resumption: undefined,
-					host,
-					path: `${pathPrefix}x`,
-					key: 'a',
-					remainingMs: timeoutMs,
-					fingerprint: id,
-					prompt: isEngine ? {inputTokens: 500, outputTokens: 50, segments: [{id: `p${path}`, tokens: 400}, {id, tokens: 100}]} : undefined,
-				},
-			});
-			runDeferred();
+			if (!call.isClosed && call.instance.isUp) {
+				runStep(call.instance, {kind: 'callerGone', call: call.id});
+			}
+
+			startCall(instance, paths.indexOf('/chat/'), call.stream);
+		},
+		upgradeTarget(choice, version) {
+			restartTarget(choice, `v${1 + (version % 2)}`);
 		},
 		wait(ms) {
 			for (let left = ms; left > 0; left -= tickMs) {
@@ -442,6 +513,8 @@
 			}
 
 			if (endIndex % 3 === 0 && call.path === '/chat/') {
+				call.stream.firstRequestId ??= call.id;
+				call.stream.softwareVersion ??= call.openSend!.softwareVersion;
 				runStep(call.instance, {kind: 'answerDelivered', call: call.id});
 			}
 
@@ -490,26 +563,7 @@
 			digests = [];
 		},
 		restartTarget(choice) {
-			rewriteLostData();
-			const target = selectTarget(choice);
-			if (!target) {
-				return;
-			}
-
-			rules.onTargetStart(target.id, coldMs);
-			startCount += 1;
-			const startId = String(startCount);
-			targets.set(target.id, {
-				...target, startId, standing: TargetStanding.Ready, coldForMs: coldMs, revision: startCount,
-			});
-			for (const call of calls) {
-				if (call.openSend?.target === target.id && !call.isClosed && call.instance.isUp) {
-					call.instance.connectedStartIds.delete(target.id);
-					endSend(call, SendEnd.Broken);
-				}
-			}
-
-			publish();
+			restartTarget(choice);
 		},
 		drainTarget(choice) {
 			rewriteLostData();
--- a/packages/bench/test/exploration.test.ts
+++ b/packages/bench/test/exploration.test.ts
@@ -5,6 +5,12 @@
 	expect(explore({seed, sequences: 60, instances}).violation).toBeUndefined();
 });
 
+test.each([[11, 3], [12, 5]])('no random sequence with rollouts resumes a stream at another software version (seed %d, %d instances)', (seed, instances) => {
+	expect(explore({
+		seed, sequences: 60, instances, hasRollouts: true,
+	}).violation).toBeUndefined();
+});
+
 /** Sequences that random exploration found, each the reproduction of a fault that has been fixed. */
 const reproductions = {
 	'a target that restarts between two bursts': [
@@ -45,6 +51,18 @@
 		['calls', 0, 814],
 		['wait', 141],
 	],
+	'a stream that begins at another version than its holders were told': [
+		['wait', 201],
+		['call', 0, 858],
+		['upgradeTarget', 7, 3],
+		['wait', 301],
+		['calls'],
+		['fail', 0, 7],
+		['wait', 381],
+		['restartTarget', 369],
+		['fail'],
+		['resume', 0, 1],
+	],
 	'all instances restart after a burst': [['restartTarget', 754], ['calls'], ['restart', 1], ['restart', 0], ['restart', 146], ['calls']],
 } as const;
 
--- a/packages/cli/src/cli/commands/explain.ts
+++ b/packages/cli/src/cli/commands/explain.ts
@@ -1,6 +1,6 @@
 /*
 `explain`: shows the decisions about one request from the routers' logs in the order of time, and the cause of its end in
-one sentence.
+one sentence. A stream is followed over all attempts of its caller.
 */
 import {createFailure} from '../../errors.ts';
 import {sortByTime, readLogs, type LogEntry} from '../../log-lines.ts';
@@ -72,10 +72,27 @@
 	return all.filter(({part, fields, source, at}) => part === 'target' && sources.has(source) && targets.has(fields.target) && at >= from && at <= to);
 }
 
-function formatLine({at, source, part, text, fields}: LogEntry): string {
+/** Value of `resumes` in the lines of attempts that don't name the stream that they resume. */
+const unnamedStream = 'unnamed';
+
+/** Returns the lines of the other attempts with which the caller of a request began or resumed the same stream. */
+function getOtherAttempts(entries: readonly LogEntry[], request: string): LogEntry[] {
+	const resumed = entries.find(entry => entry.request === request && entry.fields.resumes !== undefined)?.fields.resumes;
+	if (resumed === unnamedStream) {
+		return [];
+	}
+
+	const first = resumed ?? request;
+	const attempts = new Set(entries.filter(({fields}) => fields.resumes === first).map(entry => entry.request));
+	return entries.filter(entry => entry.request !== undefined && entry.request !== request && (entry.request === first || attempts.has(entry.request)));
+}
+
+/** Formats a line; the request is named where it is another one than the one to explain. */
+function formatLine({at, source, part, text, request, fields}: LogEntry, explained: string): string {
 	const timeOffset = 11;
+	const attempt = request === undefined || request === explained ? '' : ` (attempt ${request})`;
 	const inputs = Object.entries(formatFields(fields)).map(([name, value]) => `${name} ${value}`);
-	return `${at.slice(timeOffset)}  ${source}  [${part}] ${text}${inputs.length > 0 ? `: ${inputs.join(', ')}` : ''}`;
+	return `${at.slice(timeOffset)}  ${source}  [${part}] ${text}${attempt}${inputs.length > 0 ? `: ${inputs.join(', ')}` : ''}`;
 }
 
 export const explain: Command = {
@@ -99,7 +116,7 @@
 
 		const cause = describeCause(requestEntries);
 		const context = getContext(entries, requestEntries);
-		const timeline = sortByTime([...requestEntries, ...context]);
-		return createReport([...timeline.map(entry => formatLine(entry)), '', `${request}: ${cause}`].join('\n'), {request, cause, lines: timeline});
+		const timeline = sortByTime([...requestEntries, ...getOtherAttempts(entries, request), ...context]);
+		return createReport([...timeline.map(entry => formatLine(entry, request)), '', `${request}: ${cause}`].join('\n'), {request, cause, lines: timeline});
 	},
 };
--- a/packages/cli/test/logs.test.ts
+++ b/packages/cli/test/logs.test.ts
@@ -35,11 +35,23 @@
 	}),
 ];
 
+const streamLines = [
+	createLine(400, 'request', 'sent', {request: 's1', target: 'i-1', softwareVersion: 'v1'}),
+	createLine(430, 'request', 'stream located', {
+		request: 's2', resumes: 's1', pool: 'engines', softwareVersion: 'v1', source: 'own record',
+	}),
+	createLine(440, 'request', 'served', {
+		request: 's2', target: 'i-3', sends: 1, tookMs: 10,
+	}),
+	createLine(450, 'request', 'sent', {request: 's3', resumes: 'unnamed', target: 'i-1'}),
+];
+
 let directory: string;
 
 beforeAll(async () => {
 	directory = await mkdtemp(path.join(tmpdir(), 'shallotloom-logs-'));
 	await writeFile(path.join(directory, 'one.log'), `${lines.slice(3).join('\n')}\nnot a line\n`);
+	await writeFile(path.join(directory, 'streams.log'), streamLines.join('\n'));
 	await writeFile(path.join(directory, 'two.log'), `  12.5 edge-1 ${lines.slice(0, 3).join('\n  12.6 edge-1 ')}\n`);
 });
 
@@ -79,6 +91,11 @@
 	expect(text).not.toMatch(/i-9/v);
 });
 
+test.each(['s1', 's2'])('explain follows a stream over all attempts of its caller: %s', async request => {
+	const {text} = await run('explain', request, path.join(directory, 'streams.log'));
+	expect(text.split('\n').map(line => /\] (?<words>[a-z ]+)/v.exec(line)?.groups!.words!.trim())).toEqual(['sent', 'stream located', 'served', undefined, undefined]);
+});
+
 test('the cause of a refusal contains its inputs', () => {
 	expect(describeCause(parseLogLines(lines.at(-1)!, '').entries)).toBe('refused (no-capacity, not-run): engines had no free slot within 204 ms, and its workspace had used 900 of a share of 500');
 });
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -135,6 +135,7 @@
 		origin: undefined,
 		stream: getStreamKey(arrival, route, tenancy),
 		records: new Set(),
+		recordedVersion: unknownSoftwareVersion,
 		recordedFor: '',
 		lookup: undefined,
 	};
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -123,6 +123,8 @@
 	stream: number | undefined;
 	/** Records of its stream that were sent: holder, incarnation and version. */
 	records: Set<string>;
+	/** Software version in these records; unknown before the first. */
+	recordedVersion: string;
 	/** Version and possible holders for which the records were last sent. */
 	recordedFor: string;
 	/** Lookup of its stream; undefined when there is none. */
--- a/packages/core/src/gateway/send-ends.ts
+++ b/packages/core/src/gateway/send-ends.ts
@@ -19,6 +19,7 @@
 import {computeRetryAfterMs} from './queues.ts';
 import {trySpendRetry} from './retries.ts';
 import type {Call, PoolTarget} from './rows.ts';
+import {pinToRecords} from './stream-origins.ts';
 import {handleSendEnd} from './target-health.ts';
 import {refundCall} from './usage.ts';
 
@@ -49,6 +50,7 @@
 /** Sends or queues a call again if that is allowed; returns whether it was. */
 function tryResend(gateway: Gateway, call: Call, detail: string): boolean {
 	call.triedTargets.push(call.target);
+	pinToRecords(gateway, call);
 	if (!tryAuthorizeResend(gateway, call)) {
 		return false;
 	}
@@ -107,6 +109,7 @@
 	[SendEnd.NotSent](gateway, call, detail) {
 		call.attempts -= 1;
 		call.triedTargets.push(call.target);
+		pinToRecords(gateway, call);
 		call.target = '';
 		if (call.deadline > gateway.now) {
 			sendOrQueue(gateway, call);
--- a/packages/core/src/gateway/stream-origins.ts
+++ b/packages/core/src/gateway/stream-origins.ts
@@ -9,10 +9,11 @@
 import {rankByRendezvous} from '../rendezvous-hash.ts';
 import {startPeriodIfDue} from '../world.ts';
 import {isSelf, type Gateway} from './gateway.ts';
+import {isVersionListed} from './placement.ts';
 import {getStreamMemoryMs, hasSeveralVersions} from './pool-versions.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {
-	CallState, type Call, type Instance, type StreamOrigin,
+	CallState, unknownSoftwareVersion, type Call, type Instance, type StreamOrigin,
 } from './rows.ts';
 import {getServingCandidates} from './serving-set.ts';
 
@@ -114,6 +115,7 @@
 		const record = `${holder.id}/${holder.incarnation}/${origin.softwareVersion}`;
 		if (!call.records.has(record)) {
 			call.records.add(record);
+			call.recordedVersion = origin.softwareVersion;
 			addToBatches(batches, holder, stream, origin);
 		}
 	}
@@ -134,10 +136,26 @@
 	sendBatches(gateway, batches);
 }
 
+/**
+Lets a call that is sent again before its first event begin only at the version that the holders know, while any target has that: a
+correction may reach them too late.
+*/
+export function pinToRecords(gateway: Gateway, call: Call) {
+	if (call.resumption !== undefined || call.hasAnswerBytes) {
+		return;
+	}
+
+	const recorded = {pool: call.pool, softwareVersion: call.recordedVersion};
+	call.origin = call.recordedVersion !== unknownSoftwareVersion && isVersionListed(gateway, recorded) ? recorded : undefined;
+}
+
 /** Whether records are due now: with the digests, or sooner while a pool has several versions. */
 function areRecordsDue(gateway: Gateway): boolean {
-	const areDigestsSent = gateway.periodStartedAt.get('digests') === gateway.now;
-	return areDigestsSent || (startPeriodIfDue(gateway, 'streamRecords', gateway.limits.streamRecordMs) && hasSeveralVersions(gateway));
+	if (gateway.periodStartedAt.get('digests') === gateway.now) {
+		return true;
+	}
+
+	return startPeriodIfDue(gateway, 'streamRecords', gateway.limits.streamRecordMs) && hasSeveralVersions(gateway);
 }
 
 /** Tells the holders of the open streams where these began. A holder that joins or restarts meanwhile is told again. */
