Split the admission of calls from their life, and use one word for records of streams

What finds route and workspace and creates the row of a call is admissions.ts now, moved without a change. Comments say record where they said tell. No decision is meant to change; the tests of the core's gateway, of the router's and of the exploration pass.

--- a/packages/bench/test/exploration.test.ts
+++ b/packages/bench/test/exploration.test.ts
@@ -51,7 +51,7 @@
 		['calls', 0, 814],
 		['wait', 141],
 	],
-	'a stream that begins at another version than its holders were told': [
+	'a stream that begins at another version than in its records': [
 		['wait', 201],
 		['call', 0, 858],
 		['upgradeTarget', 7, 3],
--- /dev/null
+++ b/packages/core/src/gateway/admissions.ts
@@ -0,0 +1,118 @@
+/*
+Admission of calls: finds the route and the workspace of a call that has arrived, or refuses it, and creates its row.
+*/
+import {
+	Outcome, RefusalKind, type Refusal,
+} from '../refusal.ts';
+import {second} from '../units.ts';
+import {randomFraction} from '../world.ts';
+import {
+	CallKind, findRoute, type CallRoute, type Catalogue, type Tenancy,
+} from './catalogue.ts';
+import type {Gateway} from './gateway.ts';
+import {
+	CallState, unknownSoftwareVersion, type Call, type CallArrival,
+} from './rows.ts';
+import {computeStreamKey} from './stream-origins.ts';
+
+export function createRefusal(kind: RefusalKind, detail = '', retryAfterMs?: number): Refusal {
+	return {
+		kind, outcome: Outcome.NotRun, detail, ...(retryAfterMs !== undefined && {retryAfterMs}),
+	};
+}
+
+type Admission = {kind: 'admitted'; route: CallRoute; tenancy: Tenancy} | {kind: 'refused'; refusal: Refusal};
+
+/** Tenancy of calls on routes that need no key, and of all calls while the catalogue defines no keys. */
+const anonymousTenancy: Tenancy = {workspace: '', priority: undefined};
+
+export function admit({catalogue}: Gateway, arrival: CallArrival): Admission {
+	if (!catalogue) {
+		return {kind: 'refused', refusal: createRefusal(RefusalKind.NotReady, '', second)};
+	}
+
+	const route = findRoute(catalogue, arrival.host, arrival.path);
+	if (!route) {
+		return {kind: 'refused', refusal: createRefusal(RefusalKind.UnknownRoute, arrival.host)};
+	}
+
+	const tenancy = findTenancy(catalogue, route, arrival.key);
+	if (!tenancy) {
+		return {kind: 'refused', refusal: createRefusal(RefusalKind.UnknownWorkspace)};
+	}
+
+	if (arrival.remainingMs !== undefined && arrival.remainingMs <= 0) {
+		return {kind: 'refused', refusal: createRefusal(RefusalKind.DeadlinePassed)};
+	}
+
+	return {kind: 'admitted', route, tenancy};
+}
+
+function findTenancy({keys}: Catalogue, route: CallRoute, key: string): Tenancy | undefined {
+	return keys && route.needsKey ? keys.get(key) : anonymousTenancy;
+}
+
+/** Picks one of the route's pools at random, by their weights. */
+function pickPool(gateway: Gateway, {weightedPools}: CallRoute): string {
+	const total = weightedPools.reduce((sum, {weight}) => sum + weight, 0);
+	let remaining = randomFraction(gateway) * total;
+	for (const {pool, weight} of weightedPools) {
+		remaining -= weight;
+		if (remaining < 0) {
+			return pool;
+		}
+	}
+
+	return weightedPools.at(-1)?.pool ?? '';
+}
+
+function computeCost({limits}: Gateway, {prompt}: CallArrival): number {
+	return prompt ? prompt.inputTokens + (limits.outputWeight * prompt.outputTokens) : 1;
+}
+
+/** Computes how long a call may wait for a slot from now on. */
+export function computeQueueTimeoutMs({limits}: Gateway, {objectiveMs}: CallRoute, remainingMs: number): number {
+	return Math.min(limits.maxQueueTimeoutMs, objectiveMs * limits.queueTimeoutFraction, remainingMs);
+}
+
+/** Key of the stream that a call begins or resumes; undefined when it is no stream, or resumes one that its caller doesn't name. */
+function getStreamKey({requestId, resumption}: CallArrival, {kind}: CallRoute, {workspace}: Tenancy): number | undefined {
+	const firstRequestId = resumption ? resumption.firstRequestId : requestId;
+	return kind === CallKind.Streamed && firstRequestId !== undefined ? computeStreamKey(workspace, firstRequestId) : undefined;
+}
+
+export function createCall(gateway: Gateway, arrival: CallArrival, route: CallRoute, tenancy: Tenancy): Call {
+	const {now} = gateway;
+	const remainingMs = Math.min(arrival.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+	return {
+		id: arrival.id,
+		route,
+		pool: pickPool(gateway, route),
+		workspace: tenancy.workspace,
+		priority: tenancy.priority ?? route.priority,
+		prompt: arrival.prompt,
+		resumption: arrival.resumption,
+		fingerprint: arrival.fingerprint,
+		cost: computeCost(gateway, arrival),
+		arrivedAt: now,
+		deadline: now + remainingMs,
+		queueTimeoutAt: now + computeQueueTimeoutMs(gateway, route, remainingMs),
+		state: CallState.Waiting,
+		attempts: 0,
+		sends: 0,
+		target: '',
+		targetVersion: unknownSoftwareVersion,
+		sentAt: 0,
+		uncachedTokens: 0,
+		firstByteAt: undefined,
+		triedTargets: [],
+		mayHaveRun: false,
+		hasAnswerBytes: false,
+		origin: undefined,
+		stream: getStreamKey(arrival, route, tenancy),
+		records: new Set(),
+		recordedVersion: unknownSoftwareVersion,
+		recordedFor: '',
+		lookup: undefined,
+	};
+}
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -1,16 +1,15 @@
 /*
-Calls from arrival to the final answer, except for the ends of their sends (`send-ends.ts`). A call that can't be served is refused at
-once. The outcome "not run" is only reported when no target can have run the call.
+Calls from arrival to the final answer, except for their admission (`admissions.ts`) and the ends of their sends (`send-ends.ts`). A call
+that can't be served is refused at once. The outcome "not run" is only reported when no target can have run the call.
 */
 import {LogPart} from '../ports.ts';
 import {
 	Outcome, RefusalKind, type Refusal,
 } from '../refusal.ts';
-import {second} from '../units.ts';
-import {randomFraction} from '../world.ts';
 import {
-	CallKind, findRoute, type CallRoute, type Catalogue, type Tenancy,
-} from './catalogue.ts';
+	admit, computeQueueTimeoutMs, createCall, createRefusal,
+} from './admissions.ts';
+import {CallKind} from './catalogue.ts';
 import {mayHaveRestartedUnnoticed, recordColdSend} from './cold-limits.ts';
 import {disproveCrash, mayHaveRestarted} from './crash-evidence.ts';
 import {addLogLine, type Gateway} from './gateway.ts';
@@ -27,10 +26,10 @@
 import {spendRateShare} from './rate-shares.ts';
 import {recordCall, recordFirstSend} from './retries.ts';
 import {
-	CallState, unknownSoftwareVersion, type Call, type CallArrival, type PoolTarget, type StreamOrigin,
+	CallState, unknownSoftwareVersion, type Call, type PoolTarget, type StreamOrigin,
 } from './rows.ts';
 import {checkLookup, startLookup} from './stream-lookups.ts';
-import {computeStreamKey, correctRecords, recordOrigin} from './stream-origins.ts';
+import {correctRecords, recordOrigin} from './stream-origins.ts';
 import {createSuspectFields} from './suspects.ts';
 import {
 	chargeCall, recordDemand, getServedTokens,
@@ -39,108 +38,6 @@
 	enqueue, removeFromQueue, createNoCapacityRefusal, findEvictionCandidate, startQueuedCalls, getQueueLength,
 } from './queues.ts';
 
-export function createRefusal(kind: RefusalKind, detail = '', retryAfterMs?: number): Refusal {
-	return {
-		kind, outcome: Outcome.NotRun, detail, ...(retryAfterMs !== undefined && {retryAfterMs}),
-	};
-}
-
-type Admission = {kind: 'admitted'; route: CallRoute; tenancy: Tenancy} | {kind: 'refused'; refusal: Refusal};
-
-/** Tenancy of calls on routes that need no key, and of all calls while the catalogue defines no keys. */
-const anonymousTenancy: Tenancy = {workspace: '', priority: undefined};
-
-function admit({catalogue}: Gateway, arrival: CallArrival): Admission {
-	if (!catalogue) {
-		return {kind: 'refused', refusal: createRefusal(RefusalKind.NotReady, '', second)};
-	}
-
-	const route = findRoute(catalogue, arrival.host, arrival.path);
-	if (!route) {
-		return {kind: 'refused', refusal: createRefusal(RefusalKind.UnknownRoute, arrival.host)};
-	}
-
-	const tenancy = findTenancy(catalogue, route, arrival.key);
-	if (!tenancy) {
-		return {kind: 'refused', refusal: createRefusal(RefusalKind.UnknownWorkspace)};
-	}
-
-	if (arrival.remainingMs !== undefined && arrival.remainingMs <= 0) {
-		return {kind: 'refused', refusal: createRefusal(RefusalKind.DeadlinePassed)};
-	}
-
-	return {kind: 'admitted', route, tenancy};
-}
-
-function findTenancy({keys}: Catalogue, route: CallRoute, key: string): Tenancy | undefined {
-	return keys && route.needsKey ? keys.get(key) : anonymousTenancy;
-}
-
-/** Picks one of the route's pools at random, by their weights. */
-function pickPool(gateway: Gateway, {weightedPools}: CallRoute): string {
-	const total = weightedPools.reduce((sum, {weight}) => sum + weight, 0);
-	let remaining = randomFraction(gateway) * total;
-	for (const {pool, weight} of weightedPools) {
-		remaining -= weight;
-		if (remaining < 0) {
-			return pool;
-		}
-	}
-
-	return weightedPools.at(-1)?.pool ?? '';
-}
-
-function computeCost({limits}: Gateway, {prompt}: CallArrival): number {
-	return prompt ? prompt.inputTokens + (limits.outputWeight * prompt.outputTokens) : 1;
-}
-
-/** Computes how long a call may wait for a slot from now on. */
-function computeQueueTimeoutMs({limits}: Gateway, {objectiveMs}: CallRoute, remainingMs: number): number {
-	return Math.min(limits.maxQueueTimeoutMs, objectiveMs * limits.queueTimeoutFraction, remainingMs);
-}
-
-/** Key of the stream that a call begins or resumes; undefined when it is no stream, or resumes one that its caller doesn't name. */
-function getStreamKey({requestId, resumption}: CallArrival, {kind}: CallRoute, {workspace}: Tenancy): number | undefined {
-	const firstRequestId = resumption ? resumption.firstRequestId : requestId;
-	return kind === CallKind.Streamed && firstRequestId !== undefined ? computeStreamKey(workspace, firstRequestId) : undefined;
-}
-
-function createCall(gateway: Gateway, arrival: CallArrival, route: CallRoute, tenancy: Tenancy): Call {
-	const {now} = gateway;
-	const remainingMs = Math.min(arrival.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
-	return {
-		id: arrival.id,
-		route,
-		pool: pickPool(gateway, route),
-		workspace: tenancy.workspace,
-		priority: tenancy.priority ?? route.priority,
-		prompt: arrival.prompt,
-		resumption: arrival.resumption,
-		fingerprint: arrival.fingerprint,
-		cost: computeCost(gateway, arrival),
-		arrivedAt: now,
-		deadline: now + remainingMs,
-		queueTimeoutAt: now + computeQueueTimeoutMs(gateway, route, remainingMs),
-		state: CallState.Waiting,
-		attempts: 0,
-		sends: 0,
-		target: '',
-		targetVersion: unknownSoftwareVersion,
-		sentAt: 0,
-		uncachedTokens: 0,
-		firstByteAt: undefined,
-		triedTargets: [],
-		mayHaveRun: false,
-		hasAnswerBytes: false,
-		origin: undefined,
-		stream: getStreamKey(arrival, route, tenancy),
-		records: new Set(),
-		recordedVersion: unknownSoftwareVersion,
-		recordedFor: '',
-		lookup: undefined,
-	};
-}
-
 export function onCallArrived(gateway: Gateway, {call: arrival}: GatewayInboundOf<'callArrived'>) {
 	const admission = admit(gateway, arrival);
 	if (admission.kind === 'refused') {
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -138,9 +138,9 @@
 	maxRequestQuarantineMs: number;
 	/** Crashes after which a request in quarantine gets no trial any more. */
 	crashesBeforeTrialsEnd: number;
-	/** Number of other instances that are told where a stream began. */
+	/** Number of other instances that keep a record of where a stream began. */
 	streamHolders: number;
-	/** Period at which they are told. */
+	/** Period at which records are sent to them while a pool has several versions. */
 	streamRecordMs: number;
 	/** Maximum number of instances that are asked where a stream began; its holders are among them. */
 	streamLookupPeers: number;
--- a/packages/core/src/gateway/send-ends.ts
+++ b/packages/core/src/gateway/send-ends.ts
@@ -4,8 +4,9 @@
 */
 import {LogPart} from '../ports.ts';
 import {Outcome, RefusalKind, type Refusal} from '../refusal.ts';
+import {createRefusal} from './admissions.ts';
 import {
-	closeCall, createRefusal, detachFromTarget, findSentCall, hasUntriedTarget, refuse, sendOrQueue,
+	closeCall, detachFromTarget, findSentCall, hasUntriedTarget, refuse, sendOrQueue,
 } from './calls.ts';
 import {CallKind} from './catalogue.ts';
 import {
--- a/packages/core/src/gateway/stream-lookups.ts
+++ b/packages/core/src/gateway/stream-lookups.ts
@@ -18,7 +18,7 @@
 enum OriginSource {
 	/** This instance kept it. */
 	Own = 'own record',
-	/** Another instance told it. */
+	/** Another instance replied it. */
 	Holder = 'record of another instance',
 	/** Only one version can have begun the stream. */
 	OnlyVersion = 'only version',
--- a/packages/core/src/gateway/stream-origins.ts
+++ b/packages/core/src/gateway/stream-origins.ts
@@ -1,7 +1,7 @@
 /*
 Where streams began: the pool and the software version. A caller whose stream breaks resumes it at any instance, often because the one
-that served it is gone. So each instance tells a few others, the holders of a stream, where it sends it; rendezvous hashing of the stream
-selects them. The prefill leaves time for that before the first event. While all pools have one version the records travel with the
+that served it is gone. So each instance sends a record of the stream to a few others, its holders, which rendezvous hashing of the stream
+selects. The prefill leaves time for that before the first event. While all pools have one version the records travel with the
 digests, so that they cost no further messages; they matter only if a pool gets another version while the streams last.
 */
 import murmurhash from 'murmurhash';
@@ -158,7 +158,7 @@
 	return startPeriodIfDue(gateway, 'streamRecords', gateway.limits.streamRecordMs) && hasSeveralVersions(gateway);
 }
 
-/** Tells the holders of the open streams where these began. A holder that joins or restarts meanwhile is told again. */
+/** Sends records of the open streams to their holders, and again to a holder that joins or restarts meanwhile. */
 export function streamRecordsSystem(gateway: Gateway) {
 	if (!areRecordsDue(gateway)) {
 		return;
