--- a/packages/router/test/codec.test.ts
+++ b/packages/router/test/codec.test.ts
@@ -39,3 +39,22 @@
 	};
 	expect(roundTrip(offer)).toMatchObject(offer);
 });
+
+const stream = fc.nat({max: Number.MAX_SAFE_INTEGER});
+
+test.each([
+	['records of streams', fc.record({kind: fc.constant('streamRecords' as const), groups: fc.array(fc.record({pool: fc.string(), softwareVersion: fc.string(), streams: fc.array(stream)}))})],
+	['a query for a stream', fc.record({kind: fc.constant('streamQuery' as const), stream, pools: fc.array(fc.string())})],
+	['a reply that knows the origin', fc.record({
+		kind: fc.constant('streamReply' as const), stream, pool: fc.string(), softwareVersion: fc.string(), versions: fc.constant([]),
+	})],
+	['a reply with the versions of pools', fc.record({
+		kind: fc.constant('streamReply' as const), stream, versions: fc.array(fc.record({pool: fc.string(), softwareVersions: fc.array(fc.string()), isComplete: fc.boolean()})),
+	})],
+] as Array<[string, fc.Arbitrary<PeerMessage>]>)('%s: decoded as they were encoded', (_name, messages) => {
+	fc.assert(fc.property(messages, message => {
+		const arrived = roundTrip(message);
+		expect(arrived).toMatchObject(message);
+		expect(arrived?.kind === 'streamReply' && arrived.pool).toBe(message.kind === 'streamReply' && message.pool);
+	}), {seed: 6, numRuns: 50});
+});
