--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -304,13 +304,13 @@
 /** Streams that began at one pool and software version, by their keys. */
 export type StreamGroup = {pool: string; softwareVersion: string; streams: number[]};
 
-/** Tells a holder of streams where these began. */
+/** Records of where streams began, for one of their holders. */
 export type StreamRecords = {
 	kind: 'streamRecords';
 	groups: StreamGroup[];
 };
 
-/** Asks where a stream began, and which versions the pools have at which it may have begun. */
+/** Query for where a stream began, and for the versions of the pools at which it may have begun. */
 export type StreamQuery = {
 	kind: 'streamQuery';
 	stream: number;
