--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -70,8 +70,8 @@
 	/** Whether the platform's list of targets has been received. */
 	hasTargetList: boolean;
 	targets: Table<PoolTarget>;
-	/** Targets that are kept though the platform no longer lists them, since an outage may be the cause. */
-	unlistedTargets: Set<string>;
+	/** Targets that are kept though the platform no longer lists them, since an outage may be the cause; and since when. */
+	unlistedTargets: Map<string, number>;
 	/** Processes of targets whose rows were removed, by target and start id; in the order of their removal. */
 	formerTargets: Map<string, FormerTarget>;
 	/**
@@ -178,7 +178,7 @@
 		catalogue: undefined,
 		hasTargetList: false,
 		targets: createTable<PoolTarget>({key: target => target.id, index: target => target.pool}),
-		unlistedTargets: new Set(),
+		unlistedTargets: new Map(),
 		formerTargets: new Map(),
 		targetRankings: new Map(),
 		domainsOut: new Set(),
--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -43,12 +43,12 @@
 
 function logTarget(gateway: Gateway, text: string, {
 	id, pool, address, softwareVersion, failureDomain, standing, coldForMs, startId, revision,
-}: ListedTarget) {
+}: ListedTarget, fields: Record<string, unknown> = {}) {
 	addLogLine(gateway, {
 		part: LogPart.Target,
 		text,
 		fields: {
-			target: id, pool, address, softwareVersion, failureDomain, standing, coldForMs, start: startId, revision,
+			target: id, pool, address, softwareVersion, failureDomain, standing, coldForMs, start: startId, revision, ...fields,
 		},
 	});
 }
@@ -142,15 +142,16 @@
 	recordFormerTarget(gateway, target);
 	confirmCrash(gateway, target);
 	gateway.targets.delete(target.id);
+	const unlistedSince = gateway.unlistedTargets.get(target.id);
 	gateway.unlistedTargets.delete(target.id);
 	gateway.outbox.push({kind: 'targetGone', address: target.address});
-	logTarget(gateway, `gone: ${reason}`, target);
+	logTarget(gateway, `gone: ${reason}`, target, {keptMs: unlistedSince === undefined ? undefined : Math.round(gateway.now - unlistedSince)});
 }
 
 function keepUnlisted(gateway: Gateway, {id}: PoolTarget, reason: IncompleteListReason) {
 	const {unlistedTargets, platform, now} = gateway;
 	if (!unlistedTargets.has(id)) {
-		unlistedTargets.add(id);
+		unlistedTargets.set(id, now);
 		addLogLine(gateway, {part: LogPart.Target, text: 'kept though not listed', fields: {target: id, reason, reachedMs: platform.isReached ? Math.round(now - platform.since) : undefined}});
 	}
 }
@@ -239,7 +240,7 @@
 		return;
 	}
 
-	for (const id of gateway.unlistedTargets) {
+	for (const id of gateway.unlistedTargets.keys()) {
 		const target = gateway.targets.get(id);
 		if (target) {
 			deleteTarget(gateway, target, 'not listed again after the outage');
