--- a/packages/core/test/gateway/data-sources.test.ts
+++ b/packages/core/test/gateway/data-sources.test.ts
@@ -25,6 +25,16 @@
 	expect(getRefreshed(bench.wait(3000))).toEqual([]);
 });
 
+test('a change that is missed after an answer of the platform is asked for as soon as the one before it', () => {
+	const bench = createBench({instances: ['self', 'other']});
+	setVersion(bench, {revision: 5});
+	report(bench, 7);
+	expect(getRefreshed(bench.wait(350))).toEqual([DataKind.Targets]);
+	report(bench, 9);
+	setVersion(bench, {revision: 7});
+	expect(getRefreshed(bench.wait(350))).toEqual([DataKind.Targets]);
+});
+
 test('a change that arrives in time, or that this instance covers without an object that shows it, is not asked for', () => {
 	const bench = createBench({instances: ['self', 'other']});
 	setVersion(bench, {revision: 5});
