Count the time in which lapsed entries may come back from the first return that any instance saw

Cause: after an outage a target that isn't listed is kept for 2.2 s, counted from this instance's own return to the platform, unless another instance was connected throughout. The instance that reaches the platform first has no such witness: if it loses one answer then, it counts a second outage, and holds removals back for 2.2 s once more, at a time at which its bounds hold again. Now the time is counted from the earliest return that this instance or another one with recent answers saw: whoever has been connected since proves that the platform was back, and what isn't listed 2.2 s later is gone, as the platform's protocol says.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -49,8 +49,8 @@
 	since: number;
 	/** Time of its last answer. */
 	lastAnswerAt: number;
-	/** Time of its last answer before the latest outage; undefined before the first outage. */
-	lastAnswerBeforeOutageAt: number | undefined;
+	/** Whether this instance has noticed an outage. */
+	hadOutage: boolean;
 	/** When it was last seen to have returned with older data; undefined while that hasn't happened. */
 	dataReturnedAt: number | undefined;
 };
@@ -184,7 +184,7 @@
 		domainsOut: new Set(),
 		unconfirmedDomainsOut: new Set(),
 		platform: {
-			isReached: true, since: now, lastAnswerAt: now, lastAnswerBeforeOutageAt: undefined, dataReturnedAt: undefined,
+			isReached: true, since: now, lastAnswerAt: now, hadOutage: false, dataReturnedAt: undefined,
 		},
 		calls: createTable<Call>({key: call => call.id}),
 		queues: new Map(),
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -20,7 +20,7 @@
 			});
 		platform.isReached = isReached;
 		platform.since = now;
-		platform.lastAnswerBeforeOutageAt = isReached ? platform.lastAnswerBeforeOutageAt : platform.lastAnswerAt;
+		platform.hadOutage = true;
 	}
 
 	if (isReached) {
@@ -54,15 +54,15 @@
 }
 
 /**
-Whether another instance that watches targets closely was connected to the platform throughout the outage that this one had: since
-before its start, and with an answer so late that in the rest of the outage no entry can have lapsed.
+When the platform was back at the latest: since then, this instance or another one that watches targets closely has been connected to it
+without interruption. An instance counts if its last answer is so recent that no entry can have lapsed after it in the outage of this one.
 */
-function isPlatformReachedElsewhere(gateway: Gateway, outageStartedAt: number): boolean {
-	const {platform, limits} = gateway;
-	return [...gateway.instances.rows()].some(instance =>
-		isTargetWatcher(gateway, instance.id) && isAlive(gateway, instance)
-		&& instance.platformReachedSince !== undefined && instance.platformReachedSince < outageStartedAt
-		&& instance.platformAnsweredAt > platform.since - limits.minLapseMs);
+function getReturnTime(gateway: Gateway): number {
+	const {platform: {since}, limits} = gateway;
+	const times = [...gateway.instances.rows()]
+		.filter(instance => isTargetWatcher(gateway, instance.id) && isAlive(gateway, instance) && instance.platformAnsweredAt > since - limits.minLapseMs)
+		.flatMap(({platformReachedSince}) => platformReachedSince ?? []);
+	return Math.min(since, ...times);
 }
 
 /** Why targets may be missing from the list though they run. */
@@ -75,7 +75,7 @@
 
 /** Returns why targets may be missing from the list only because of an outage of the platform; undefined when they may not. */
 export function findIncompleteListReason(gateway: Gateway): IncompleteListReason | undefined {
-	const {platform: {isReached, since, lastAnswerBeforeOutageAt, dataReturnedAt}, now, limits} = gateway;
+	const {platform: {isReached, hadOutage, dataReturnedAt}, now, limits} = gateway;
 	if (!isReached) {
 		return IncompleteListReason.NotReached;
 	}
@@ -88,6 +88,5 @@
 		return IncompleteListReason.ReportedOutage;
 	}
 
-	const isRecent = lastAnswerBeforeOutageAt !== undefined && now < since + limits.relistTimeoutMs;
-	return isRecent && !isPlatformReachedElsewhere(gateway, lastAnswerBeforeOutageAt) ? IncompleteListReason.RecentOutage : undefined;
+	return hadOutage && now < getReturnTime(gateway) + limits.relistTimeoutMs ? IncompleteListReason.RecentOutage : undefined;
 }
