Hold no removals back after an interruption in which no entry can lapse

What callers would see: after connections to the platform were lost for a moment, calls to a target that was removed meanwhile for 2,400 ms; 2,000 are allowed. Cause: any failed request counted as an outage, after which missing targets are kept for 2.2 s. An entry lapses after three periods without a write, so none can lapse unless the platform was away for two of them; an interruption that is shorter by this instance's own answers is none, and the time since which it is connected goes on, also for the others.

The test of the relist timeout had an outage of no length, in which nothing can lapse; it lasts 5 s now, and a new one pins the length down from both sides.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -45,11 +45,13 @@
 /** Whether the platform can be reached, since when, and whether its data is complete. */
 export type PlatformReachability = {
 	isReached: boolean;
-	/** Time of the last change of `isReached`. */
+	/** Since when it has or hasn't been reached; interruptions in which no entry can lapse don't count. */
 	since: number;
+	/** Since when it had been reached before the latest outage. */
+	connectedBefore: number;
 	/** Time of its last answer. */
 	lastAnswerAt: number;
-	/** Whether this instance has noticed an outage. */
+	/** Whether this instance has noticed an outage in which entries may have lapsed. */
 	hadOutage: boolean;
 	/** When it was last seen to have returned with older data; undefined while that hasn't happened. */
 	dataReturnedAt: number | undefined;
@@ -184,7 +186,7 @@
 		domainsOut: new Set(),
 		unconfirmedDomainsOut: new Set(),
 		platform: {
-			isReached: true, since: now, lastAnswerAt: now, hadOutage: false, dataReturnedAt: undefined,
+			isReached: true, since: now, connectedBefore: now, lastAnswerAt: now, hadOutage: false, dataReturnedAt: undefined,
 		},
 		calls: createTable<Call>({key: call => call.id}),
 		queues: new Map(),
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -12,15 +12,14 @@
 
 export function onPlatformReach(gateway: Gateway, {isReached}: GatewayInboundOf<'platformReach'>) {
 	const {platform, now} = gateway;
-	if (isReached !== platform.isReached) {
-		addLogLine(gateway, isReached
-			? {part: LogPart.Membership, text: 'platform reached again', fields: {lostMs: Math.round(now - platform.since)}}
-			: {
-				part: LogPart.Membership, level: 'warn', text: 'platform lost', fields: {unansweredMs: Math.round(now - platform.lastAnswerAt)},
-			});
-		platform.isReached = isReached;
-		platform.since = now;
-		platform.hadOutage = true;
+	if (isReached && !platform.isReached) {
+		onReachedAgain(gateway);
+	} else if (!isReached && platform.isReached) {
+		const unansweredMs = Math.round(now - platform.lastAnswerAt);
+		addLogLine(gateway, {
+			part: LogPart.Membership, level: 'warn', text: 'platform lost', fields: {unansweredMs},
+		});
+		Object.assign(platform, {isReached, since: now, connectedBefore: platform.since});
 	}
 
 	if (isReached) {
@@ -28,11 +27,21 @@
 	}
 }
 
+/** Ends an outage. One in which no entry can have lapsed is no interruption of the connection: what isn't listed after it was removed. */
+function onReachedAgain(gateway: Gateway) {
+	const {platform, limits, now} = gateway;
+	const isShort = now - platform.lastAnswerAt < limits.minLapseMs;
+	addLogLine(gateway, {
+		part: LogPart.Membership, text: 'platform reached again', fields: {lostMs: Math.round(now - platform.since), unansweredMs: Math.round(now - platform.lastAnswerAt), isShort},
+	});
+	Object.assign(platform, {isReached: true, since: isShort ? platform.connectedBefore : now, hadOutage: platform.hadOutage || !isShort});
+}
+
 export function onPlatformDataReturned(gateway: Gateway, {source}: GatewayInboundOf<'platformDataReturned'>) {
 	const {platform, now} = gateway;
 	platform.dataReturnedAt = now;
 	// Whoever knows that this instance has reached the platform without interruption concludes that missing objects were removed.
-	platform.since = now;
+	Object.assign(platform, {since: now, connectedBefore: now});
 	// Revisions are given out again, so an equal one no longer means that an entry is unchanged.
 	for (const target of gateway.targets.rows()) {
 		target.revision = Number.NEGATIVE_INFINITY;
--- a/packages/core/test/gateway/targets.test.ts
+++ b/packages/core/test/gateway/targets.test.ts
@@ -28,6 +28,7 @@
 test('after an outage of the platform a target that is not listed is kept until the relist timeout, and no longer', () => {
 	const bench = createBench({targets: twoTargets});
 	bench.step({kind: 'platformReach', isReached: false});
+	bench.wait(5000);
 	bench.step({kind: 'platformReach', isReached: true});
 	bench.step({kind: 'targets', targets: [createListedTarget('t1')]});
 	bench.wait(2100);
@@ -36,6 +37,17 @@
 	expect(bench.gateway.targets.has('t2')).toBe(false);
 });
 
+test.each([[2300, false], [2500, true]])('after %i ms without an answer of the platform a target that is not listed is kept: %s', (ms, isKept) => {
+	const bench = createBench({targets: twoTargets});
+	bench.step({kind: 'platformReach', isReached: true});
+	bench.wait(ms - 100);
+	bench.step({kind: 'platformReach', isReached: false});
+	bench.wait(100);
+	bench.step({kind: 'platformReach', isReached: true});
+	bench.step({kind: 'targets', targets: [createListedTarget('t1')]});
+	expect(bench.gateway.targets.has('t2')).toBe(isKept);
+});
+
 /**
 Whether an instance keeps t2, which went while that instance couldn't reach the platform for 5 s.
 
