Ask for a missed change without waiting for the answer to the one before

If another change was reported before the answer came, the next request waited two seconds more, since the entry kept a start two seconds ahead: with changes going on, a missed one took up to 0.9 + 1.0 + 2.3 s, of 2.0 s that are allowed. The change that the platform was asked for is kept on its own now; a later one has its own delay once that has been answered.

--- a/packages/core/src/gateway/data-sources.ts
+++ b/packages/core/src/gateway/data-sources.ts
@@ -7,7 +7,7 @@
 import {LogPart} from '../ports.ts';
 import {addLogLine, hasRecentDigest, type Gateway} from './gateway.ts';
 import type {GatewayInboundOf} from './ports.ts';
-import type {DataVersion, Instance} from './rows.ts';
+import type {DataVersion, Instance, MissingData} from './rows.ts';
 
 /** Kinds of data that the platform holds. */
 export enum DataKind {
@@ -28,27 +28,45 @@
 
 /** Records the changes that another instance has and this one misses. */
 export function applyReportedVersions(gateway: Gateway, {id}: Instance, versions: DataVersion[]) {
+	const {missingData, coveredVersions, now} = gateway;
 	for (const reported of versions) {
-		const own = gateway.coveredVersions.get(reported.kind);
-		const missing = gateway.missingData.get(reported.kind);
-		if (own && isLater(reported, own) && (!missing || isLater(reported, missing.version))) {
-			gateway.missingData.set(reported.kind, {version: reported, since: missing?.since ?? gateway.now, source: id});
+		const own = coveredVersions.get(reported.kind);
+		const missing = missingData.get(reported.kind);
+		if (!own || !isLater(reported, own)) {
+			continue;
+		}
+
+		if (!missing) {
+			missingData.set(reported.kind, {
+				version: reported, since: now, source: id, requested: undefined,
+			});
+		} else if (isLater(reported, missing.version)) {
+			// What the platform was asked for may answer the version before only, so a later one has its own delay.
+			missingData.set(reported.kind, {
+				version: reported, since: missing.requested?.version === missing.version ? now : missing.since, source: id, requested: missing.requested,
+			});
 		}
 	}
 }
 
+/** Whether the platform has been asked for a change and hasn't answered yet, for at most the refresh timeout. */
+function isRequestPending({coveredVersions, limits, now}: Gateway, kind: DataKind, {requested}: MissingData): boolean {
+	const own = coveredVersions.get(kind);
+	return requested !== undefined && own !== undefined && isLater(requested.version, own) && now - requested.at < limits.refreshTimeoutMs;
+}
+
 /** Asks the platform for changes that other instances have had for some time. */
 export function missingDataSystem(gateway: Gateway) {
 	const {
 		missingData, coveredVersions, limits, now,
 	} = gateway;
-	for (const [kind, {version, since, source}] of missingData) {
+	for (const [kind, missing] of missingData) {
+		const {version, since, source} = missing;
 		const own = coveredVersions.get(kind);
 		if (own && !isLater(version, own)) {
 			missingData.delete(kind);
-		} else if (now - since >= limits.missingDataMs) {
-			// The platform is asked once more only when this answer stays out beyond the refresh timeout.
-			missingData.set(kind, {version, since: now + limits.refreshTimeoutMs, source});
+		} else if (now - since >= limits.missingDataMs && !isRequestPending(gateway, kind, missing)) {
+			missing.requested = {version, at: now};
 			gateway.outbox.push({kind: 'refreshData', data: kind});
 			addLogLine(gateway, {
 				part: LogPart.Membership, text: 'platform asked again: another instance has a later change', fields: {data: kind, source},
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -12,7 +12,7 @@
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
 import type {
-	Call, Crash, DataVersion, FormerTarget, Instance, PoolTarget, Quarantine, SendCount, StoredQuarantine, Usage, StreamOrigin,
+	Call, Crash, DataVersion, FormerTarget, Instance, MissingData, PoolTarget, Quarantine, SendCount, StoredQuarantine, Usage, StreamOrigin,
 } from './rows.ts';
 
 export type GatewaySelf = Pick<Instance, 'id' | 'incarnation' | 'failureDomain' | 'callerAddress' | 'peerUrl' | 'capacity'>;
@@ -139,7 +139,7 @@
 	/** Revision up to which this instance has all changes, by kind of data. */
 	coveredVersions: Map<DataKind, DataVersion>;
 	/** Changes that another instance has and this one misses, by kind of data. */
-	missingData: Map<DataKind, {version: DataVersion; since: number; source: string}>;
+	missingData: Map<DataKind, MissingData>;
 	/** Instances among which rate limits of targets are split; the version changes with them. */
 	limitCandidates: {ids: string[]; version: number};
 	/** Usage of the pools by this instance's callers, as in its last digest. */
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -239,6 +239,17 @@
 	revision: number;
 };
 
+/** Change of the platform's data that another instance has and this one misses. */
+export type MissingData = {
+	version: DataVersion;
+	/** Since when this instance has known of it. */
+	since: number;
+	/** The instance that reported it. */
+	source: string;
+	/** Change for which the platform was last asked; undefined before the first time. */
+	requested: {version: DataVersion; at: number} | undefined;
+};
+
 /** What is kept of a target's process after its row was removed or replaced by that of another process. */
 export type FormerTarget = Pick<PoolTarget, 'hasAnnouncedLeaving' | 'pausedUntil' | 'rateLimit'> & {removedAt: number};
 
