End calls to the platform at their timeout while the connection isn't established

The call now ends by itself; undici drops the request when it gets a connection. Given up attempts hold their place in the pool for a while, so the pool is larger.

--- a/packages/platform/src/http-call.ts
+++ b/packages/platform/src/http-call.ts
@@ -47,15 +47,18 @@
 	return {
 		async call(call) {
 			const abortController = new AbortController();
+			// undici aborts a request only once its connection is established, so the call doesn't wait for that.
+			const {promise: aborted, reject} = createDeferred();
 			const abort = () => {
 				abortController.abort();
+				reject(abortController.signal.reason);
 			};
 
 			// A listener that is removed after the call, since `AbortSignal.any` would grow with every call on a long-lived signal.
 			call.signal?.addEventListener('abort', abort);
 			const timeout = setTimeout(abort, call.timeoutMs);
 			try {
-				return await parseReply(await sendRequest(agent, url, {...call, signal: abortController.signal}));
+				return await Promise.race([fetchReply(agent, url, {...call, signal: abortController.signal}), aborted]);
 			} catch (error) {
 				return {kind: 'failed', error: createPlatformError(error)};
 			} finally {
@@ -69,6 +72,20 @@
 	};
 }
 
+/** A promise that is only ever rejected, and never counts as unhandled. */
+function createDeferred(): {promise: Promise<never>; reject: (reason: unknown) => void} {
+	let reject!: (reason: unknown) => void;
+	const promise = new Promise<never>((_resolve, rejectPromise) => {
+		reject = rejectPromise;
+	});
+	promise.catch(() => undefined);
+	return {promise, reject};
+}
+
+async function fetchReply(agent: Agent, origin: string, call: HttpCall): Promise<HttpReply> {
+	return parseReply(await sendRequest(agent, origin, call));
+}
+
 async function sendRequest(agent: Agent, origin: string, {method, path, headers, body, signal}: HttpCall) {
 	return agent.request({
 		origin,
