Derive the times of all parts between a change and its effect from one budget

What callers would see: calls to a target for up to 3,200 ms after its leaving was confirmed, where an instance is the only one that watches the platform; 2,000 are allowed. Class: a bound that several parts keep one after another, none of which knows what the others use.

Waits of watches followed from one bound alone, delays between changes from another, and timeouts, pauses and digests from none: a lost answer was noticed after 2.8 s at the earliest, a list that was under way at the end of an outage could take 1.5 s and a pause of 1.2 s before the 2.2 s in which entries may come back (5.0 s with an answer, of 5.0 allowed), and a change that is reported by digests took up to 2.4 s at a standby instance. time-budgets.ts divides the bounds of the settings among the parts and names the paths, so that they can be added up; instances that are the only watcher, as far as they know, wait for less.

--- a/packages/core/src/gateway/data-sources.ts
+++ b/packages/core/src/gateway/data-sources.ts
@@ -83,10 +83,30 @@
 	return primaryInstances.has(id) || primaryInstances.size === 0;
 }
 
-/** Whether this instance watches a kind of data with short waits, on behalf of the instances that receive its digests too. */
-export function isWatcher(gateway: Gateway, kind: DataKind): boolean {
-	const {watchers, self} = gateway;
-	return kind === DataKind.Targets ? isTargetWatcher(gateway, self.id) : watchers.has(self.id) || watchers.size === 0;
+/** How closely an instance watches a kind of data. */
+export enum WatchRole {
+	/** It is the only one that does so with short waits, as far as it knows. */
+	Only = 'only',
+	/** It is one of several that do, on behalf of the instances that receive their digests too. */
+	Shared = 'shared',
+	/** It waits for long. */
+	Standby = 'standby',
+}
+
+function isWatcher(gateway: Gateway, kind: DataKind, id: string): boolean {
+	const {watchers} = gateway;
+	return kind === DataKind.Targets ? isTargetWatcher(gateway, id) : watchers.has(id) || watchers.size === 0;
+}
+
+/** Returns how closely this instance watches a kind of data. */
+export function getWatchRole(gateway: Gateway, kind: DataKind): WatchRole {
+	const {self, instances} = gateway;
+	if (!isWatcher(gateway, kind, self.id)) {
+		return WatchRole.Standby;
+	}
+
+	const hasOthers = [...instances.rows()].some(instance => instance.id !== self.id && isWatcher(gateway, kind, instance.id) && hasRecentDigest(gateway, instance));
+	return hasOthers ? WatchRole.Shared : WatchRole.Only;
 }
 
 /**
--- /dev/null
+++ b/packages/core/src/gateway/time-budgets.ts
@@ -0,0 +1,170 @@
+/*
+Budgets of the bounds in time. Several parts work one after another until a change of the platform's data is in force everywhere, or until
+an outage is over; none of them sees what the others use of the time. So each path is a list of parts, and the times of the parts that
+can vary follow from the bounds: every path has to fit. `listPaths` names the paths with their parts, for tests and for the design page.
+*/
+import {DataKind} from './data-sources.ts';
+
+/** Bounds in time, in milliseconds. */
+export type TimeBounds = {
+	/** From the platform's confirmation that a target is leaving until it gets no more requests. */
+	departureMs: number;
+	/** The same for a configuration and its effect. */
+	configurationMs: number;
+	/** The same for a failure domain that is taken out. */
+	domainOutMs: number;
+	/** From the end of an outage, or the loss of a connection, until the bounds above hold again. */
+	recoveryMs: number;
+};
+
+/** Times of the parts, in milliseconds. */
+export type TimeBudget = {
+	digestMs: number;
+	standbyDigestMs: number;
+	/** Time for which another instance has a change before this one asks the platform for it. */
+	missingDataMs: number;
+	/** Time after the end of an outage in which entries of running targets that lapsed may come back. */
+	relistTimeoutMs: number;
+	/** Timeout of a request that doesn't wait for a change. */
+	requestTimeoutMs: number;
+	/** Time beyond its wait after which an unanswered watch fails. */
+	watchMarginMs: number;
+	/** Longest pause after a failed request, jitter included. */
+	maxRetryPauseMs: number;
+	/** Longest delay between a change and the next request, jitter included, by kind of data. */
+	maxBatchDelayMs: Record<DataKind, number>;
+	/** Wait of a watch while other instances watch the same data. */
+	watchWaitMs: Record<DataKind, number>;
+	/** Wait of a watch on the only instance that watches the data closely: nobody else notices that the watch has gone silent. */
+	soleWatchWaitMs: Record<DataKind, number>;
+};
+
+export type TimePath = {name: string; boundMs: number; partsMs: Record<string, number>};
+
+/** Answer of a healthy platform, with a new connection. */
+const answerMs = 100;
+
+/** From an answer to its effect: two steps of the core. */
+const applyMs = 40;
+
+/** Pause after the first of several failed requests, jitter included. */
+export const firstRetryPauseMs = 150;
+
+/** Upper limits of the parts, where the bounds leave more time than is of use. */
+const maxDigestMs = 500;
+const maxStandbyDigestMs = 1000;
+const maxMissingDataMs = 300;
+const maxRequestTimeoutMs = 1500;
+const maxWatchMarginMs = 800;
+const maxRetryPauseLimitMs = 1200;
+
+/** The platform lists running targets again within about two seconds. */
+const maxRelistTimeoutMs = 2200;
+
+/** Fractions of the shortest bound that parts may take which tell other instances of a change. */
+const digestFraction = 0.25;
+const standbyDigestFraction = 0.5;
+const missingDataFraction = 0.15;
+
+/** Fraction of the shortest bound after which an unanswered watch fails. */
+const watchMarginFraction = 0.4;
+
+/** Fractions of the time until the platform counts as reached again. */
+const requestTimeoutFraction = 0.5;
+const retryPauseFraction = 0.4;
+
+/** Fraction of the departure's bound that the wait for lapsed entries leaves at least to the parts before it. */
+const minRecoveryFraction = 0.3;
+
+/** Part of each bound that is kept free. */
+const reserveFraction = 0.05;
+
+const minWaitMs = 100;
+
+/** Longest useful waits and delays, by kind of data. */
+const maxWaitMs: Record<DataKind, number> = {
+	[DataKind.Configuration]: 3000, [DataKind.Targets]: 3000, [DataKind.DomainsOut]: 4000, [DataKind.Instances]: 5000,
+};
+
+const maxDelayMs: Record<DataKind, number> = {
+	[DataKind.Configuration]: 75, [DataKind.Targets]: 900, [DataKind.DomainsOut]: 75, [DataKind.Instances]: 2250,
+};
+
+/** Bound of the effect of a change; undefined for data without one. */
+function getBoundMs({departureMs, configurationMs, domainOutMs}: TimeBounds, kind: DataKind): number | undefined {
+	return {
+		[DataKind.Targets]: departureMs, [DataKind.Configuration]: configurationMs, [DataKind.DomainsOut]: domainOutMs, [DataKind.Instances]: undefined,
+	}[kind];
+}
+
+function mapKinds(compute: (kind: DataKind) => number): Record<DataKind, number> {
+	return Object.fromEntries(Object.values(DataKind).map(kind => [kind, Math.floor(compute(kind))])) as Record<DataKind, number>;
+}
+
+/** Divides the bounds among the parts. */
+export function createTimeBudget(bounds: TimeBounds): TimeBudget {
+	const {departureMs, configurationMs, domainOutMs, recoveryMs} = bounds;
+	const shortestMs = Math.min(departureMs, configurationMs, domainOutMs);
+	const standbyDigestMs = Math.min(maxStandbyDigestMs, shortestMs * standbyDigestFraction);
+	const missingDataMs = Math.min(maxMissingDataMs, shortestMs * missingDataFraction);
+	const untilListedMs = ((recoveryMs + departureMs) * (1 - reserveFraction)) - answerMs - applyMs;
+	const relistTimeoutMs = Math.min(maxRelistTimeoutMs, untilListedMs * (1 - minRecoveryFraction));
+	const untilReachedMs = Math.min(untilListedMs - relistTimeoutMs, (recoveryMs * (1 - reserveFraction)) - answerMs - applyMs);
+	const requestTimeoutMs = Math.floor(Math.min(maxRequestTimeoutMs, untilReachedMs * requestTimeoutFraction));
+	const watchMarginMs = Math.floor(Math.min(maxWatchMarginMs, requestTimeoutMs, shortestMs * watchMarginFraction));
+	const afterSilenceMs = watchMarginMs + firstRetryPauseMs + answerMs + applyMs;
+
+	function fitWait(kind: DataKind, boundMs: number): number {
+		return Math.max(minWaitMs, Math.min(maxWaitMs[kind], (boundMs * (1 - reserveFraction)) - afterSilenceMs));
+	}
+
+	return {
+		digestMs: Math.min(maxDigestMs, shortestMs * digestFraction),
+		standbyDigestMs,
+		missingDataMs,
+		relistTimeoutMs: Math.floor(relistTimeoutMs),
+		requestTimeoutMs,
+		watchMarginMs,
+		maxRetryPauseMs: Math.floor(Math.min(maxRetryPauseLimitMs, untilReachedMs * retryPauseFraction)),
+		maxBatchDelayMs: mapKinds(kind => {
+			const boundMs = getBoundMs(bounds, kind) ?? Number.POSITIVE_INFINITY;
+			return Math.max(0, Math.min(maxDelayMs[kind], (boundMs * (1 - reserveFraction)) - standbyDigestMs - missingDataMs - (2 * answerMs) - applyMs));
+		}),
+		// A change of these data that comes with the loss of a connection has to be in force when the bounds hold again.
+		watchWaitMs: mapKinds(kind => fitWait(kind, kind === DataKind.Targets || kind === DataKind.Configuration ? recoveryMs : (getBoundMs(bounds, kind) ?? Number.POSITIVE_INFINITY))),
+		soleWatchWaitMs: mapKinds(kind => fitWait(kind, Math.min(recoveryMs, getBoundMs(bounds, kind) ?? Number.POSITIVE_INFINITY))),
+	};
+}
+
+const boundedKinds = [DataKind.Targets, DataKind.Configuration, DataKind.DomainsOut] as const;
+
+/** The paths that have to fit into a bound, with the longest time of each part. */
+export function listPaths(bounds: TimeBounds, budget: TimeBudget): TimePath[] {
+	const {recoveryMs, departureMs} = bounds;
+	const reached = {request: budget.requestTimeoutMs, pause: budget.maxRetryPauseMs, answer: answerMs};
+	const afterSilence = {
+		margin: budget.watchMarginMs, pause: firstRetryPauseMs, answer: answerMs, step: applyMs,
+	};
+	return [
+		...boundedKinds.flatMap((kind): TimePath[] => {
+			const boundMs = getBoundMs(bounds, kind)!;
+			return [
+				{
+					name: `${kind}: reported by another instance`,
+					boundMs,
+					partsMs: {
+						batch: budget.maxBatchDelayMs[kind], answer: answerMs, digest: budget.standbyDigestMs, missing: budget.missingDataMs, secondAnswer: answerMs, step: applyMs,
+					},
+				},
+				{name: `${kind}: silent watch of the only watcher`, boundMs, partsMs: {wait: budget.soleWatchWaitMs[kind], ...afterSilence}},
+				{name: `${kind}: silent watch`, boundMs: Math.max(boundMs, recoveryMs), partsMs: {wait: budget.watchWaitMs[kind], ...afterSilence}},
+			];
+		}),
+		{name: 'changes during an outage', boundMs: recoveryMs, partsMs: {...reached, step: applyMs}},
+		{
+			name: 'a target that leaves once the bounds hold after an outage',
+			boundMs: recoveryMs + departureMs,
+			partsMs: {...reached, relist: budget.relistTimeoutMs, step: applyMs},
+		},
+	];
+}
--- a/packages/core/test/gateway/data-sources.test.ts
+++ b/packages/core/test/gateway/data-sources.test.ts
@@ -1,4 +1,4 @@
-import {DataKind, isWatcher} from '../../src/gateway/data-sources.ts';
+import {DataKind, getWatchRole, WatchRole} from '../../src/gateway/data-sources.ts';
 import {
 	createBench, createDigestFrom, createListedTarget, createRegistration, filterByKind, type Bench,
 } from '../support/gateways.ts';
@@ -59,10 +59,19 @@
 test('an instance that is alone, or whose list of instances is missing, watches all data closely', () => {
 	const alone = createBench({instances: ['self']});
 	alone.wait(600);
-	expect(Object.values(DataKind).every(kind => isWatcher(alone.gateway, kind))).toBe(true);
+	expect(Object.values(DataKind).every(kind => getWatchRole(alone.gateway, kind) === WatchRole.Only)).toBe(true);
 	alone.gateway.instances.delete('self');
 	alone.wait(600);
-	expect(Object.values(DataKind).every(kind => isWatcher(alone.gateway, kind))).toBe(true);
+	expect(Object.values(DataKind).every(kind => getWatchRole(alone.gateway, kind) === WatchRole.Only)).toBe(true);
+});
+
+test('an instance whose fellow watchers are silent watches the data as the only one', () => {
+	const bench = createBench({instances: ['self', 'other']});
+	expect(getWatchRole(bench.gateway, DataKind.Targets)).toBe(WatchRole.Only);
+	bench.step(createDigestFrom('other'));
+	expect(getWatchRole(bench.gateway, DataKind.Targets)).toBe(WatchRole.Shared);
+	bench.wait(2500);
+	expect(getWatchRole(bench.gateway, DataKind.Targets)).toBe(WatchRole.Only);
 });
 
 test('in a large fleet two instances of a failure domain watch all data closely, primary ones the targets, and others none', () => {
@@ -72,10 +81,10 @@
 		const bench = createBench({instances: [self]});
 		bench.step({kind: 'registrations', registrations: ids.map(id => createRegistration(id))});
 		for (const kind of Object.values(DataKind)) {
-			watching.set(kind, (watching.get(kind) ?? 0) + (isWatcher(bench.gateway, kind) ? 1 : 0));
+			watching.set(kind, (watching.get(kind) ?? 0) + (getWatchRole(bench.gateway, kind) === WatchRole.Standby ? 0 : 1));
 		}
 
-		expect(isWatcher(bench.gateway, DataKind.Targets)).toBe(bench.gateway.primaryInstances.has(self));
+		expect(getWatchRole(bench.gateway, DataKind.Targets) !== WatchRole.Standby).toBe(bench.gateway.primaryInstances.has(self));
 	}
 
 	expect(watching.get(DataKind.Configuration)).toBe(2);
