Believe a refusal without a request id only as the first answer of its connection

What callers saw in systems like this one: 'not run, try again' for calls that a target had run or was running, and calls that may run once ran at a second target, after a faulty target wrote an earlier refusal once more on a kept connection. It could happen here: a refusal that names no request was taken for the answer to whatever was sent, since a target may refuse before it has read the headers. Class: an answer matched by its place in the connection rather than by what it says.

Heads now say which request they answer: the one sent, another one, or none. A call isn't sent twice to one target, so a refusal with its id can't be an earlier one of its own.

Two tests in answers.test.ts failed before: a call was answered 503 where the target ran it (502 now), and one that may run once was served by a second target after the repeated refusal.

--- a/packages/router/src/gateway/call-format.ts
+++ b/packages/router/src/gateway/call-format.ts
@@ -30,10 +30,17 @@
 	lastEventId: string | undefined;
 };
 
+/** Which request an answer belongs to, by its head. */
+export enum AnsweredRequest {
+	Sent = 'sent',
+	Other = 'other',
+	/** A refusal that names no request, since the target may have sent it before it read the headers. */
+	Unnamed = 'unnamed',
+}
+
 /** Contents of the head of a target's answer. */
 export type ParsedAnswerHead = {
-	/** Whether the answer belongs to the request that was sent, rather than to another one. */
-	matchesRequest: boolean;
+	answeredRequest: AnsweredRequest;
 	/** Whether the target reports that it did not run the request. */
 	isNotRun: boolean;
 	/** Whether a different target now has the address. */
--- a/packages/router/src/gateway/connection-pools.ts
+++ b/packages/router/src/gateway/connection-pools.ts
@@ -14,6 +14,8 @@
 	isEndedByReset(): boolean;
 	/** Records that the bytes that are being parsed right now contained a head, a part of the body or the end of an answer. */
 	recordProgress(): void;
+	/** Counts the answer whose head is being parsed right now; returns how many its connection has carried. */
+	countAnswer(): number;
 	getOrCreatePool(address: string): Pool;
 	/** Closes the connections to a target that is gone, once their answers have ended. */
 	closePool(address: string): void;
@@ -45,8 +47,8 @@
 	const pools = new Map<string, Pool>();
 	const connector = buildConnector({timeout: connectTimeoutMs, noDelay: true});
 	let isResetting = false;
-	/** Bytes read without progress from the connection that was read last. */
-	let lastRead = {bytesWithoutProgress: 0};
+	/** Bytes read without progress, and number of answers, of the connection that was read last. */
+	let lastRead = {bytesWithoutProgress: 0, answers: 0};
 
 	function markReset() {
 		isResetting = true;
@@ -71,7 +73,7 @@
 	it reports between two reads belongs to the connection that was read last.
 	*/
 	function limitBytesWithoutProgress(socket: Socket) {
-		const state = {bytesWithoutProgress: 0};
+		const state = {bytesWithoutProgress: 0, answers: 0};
 		const read = socket.read.bind(socket);
 		socket.read = (size?: number) => {
 			const chunk = read(size) as Buffer | null;
@@ -120,6 +122,10 @@
 		recordProgress() {
 			lastRead.bytesWithoutProgress = 0;
 		},
+		countAnswer() {
+			lastRead.answers += 1;
+			return lastRead.answers;
+		},
 		getOrCreatePool(address) {
 			const existing = pools.get(address);
 			if (existing) {
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -8,7 +8,7 @@
 import {SendEnd, type GatewayInbound, type GatewayOutboundOf} from '@shallotloom/core/gateway/ports.ts';
 import type {LoadReport} from '@shallotloom/core/gateway/rows.ts';
 import {sendBufferedAnswer, type CallExchange} from './call-exchange.ts';
-import type {CallFormat, ParsedAnswerHead} from './call-format.ts';
+import {AnsweredRequest, type CallFormat, type ParsedAnswerHead} from './call-format.ts';
 import {filterAnswerHeaders} from './hop-by-hop-headers.ts';
 import {createEventBuffer} from './event-buffer.ts';
 import type {ConnectionPools} from './connection-pools.ts';
@@ -93,7 +93,7 @@
 		onResponseStart(controller, status, responseHeaders) {
 			if (status >= 200) {
 				connectionPools.recordProgress();
-				answer.onHead(controller, status, responseHeaders);
+				answer.onHead(controller, status, responseHeaders, connectionPools.countAnswer() > 1);
 			}
 		},
 		onResponseData(controller, chunk) {
@@ -117,9 +117,18 @@
 	});
 }
 
+/** Why an answer isn't taken for that of the request; undefined when it is. */
+const mismatchHandlers: Record<AnsweredRequest, (isConnectionReused: boolean) => string | undefined> = {
+	[AnsweredRequest.Sent]: () => undefined,
+	[AnsweredRequest.Other]: () => 'answer of another request',
+	// A target may write an earlier refusal once more while it runs the request.
+	[AnsweredRequest.Unnamed]: isConnectionReused => isConnectionReused ? 'refusal without a request id on a connection that carried another answer' : undefined,
+};
+
 /** Handles the answer to one send. */
 type AnswerHandler = {
-	onHead(controller: DispatchController, status: number, headers: IncomingHttpHeaders): void;
+	/** `isConnectionReused`: whether the connection has carried another answer before. */
+	onHead(controller: DispatchController, status: number, headers: IncomingHttpHeaders, isConnectionReused: boolean): void;
 	onData(controller: DispatchController, chunk: Buffer): void;
 	onEnd(): void;
 	onError(end: SendEnd, detail: string): void;
@@ -200,15 +209,16 @@
 	}
 
 	return {
-		onHead(controller, status, headers) {
+		onHead(controller, status, headers, isConnectionReused) {
 			if (!isCurrent()) {
 				return;
 			}
 
 			const parsed = format.parseAnswerHead(status, headers, exchange.requestId);
-			if (!parsed.matchesRequest) {
-				reportEnd(SendEnd.Broken, 'answer of another request');
-				controller.abort(new CancelledError('answer of another request'));
+			const mismatch = mismatchHandlers[parsed.answeredRequest](isConnectionReused);
+			if (mismatch !== undefined) {
+				reportEnd(SendEnd.Broken, mismatch);
+				controller.abort(new CancelledError(mismatch));
 				return;
 			}
 
--- a/packages/router/test/gateway/answers.test.ts
+++ b/packages/router/test/gateway/answers.test.ts
@@ -152,6 +152,53 @@
 	expect(getRequests()).toHaveLength(1);
 });
 
+describe('a target that writes an earlier refusal once more on a kept connection', () => {
+	const refusal = 'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n';
+
+	test('makes no caller believe that a call has not run', async () => {
+		const callerAddress = await start(({socket}) => {
+			socket.write(refusal);
+		});
+		const first = await sendRequest(callerAddress, '/book/x');
+		expect(first.status).toBe(503);
+		await new Promise(resolve => {
+			setTimeout(resolve, 200);
+		});
+		expect(await requestStatus(callerAddress, '/book/x')).toBe(502);
+		expect(targets[0]!.connections()).toBe(1);
+	});
+
+	test('lets no call that may run once run at a second target', async () => {
+		const refusedSockets = new Set<unknown>();
+		const repeated: string[] = [];
+		const other: string[] = [];
+		const callerAddress = await start(({socket, id}) => {
+			if (refusedSockets.has(socket)) {
+				repeated.push(id);
+			}
+
+			refusedSockets.add(socket);
+			socket.write(refusal);
+		}, request => {
+			other.push(request.id);
+			sendAnswer(request, 'other');
+		});
+		const statuses = new Map<string, number>();
+		for (let calls = 0; calls < 12; calls += 1) {
+			const {status} = await sendRequest(callerAddress, '/move/x', {headers: {'x-request-id': `p${calls}`}});
+			statuses.set(`p${calls}`, status);
+			await new Promise(resolve => {
+				setTimeout(resolve, 110);
+			});
+		}
+
+		expect(repeated.length).toBeGreaterThan(0);
+		for (const id of repeated) {
+			expect([id, other.includes(id), statuses.get(id)]).toEqual([id, false, 502]);
+		}
+	}, 10_000);
+});
+
 test('a status that implies "not run" is not relayed when the target does not state that it didn\'t run the call', async () => {
 	const callerAddress = await start(({socket, id}) => {
 		socket.write(`HTTP/1.1 503 Busy\r\nX-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -9,7 +9,7 @@
 import {TargetStanding} from '@shallotloom/core/gateway/rows.ts';
 import {MemberState} from '@shallotloom/core/messages.ts';
 import {allocatePort} from '@shallotloom/standin/free-port.ts';
-import type {CallFormat} from '../../src/gateway/call-format.ts';
+import {AnsweredRequest, type CallFormat} from '../../src/gateway/call-format.ts';
 import {startGatewayRouter, type GatewayRouter} from '../../src/gateway/gateway-router.ts';
 import {createGatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
 import {createLog} from '../../src/log.ts';
@@ -17,8 +17,16 @@
 
 const host = '127.0.0.1';
 
+function findAnsweredRequest(headers: IncomingHttpHeaders, requestId: string): AnsweredRequest {
+	if (headers['x-request-id'] === undefined && headers['x-not-run'] !== undefined) {
+		return AnsweredRequest.Unnamed;
+	}
+
+	return headers['x-request-id'] === requestId ? AnsweredRequest.Sent : AnsweredRequest.Other;
+}
+
 /** Call format of the tests; targets report that a call was not run with the header X-Not-Run. */
-export const testCallFormat: CallFormat = {
+const testCallFormat: CallFormat = {
 	parseCall({url, headers}) {
 		return headers['x-request-id'] === ''
 			? {kind: 'malformed', detail: 'no id'}
@@ -32,7 +40,7 @@
 	},
 	createTargetHeaders: (rawHeaders, {target, lastEventId}) => [...rawHeaders, 'X-Target', target, ...(lastEventId === undefined ? [] : ['Last-Event-Id', lastEventId])],
 	parseAnswerHead: (_status, headers, requestId) => ({
-		matchesRequest: headers['x-request-id'] === requestId, isNotRun: headers['x-not-run'] !== undefined, isWrongTarget: false, load: undefined,
+		answeredRequest: findAnsweredRequest(headers, requestId), isNotRun: headers['x-not-run'] !== undefined, isWrongTarget: false, load: undefined,
 		isLeaving: headers['x-leaving'] !== undefined,
 		requestsPerSecond: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
 		pauseMs: headers['x-pause'] === undefined ? undefined : Number(headers['x-pause']),
@@ -48,6 +56,9 @@
 	{
 		pathPrefix: '/book/', kind: CallKind.Once, isResumable: false, maxAttempts: 1,
 	},
+	{
+		pathPrefix: '/move/', kind: CallKind.Once, isResumable: false, maxAttempts: 2,
+	},
 	{
 		pathPrefix: '/chat/', kind: CallKind.Streamed, isResumable: true, maxAttempts: 2,
 	},
