Keep in the store where streams began, for the end of all instances at once

Class: knowledge that has to outlast all processes, kept in processes.

While a pool has several versions, each instance writes where its open streams began, in one object, at a rate that the fleet shares (a tenth of the platform's writes, at most four a second an instance). The versions that pools have had recently are written by one instance when they change; they prove to new processes that only one version can have begun a stream. They hold only in the era of the store's data in which they were written, so an older copy proves nothing. A process writes nothing before it has read both, and while the store is away callers are told that their attempt has not run.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import type {DataKind} from './data-sources.ts';
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
+import {createStoredStreams, type StoredStreams} from './stored-streams.ts';
 import type {
 	Call, Crash, DataVersion, FormerTarget, Instance, MissingData, PoolTarget, Quarantine, SendCount, StoredQuarantine, Usage, StreamOrigin,
 } from './rows.ts';
@@ -111,6 +112,7 @@
 	streamOrigins: Map<number, StreamOrigin & {recordedAt: number}>;
 	/** Instances that may be holders of streams, and their rankings by group of streams; the version changes with the instances. */
 	holderRanking: {candidates: Instance[]; version: number; byGroup: Map<number, Instance[]>};
+	storedStreams: StoredStreams;
 	/** When the last target of a software version that a pool no longer has was removed, by pool and version. */
 	formerVersions: Map<string, Map<string, number>>;
 	/** Since when this instance knows all software versions of all pools; undefined before its first list of targets. */
@@ -203,6 +205,7 @@
 		hasNewQuarantine: false,
 		streamOrigins: new Map(),
 		holderRanking: {candidates: [], version: 0, byGroup: new Map()},
+		storedStreams: createStoredStreams(),
 		formerVersions: new Map(),
 		versionsKnownSince: isFirstStart ? Number.NEGATIVE_INFINITY : undefined,
 		instances: createTable<Instance>({key: instance => instance.id}),
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -148,6 +148,10 @@
 	streamQueryMs: number;
 	/** Time after which a stream whose origin nobody knows can't be resumed. */
 	streamLookupMs: number;
+	/** Shortest period at which an instance writes where its open streams began to the platform's store. */
+	storedStreamsMs: number;
+	/** Number of these writes per second by all instances together. */
+	storedStreamsPerSecond: number;
 	/** Time after a stall for which no stream is resumed. */
 	streamHoldMs: number;
 	/** Time within which the platform lists the restart of a target whose process has ended, or removes the target. */
@@ -232,6 +236,8 @@
 	streamLookupPeers: 16,
 	streamQueryMs: 150,
 	streamLookupMs: 500,
+	storedStreamsMs: 250,
+	storedStreamsPerSecond: 40,
 	streamHoldMs: 300,
 	restartListingMs: 5 * second,
 	removalTimeoutMs: 10 * second,
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -9,6 +9,7 @@
 import {addLogLine, isAlive, type Gateway} from './gateway.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {forgetStoredQuarantines} from './stored-quarantines.ts';
+import {forgetStoredStreams} from './stored-streams.ts';
 
 export function onPlatformReach(gateway: Gateway, {isReached}: GatewayInboundOf<'platformReach'>) {
 	const {platform, now} = gateway;
@@ -48,6 +49,7 @@
 	}
 
 	forgetStoredQuarantines(gateway);
+	forgetStoredStreams(gateway);
 	for (const domain of gateway.domainsOut) {
 		gateway.unconfirmedDomainsOut.add(domain);
 	}
--- a/packages/core/src/gateway/pool-versions.ts
+++ b/packages/core/src/gateway/pool-versions.ts
@@ -35,11 +35,27 @@
 }
 
 /** Whether this instance knows all versions at which a stream that may still be resumed can have begun. */
-function isComplete(gateway: Gateway): boolean {
+export function isComplete(gateway: Gateway): boolean {
 	const {versionsKnownSince, platform, now} = gateway;
 	return versionsKnownSince !== undefined && now - versionsKnownSince >= getStreamMemoryMs(gateway) && platform.isReached && !isDataReturnRecent(gateway);
 }
 
+/**
+Applies the versions that pools had by the platform's store when this process started: no stream can have begun while no instance ran, so
+these and the listed ones are all.
+*/
+export function recordStoredVersions(gateway: Gateway, pools: Array<{pool: string; softwareVersions: string[]}>) {
+	for (const {pool, softwareVersions} of pools) {
+		const versions = gateway.formerVersions.get(pool) ?? new Map<string, number>();
+		gateway.formerVersions.set(pool, versions);
+		for (const version of softwareVersions) {
+			versions.set(version, gateway.now);
+		}
+	}
+
+	gateway.versionsKnownSince = Number.NEGATIVE_INFINITY;
+}
+
 /** Creates the report on the versions of a pool for another instance. */
 export function createPoolVersions(gateway: Gateway, pool: string): PoolVersions {
 	return {pool, softwareVersions: [...getRecentVersions(gateway, pool)], isComplete: isComplete(gateway)};
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -2,7 +2,7 @@
 Messages between the gateway's core and its adapters: inbound events and outbound actions.
 */
 import type {
-	Digest, QuarantineEntry, StreamMessage, StreamQuery, StreamRecords, StreamReply,
+	Digest, QuarantineEntry, StoredVersions, StreamGroup, StreamMessage, StreamQuery, StreamRecords, StreamReply,
 } from '../messages.ts';
 import type {LogPart} from '../ports.ts';
 import type {Refusal, RefusalKind} from '../refusal.ts';
@@ -63,6 +63,14 @@
 		| {kind: 'storedQuarantines'; entries: QuarantineEntry[]}
 		/** How a write of a quarantine to the store, or its removal, ended. */
 		| {kind: 'quarantineWritten'; suspect: string; isRemoval: boolean; isSuccessful: boolean}
+		/**
+		Where streams began, as the platform's store held it when this process started: by other instances, and by the process of this
+		one before. `era`: that of the store's data now.
+		*/
+		| {kind: 'storedStreams'; groups: StreamGroup[]; own: StreamGroup[]; versions: StoredVersions | undefined; era: number}
+		/** How a write of the open streams, or of the versions of the pools, to the store ended. */
+		| {kind: 'streamsWritten'; isSuccessful: boolean}
+		| {kind: 'versionsWritten'; isSuccessful: boolean}
 		| {kind: 'digest'; from: string; incarnation: string; digest: Digest}
 		| {kind: 'streamRecords'; from: string; message: StreamRecords}
 		| {kind: 'streamQuery'; from: string; message: StreamQuery}
@@ -119,6 +127,9 @@
 	/** Write a quarantine to the platform's store, or remove it. */
 	| {kind: 'storeQuarantine'; entry: QuarantineEntry}
 	| {kind: 'removeQuarantine'; suspect: string}
+	/** Write where the open streams began, and the versions of the pools, to the platform's store. */
+	| {kind: 'storeStreams'; groups: StreamGroup[]}
+	| {kind: 'storeVersions'; versions: StoredVersions}
 	| {kind: 'catalogueInForce'; catalogue: Catalogue}
 	/** Ask the platform for changes of a kind of data at once. */
 	| {kind: 'refreshData'; data: DataKind}
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -17,6 +17,9 @@
 import {onProcessorUse} from './serving-set.ts';
 import {quarantinesSystem} from './quarantines.ts';
 import {onSendEnded} from './send-ends.ts';
+import {
+	onStoredStreams, onStreamsWritten, onVersionsWritten, storedStreamsSystem,
+} from './stored-streams.ts';
 import {onStreamQuery, onStreamReply} from './stream-lookups.ts';
 import {onStreamRecords, streamRecordsSystem} from './stream-origins.ts';
 import {fairLevelsSystem} from './shares.ts';
@@ -45,6 +48,9 @@
 	platformDataReturned: onPlatformDataReturned,
 	storedQuarantines: onStoredQuarantines,
 	quarantineWritten: onQuarantineWritten,
+	storedStreams: onStoredStreams,
+	streamsWritten: onStreamsWritten,
+	versionsWritten: onVersionsWritten,
 	digest: onDigest,
 	streamRecords: onStreamRecords,
 	streamQuery: onStreamQuery,
@@ -74,6 +80,7 @@
 	registrationSystem,
 	digestsSystem,
 	streamRecordsSystem,
+	storedStreamsSystem,
 	removalSystem,
 	stopSystem,
 ];
--- a/packages/core/src/gateway/stream-lookups.ts
+++ b/packages/core/src/gateway/stream-lookups.ts
@@ -20,6 +20,8 @@
 	Own = 'own record',
 	/** Another instance replied it. */
 	Holder = 'record of another instance',
+	/** The platform's store held it when this process started. */
+	Store = 'store',
 	/** Only one version can have begun the stream. */
 	OnlyVersion = 'only version',
 }
@@ -127,13 +129,21 @@
 /** Checks a lookup; undefined while it goes on. */
 export function checkLookup(gateway: Gateway, call: Call): LookupEnd | undefined {
 	const {limits: {streamQueryMs, streamRecordMs, streamLookupMs}, now} = gateway;
-	const {startedAt, queriedAt, asked, replies, origin} = call.lookup!;
+	const {
+		key, startedAt, queriedAt, asked, replies, origin,
+	} = call.lookup!;
 	if (origin) {
 		logFound(gateway, call, origin, OriginSource.Holder);
 		return {kind: 'found', origin};
 	}
 
-	const isAnswered = asked.every(id => replies.has(id));
+	const stored = findOrigin(gateway, key);
+	if (stored) {
+		logFound(gateway, call, stored, OriginSource.Store);
+		return {kind: 'found', origin: stored};
+	}
+
+	const isAnswered = gateway.storedStreams.isRead && asked.every(id => replies.has(id));
 	if (!isAnswered && now - queriedAt < streamQueryMs) {
 		return undefined;
 	}
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -304,6 +304,13 @@
 /** Streams that began at one pool and software version, by their keys. */
 export type StreamGroup = {pool: string; softwareVersion: string; streams: number[]};
 
+/** Software versions that pools have had recently, in the platform's store. */
+export type StoredVersions = {
+	/** Era of the store's data in which they were written. */
+	era: number;
+	pools: Array<{pool: string; softwareVersions: string[]}>;
+};
+
 /** Records of where streams began, for one of their holders. */
 export type StreamRecords = {
 	kind: 'streamRecords';
--- a/packages/core/test/support/gateways.ts
+++ b/packages/core/test/support/gateways.ts
@@ -121,11 +121,17 @@
 	limits?: Partial<GatewayLimits>;
 	seed?: number;
 	isFirstStart?: boolean;
+	/** Whether it has read what the store holds of streams, which is nothing. */
+	hasReadStore?: boolean;
+};
+
+const nothingStored: GatewayInbound = {
+	kind: 'storedStreams', groups: [], own: [], versions: undefined, era: 0,
 };
 
 /** Creates a gateway that has received its catalogue, targets and registrations. */
 export function createBench({
-	targets = [createListedTarget('t1')], instances = ['self'], catalogue = createTestCatalogue(), limits, seed = 1, isFirstStart,
+	targets = [createListedTarget('t1')], instances = ['self'], catalogue = createTestCatalogue(), limits, seed = 1, isFirstStart, hasReadStore = true,
 }: BenchOptions = {}): Bench {
 	let now = 10_000;
 	let calls = 0;
@@ -139,6 +145,7 @@
 		{kind: 'targets', targets},
 		{kind: 'registrations', registrations: instances.map(id => createRegistration(id))},
 		{kind: 'domainsOut', domains: []},
+		...(hasReadStore ? [nothingStored] : []),
 	);
 	return {
 		gateway,
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -12,7 +12,7 @@
 import {isRateLimited} from '@shallotloom/core/gateway/rate-limits.ts';
 import {runGatewayStep} from '@shallotloom/core/gateway/step.ts';
 import {
-	MemberState, type PeerMessage, type PeerMessageOf, type QuarantineEntry,
+	MemberState, type PeerMessage, type PeerMessageOf, type QuarantineEntry, type StoredVersions, type StreamGroup,
 } from '@shallotloom/core/messages.ts';
 import {LogPart} from '@shallotloom/core/ports.ts';
 import {Outcome, RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
@@ -48,6 +48,12 @@
 	remove(suspect: string): Promise<boolean>;
 };
 
+/** Store of what is known of streams, which outlasts the processes. Each write resolves to whether it succeeded. */
+export type StreamStore = {
+	putStreams(groups: StreamGroup[]): Promise<boolean>;
+	putVersions(versions: StoredVersions): Promise<boolean>;
+};
+
 export type GatewayRouterOptions = {
 	self: Omit<GatewaySelf, 'incarnation'>;
 	/** IP number and port for callers. */
@@ -60,6 +66,7 @@
 	format: CallFormat;
 	registry: InstanceRegistry;
 	quarantineStore: QuarantineStore;
+	streamStore: StreamStore;
 	log: Log;
 	metrics: GatewayMetrics;
 	timer: Timer;
@@ -87,7 +94,7 @@
 /** Starts a router; rejects when one of its addresses can't be bound. */
 export async function startGatewayRouter(options: GatewayRouterOptions): Promise<GatewayRouter> {
 	const {
-		format, registry, quarantineStore, log, metrics, timer,
+		format, registry, quarantineStore, streamStore, log, metrics, timer,
 	} = options;
 	const gateway = createGateway({
 		self: {...options.self, incarnation: randomBytes(4).toString('hex')},
@@ -132,6 +139,10 @@
 		});
 	}
 
+	async function reportStreamWrite(kind: 'streamsWritten' | 'versionsWritten', write: Promise<boolean>) {
+		push({kind, isSuccessful: await write});
+	}
+
 	const stopWatchingStalls = watchStalls({
 		timer,
 		tickMs,
@@ -226,6 +237,12 @@
 			removeQuarantine({suspect}) {
 				void reportWrite(suspect, true, quarantineStore.remove(suspect));
 			},
+			storeStreams({groups}) {
+				void reportStreamWrite('streamsWritten', streamStore.putStreams(groups));
+			},
+			storeVersions({versions}) {
+				void reportStreamWrite('versionsWritten', streamStore.putVersions(versions));
+			},
 			refreshData({data}) {
 				options.onRefreshData(data);
 			},
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -92,6 +92,10 @@
 			put: async () => true,
 			remove: async () => true,
 		},
+		streamStore: {
+			putStreams: async () => true,
+			putVersions: async () => true,
+		},
 		registry: {
 			register() {
 				// The tests use a fixed set of instances.
