Draw rollouts in which all instances are killed at once

The model of rollouts has the platform's store and a fault that kills all instances; attempts count from half a second after their start.

--- a/packages/bench/src/rollout-model/draws.ts
+++ b/packages/bench/src/rollout-model/draws.ts
@@ -23,7 +23,7 @@
 	},
 };
 
-const faultKinds = Object.values(FaultKind);
+const faultKinds = Object.values(FaultKind).filter(kind => kind !== FaultKind.KillAll);
 
 /** Time before the first rollout, in milliseconds. */
 const calmMs = 3000;
@@ -64,6 +64,16 @@
 	};
 }
 
+/** Draws the options of a run in which all instances are killed at once, twice: soon after each rollout has begun. */
+export function drawEnds(seed: number, size: FleetSize): RolloutOptions {
+	const options = drawRollout(seed, size);
+	const random = createRandom(seed, 2);
+	const ends = options.rollouts.map(({atMs}): Fault => ({
+		kind: FaultKind.KillAll, atMs: atMs + minDurationMs + (random.uniform() * 2000), durationMs: minDurationMs + (random.uniform() * 2000), fraction: 1,
+	}));
+	return {...options, faults: [...options.faults, ...ends].toSorted((a, b) => a.atMs - b.atMs)};
+}
+
 /** Draws the options of a run. */
 export function drawRollout(seed: number, size: FleetSize): RolloutOptions {
 	const random = createRandom(seed, 1);
--- a/packages/bench/src/rollout-model/fleet.ts
+++ b/packages/bench/src/rollout-model/fleet.ts
@@ -11,7 +11,7 @@
 	SendEnd, type GatewayInbound, type GatewayOutbound, type GatewayOutboundOf, type Registration,
 } from '@shallotloom/core/gateway/ports.ts';
 import {runGatewayStep} from '@shallotloom/core/gateway/step.ts';
-import {MemberState} from '@shallotloom/core/messages.ts';
+import {MemberState, type StoredVersions, type StreamGroup} from '@shallotloom/core/messages.ts';
 import {createEventQueue} from '../fleet-model/event-queue.ts';
 import {createRandom} from '../load/random.ts';
 import {createCallers, type AttemptCount} from './callers.ts';
@@ -21,6 +21,8 @@
 export enum FaultKind {
 	/** Instances are killed, and start again as new processes. */
 	Kill = 'kill',
+	/** All instances are killed at once, and start again as new processes. */
+	KillAll = 'kill all',
 	/** Instances stand still. */
 	Freeze = 'freeze',
 	/** Instances neither send to nor receive from other instances. */
@@ -83,8 +85,14 @@
 
 /** Bounds of the time in which a change of the platform's lists reaches an instance, in milliseconds. */
 const minListDelayMs = 3;
+
+/** Time that the platform's store takes to write, in milliseconds. */
+const storeDelayMs = 15;
 const maxListDelayMs = 400;
 
+/** Time after which attempts at instances count that were started after the end of all, in milliseconds. */
+const startMs = 500;
+
 /** Time without disturbance after which an instance counts as in touch, in milliseconds. */
 const contactMs = 3000;
 
@@ -145,6 +153,9 @@
 	const instances = new Map<string, ModelInstance>();
 	/** Increases with each change of the platform's list of targets. */
 	let listRevision = 0;
+	/** What the platform's store holds of streams: by instance, and of the versions. */
+	const storedStreams = new Map<string, StreamGroup[]>();
+	let storedVersions: StoredVersions | undefined;
 	/** How to cancel the sends in progress, by call. */
 	const openSends = new Map<string, () => void>();
 	const targets = createVersionedTargets({
@@ -200,6 +211,16 @@
 	/** Handlers of the outbound items that matter here; all others are ignored. */
 	const outboundHandlers: {[Kind in GatewayOutbound['kind']]?: (instance: ModelInstance, item: GatewayOutboundOf<Kind>) => void} = {
 		send: sendToTarget,
+		storeStreams(instance, {groups}) {
+			writeToStore(instance, 'streamsWritten', () => {
+				storedStreams.set(instance.registration.id, groups);
+			});
+		},
+		storeVersions(instance, {versions}) {
+			writeToStore(instance, 'versionsWritten', () => {
+				storedVersions = versions;
+			});
+		},
 		cancel(_instance, {call}) {
 			openSends.get(call)?.();
 			openSends.delete(call);
@@ -300,6 +321,28 @@
 		});
 	}
 
+	/** What the store holds of streams, as an instance reads it. */
+	function createStoredStreams({registration: {id}}: ModelInstance): GatewayInbound {
+		const groups = [...storedStreams].filter(([writer]) => writer !== id).flatMap(([, written]) => written);
+		return {
+			kind: 'storedStreams', groups, own: storedStreams.get(id) ?? [], versions: storedVersions, era: 0,
+		};
+	}
+
+	/** Writes to the store after some time, and reports that to the instance. */
+	function writeToStore(instance: ModelInstance, kind: 'streamsWritten' | 'versionsWritten', write: () => void) {
+		queue.schedule(storeDelayMs, () => {
+			const isSuccessful = queue.now >= instance.cutFromPlatformUntil;
+			if (isSuccessful) {
+				write();
+			}
+
+			if (instance.isUp) {
+				push(instance, {kind, isSuccessful});
+			}
+		});
+	}
+
 	function deliverPlatformData(instance: ModelInstance) {
 		push(
 			instance,
@@ -307,6 +350,7 @@
 			...createTargetMessages(),
 			{kind: 'domainsOut', domains: []},
 			{kind: 'platformReach', isReached: true},
+			createStoredStreams(instance),
 		);
 	}
 
@@ -331,20 +375,34 @@
 		return [...instances.values()].filter(({isUp}) => isUp && random.uniform() < fraction);
 	}
 
+	/**
+	Kills an instance, and starts it again as a new process.
+
+	@param startMs Time after its start from which its attempts count.
+	*/
+	function kill(instance: ModelInstance, durationMs: number, startMs = contactMs) {
+		instance.isUp = false;
+		instance.disturbedAt = Number.POSITIVE_INFINITY;
+		breakAttempts(instance, true);
+		queue.schedule(durationMs, () => {
+			const registration = {...instance.registration, incarnation: `${instance.registration.incarnation}'`};
+			Object.assign(instance, {
+				registration, gateway: createInstanceGateway(registration), isUp: true, backlog: [], disturbedAt: queue.now + startMs - contactMs,
+			});
+			deliverPlatformData(instance);
+			publishRegistrations();
+		});
+	}
+
 	const faultHandlers: Record<FaultKind, (fault: Fault) => void> = {
 		[FaultKind.Kill]({fraction, durationMs}) {
 			for (const instance of selectInstances(fraction)) {
-				instance.isUp = false;
-				instance.disturbedAt = Number.POSITIVE_INFINITY;
-				breakAttempts(instance, true);
-				queue.schedule(durationMs, () => {
-					const registration = {...instance.registration, incarnation: `${instance.registration.incarnation}'`};
-					Object.assign(instance, {
-						registration, gateway: createInstanceGateway(registration), isUp: true, backlog: [], disturbedAt: queue.now,
-					});
-					deliverPlatformData(instance);
-					publishRegistrations();
-				});
+				kill(instance, durationMs);
+			}
+		},
+		[FaultKind.KillAll]({durationMs}) {
+			for (const instance of selectInstances(1)) {
+				kill(instance, durationMs, startMs);
 			}
 		},
 		[FaultKind.Freeze]({fraction, durationMs}) {
--- a/packages/core/src/gateway/stored-streams.ts
+++ b/packages/core/src/gateway/stored-streams.ts
@@ -67,7 +67,7 @@
 	}
 
 	// An older copy of the store's data may lack versions that came after it.
-	if (versions && versions.era === era) {
+	if (versions?.era === era) {
 		recordStoredVersions(gateway, versions.pools);
 	}
 }
