Count the return of the platform's data once, though each kind of data shows it

The era of the data tells one return from another.

The new test in platform-data.test.ts failed before: a target removed 2.5 s after the return was kept since another kind of data reported it.

--- a/packages/bench/src/exploration/fleet.ts
+++ b/packages/bench/src/exploration/fleet.ts
@@ -187,7 +187,7 @@
 		instance.seenReturns = returnCount;
 		runStep(
 			instance,
-			...hasReturned ? [{kind: 'platformDataReturned', source: 'all'} as const] : [],
+			...hasReturned ? [{kind: 'platformDataReturned', source: 'all', era: undefined} as const] : [],
 			{kind: 'catalogue', catalogue: createExplorationCatalogue(version)},
 			{kind: 'domainsOut', domains: [...domainsOut]},
 			{kind: 'targets', targets: [...targets.values()].map(target => ({...target, isRestored: lost !== undefined}))},
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -56,6 +56,8 @@
 	hadOutage: boolean;
 	/** When it was last seen to have returned with older data; undefined while that hasn't happened. */
 	dataReturnedAt: number | undefined;
+	/** Era of its data since then; undefined when it didn't state it. */
+	returnedEra: number | undefined;
 };
 
 export type Gateway = {
@@ -188,7 +190,7 @@
 		domainsOut: new Set(),
 		unconfirmedDomainsOut: new Set(),
 		platform: {
-			isReached: true, since: now, connectedBefore: now, lastAnswerAt: now, hadOutage: false, dataReturnedAt: undefined,
+			isReached: true, since: now, connectedBefore: now, lastAnswerAt: now, hadOutage: false, dataReturnedAt: undefined, returnedEra: undefined,
 		},
 		calls: createTable<Call>({key: call => call.id}),
 		queues: new Map(),
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -38,9 +38,15 @@
 	Object.assign(platform, {isReached: true, since: isShort ? platform.connectedBefore : now, hadOutage: platform.hadOutage || !isShort});
 }
 
-export function onPlatformDataReturned(gateway: Gateway, {source}: GatewayInboundOf<'platformDataReturned'>) {
+export function onPlatformDataReturned(gateway: Gateway, {source, era}: GatewayInboundOf<'platformDataReturned'>) {
 	const {platform, now} = gateway;
+	if (era !== undefined && era === platform.returnedEra) {
+		// The same return, which the watch of another kind of data noticed later.
+		return;
+	}
+
 	platform.dataReturnedAt = now;
+	platform.returnedEra = era;
 	// Whoever knows that this instance has reached the platform without interruption concludes that missing objects were removed.
 	Object.assign(platform, {since: now, connectedBefore: now});
 	// Revisions are given out again, so an equal one no longer means that an entry is unchanged.
@@ -55,7 +61,7 @@
 	}
 
 	addLogLine(gateway, {
-		part: LogPart.Membership, level: 'warn', text: 'platform returned with older data', fields: {source},
+		part: LogPart.Membership, level: 'warn', text: 'platform returned with older data', fields: {source, era},
 	});
 }
 
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -57,8 +57,11 @@
 		| {kind: 'registrations'; registrations: Registration[]}
 		/** Whether the platform can be reached. */
 		| {kind: 'platformReach'; isReached: boolean}
-		/** The platform returned with an older copy of its data, which shows in the objects of a kind. */
-		| {kind: 'platformDataReturned'; source: string}
+		/**
+		The platform returned with an older copy of its data, which shows in the objects of a kind. `era`: that of the data now; undefined
+		when the platform doesn't state it.
+		*/
+		| {kind: 'platformDataReturned'; source: string; era: number | undefined}
 		/** The quarantines that the platform's store held when this process started. */
 		| {kind: 'storedQuarantines'; entries: QuarantineEntry[]}
 		/** How a write of a quarantine to the store, or its removal, ended. */
--- a/packages/core/test/gateway/platform-data.test.ts
+++ b/packages/core/test/gateway/platform-data.test.ts
@@ -5,7 +5,7 @@
 } from '../support/gateways.ts';
 
 const restored = (id: string, options: Partial<ListedTarget> = {}) => createListedTarget(id, {isRestored: true, ...options});
-const returned = {kind: 'platformDataReturned', source: 'targets'} as const;
+const returned = {kind: 'platformDataReturned', source: 'targets', era: undefined} as const;
 
 function getSentTargets(bench: Bench, calls = 6) {
 	return new Set(Array.from({length: calls}, () => filterByKind(bench.call({}), 'send')[0]?.target));
@@ -22,6 +22,18 @@
 	expect(bench.gateway.targets.has('t2')).toBe(false);
 });
 
+test('a return that shows in another kind of data later is no second one', () => {
+	const bench = createBench({targets: [createListedTarget('t1'), createListedTarget('t2')]});
+	bench.wait(1000);
+	bench.step({...returned, era: 2});
+	bench.wait(2500);
+	bench.step({...returned, source: 'instances', era: 2}, {kind: 'targets', targets: [createListedTarget('t1')]});
+	expect(bench.gateway.targets.has('t2')).toBe(false);
+	bench.step({kind: 'targets', targets: [createListedTarget('t1'), createListedTarget('t2', {startId: '2'})]});
+	bench.step({...returned, era: 3}, {kind: 'targets', targets: [createListedTarget('t1')]});
+	expect(bench.gateway.targets.has('t2')).toBe(true);
+});
+
 test('an older entry makes no leaving target ready, a new one of another process does', () => {
 	const bench = createBench({targets: [createListedTarget('t1', {standing: TargetStanding.Leaving, revision: 9}), createListedTarget('t2')]});
 	bench.step(returned, {kind: 'targets', targets: [restored('t1', {revision: 4}), restored('t2')]});
--- a/packages/core/test/gateway/repeated-requests.test.ts
+++ b/packages/core/test/gateway/repeated-requests.test.ts
@@ -278,7 +278,7 @@
 		expect(answerWrites(bench, false)).toBeGreaterThan(2);
 		expect(answerWrites(bench, true)).toBe(1);
 		expect(answerWrites(bench, true)).toBe(0);
-		bench.step({kind: 'platformDataReturned', source: 'targets'});
+		bench.step({kind: 'platformDataReturned', source: 'targets', era: undefined});
 		expect(answerWrites(bench, true)).toBe(1);
 	});
 
