Write where streams began at most every 450 ms

Each write is a call that is priced. Large fleets write as often as before, at the rate that they share.

--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -236,7 +236,7 @@
 	streamLookupPeers: 16,
 	streamQueryMs: 150,
 	streamLookupMs: 500,
-	storedStreamsMs: 250,
+	storedStreamsMs: 450,
 	storedStreamsPerSecond: 40,
 	streamHoldMs: 300,
 	restartListingMs: 5 * second,
