--- a/packages/core/src/gateway/pool-versions.ts
+++ b/packages/core/src/gateway/pool-versions.ts
@@ -35,7 +35,7 @@
 }
 
 /** Whether this instance knows all versions at which a stream that may still be resumed can have begun. */
-export function isComplete(gateway: Gateway): boolean {
+export function knowsAllVersions(gateway: Gateway): boolean {
 	const {versionsKnownSince, platform, now} = gateway;
 	return versionsKnownSince !== undefined && now - versionsKnownSince >= getStreamMemoryMs(gateway) && platform.isReached && !isDataReturnRecent(gateway);
 }
@@ -58,7 +58,7 @@
 
 /** Creates the report on the versions of a pool for another instance. */
 export function createPoolVersions(gateway: Gateway, pool: string): PoolVersions {
-	return {pool, softwareVersions: [...getRecentVersions(gateway, pool)], isComplete: isComplete(gateway)};
+	return {pool, softwareVersions: [...getRecentVersions(gateway, pool)], isComplete: knowsAllVersions(gateway)};
 }
 
 /**
--- a/packages/core/src/gateway/stored-streams.ts
+++ b/packages/core/src/gateway/stored-streams.ts
@@ -11,7 +11,7 @@
 import {DataKind} from './data-sources.ts';
 import type {Gateway} from './gateway.ts';
 import {
-	createPoolVersions, getStreamMemoryMs, hasSeveralVersions, isComplete, recordStoredVersions,
+	createPoolVersions, getStreamMemoryMs, hasSeveralVersions, knowsAllVersions, recordStoredVersions,
 } from './pool-versions.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {isResponsible} from './quarantines.ts';
@@ -153,7 +153,7 @@
 }
 
 function storeVersions(gateway: Gateway) {
-	if (!startPeriodIfDue(gateway, 'storedVersions', versionsPeriodMs) || !isComplete(gateway)) {
+	if (!startPeriodIfDue(gateway, 'storedVersions', versionsPeriodMs) || !knowsAllVersions(gateway)) {
 		return;
 	}
 
--- a/packages/core/src/gateway/time-budgets.ts
+++ b/packages/core/src/gateway/time-budgets.ts
@@ -56,7 +56,7 @@
 const maxMissingDataMs = 300;
 const maxRequestTimeoutMs = 1500;
 const maxWatchMarginMs = 800;
-const maxRetryPauseLimitMs = 1200;
+const longestRetryPauseMs = 1200;
 
 /** The platform lists running targets again within about two seconds. */
 const maxRelistTimeoutMs = 2200;
@@ -125,7 +125,7 @@
 		relistTimeoutMs: Math.floor(relistTimeoutMs),
 		requestTimeoutMs,
 		watchMarginMs,
-		maxRetryPauseMs: Math.floor(Math.min(maxRetryPauseLimitMs, untilReachedMs * retryPauseFraction)),
+		maxRetryPauseMs: Math.floor(Math.min(longestRetryPauseMs, untilReachedMs * retryPauseFraction)),
 		maxBatchDelayMs: mapKinds(kind => {
 			const boundMs = getBoundMs(bounds, kind) ?? Number.POSITIVE_INFINITY;
 			return Math.max(0, Math.min(maxDelayMs[kind], (boundMs * (1 - reserveFraction)) - standbyDigestMs - missingDataMs - (2 * answerMs) - applyMs));
