--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -28,7 +28,7 @@
 	}
 }
 
-/** Ends an outage. One in which no entry can have lapsed is no interruption of the connection: what isn't listed after it was removed. */
+/** Ends an outage. If it was too short for entries to lapse, missing targets have been removed, and it doesn't count as an interruption. */
 function onReachedAgain(gateway: Gateway) {
 	const {platform, limits, now} = gateway;
 	const isShort = now - platform.lastAnswerAt < limits.minLapseMs;
--- a/packages/core/src/gateway/time-budgets.ts
+++ b/packages/core/src/gateway/time-budgets.ts
@@ -50,7 +50,7 @@
 /** Pause after the first of several failed requests, jitter included. */
 export const firstRetryPauseMs = 150;
 
-/** Upper limits of the parts, where the bounds leave more time than is of use. */
+/** Upper limits of the parts: more time is of no use, however long the bounds are. */
 const maxDigestMs = 500;
 const maxStandbyDigestMs = 1000;
 const maxMissingDataMs = 300;
@@ -69,19 +69,20 @@
 /** Fraction of the shortest bound after which an unanswered watch fails. */
 const watchMarginFraction = 0.4;
 
-/** Fractions of the time until the platform counts as reached again. */
+/** Fractions of the time for noticing the platform's return. */
 const requestTimeoutFraction = 0.5;
 const retryPauseFraction = 0.4;
 
-/** Fraction of the departure's bound that the wait for lapsed entries leaves at least to the parts before it. */
+/** Smallest fraction of the time until a removal is in force after an outage that is left for noticing the platform's return. */
 const minRecoveryFraction = 0.3;
 
 /** Part of each bound that is kept free. */
 const reserveFraction = 0.05;
 
+/** Shortest wait of a watch, since each wait costs a request. */
 const minWaitMs = 100;
 
-/** Longest useful waits and delays, by kind of data. */
+/** Longest waits of watches, and delays between a change and the next request with jitter included, by kind of data. */
 const maxWaitMs: Record<DataKind, number> = {
 	[DataKind.Configuration]: 3000, [DataKind.Targets]: 3000, [DataKind.DomainsOut]: 4000, [DataKind.Instances]: 5000,
 };
