--- a/review/support/deployment.js
+++ b/review/support/deployment.js
@@ -17,6 +17,7 @@
 /* eslint-enable n/file-extension-in-import */
 import {sendOnce} from './channel.js';
 import {bounds} from './documents.js';
+import {startProxy} from './proxy.js';
 
 export const graceMs = bounds.grace_s * 1000;
 
@@ -52,8 +53,12 @@
 
 @param config Contents of `config/main`.
 @param entries Entries of the workers by their ids.
+@param zoneOf Returns the zone of the router with an index.
+@param hasProxies Whether each router reaches the store through a proxy of its own.
 */
-export async function startDeployment({count, config, entries}) {
+export async function startDeployment({
+	count, config, entries, zoneOf = index => zones[index % zones.length], hasProxies = false,
+}) {
 	const folder = await mkdtemp(path.join(tmpdir(), 'shallotloom-review-'));
 	const store = await startObjectStoreStandin();
 	store.put('config', 'main', config);
@@ -71,8 +76,9 @@
 
 		const [front, ready, control, directory, peers] = ports;
 		routers.push({
-			name: `edge-${zones[index % zones.length]}-${index}`,
-			zone: zones[index % zones.length],
+			name: `edge-${zoneOf(index)}-${index}`,
+			zone: zoneOf(index),
+			proxy: hasProxies ? await startProxy(store.address) : undefined,
 			host,
 			front: `${host}:${front}`,
 			ready: `${host}:${ready}`,
@@ -116,7 +122,7 @@
 			fault_tolerance: {machines: 2, zones: 1, regions: 0},
 			bounds,
 			platform: {
-				address: store.address, form: 'objects', writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1_048_576, min_ttl_ms: 1000,
+				address: router.proxy?.address ?? store.address, form: 'objects', writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1_048_576, min_ttl_ms: 1000,
 			},
 		});
 	}
@@ -170,6 +176,7 @@
 			}
 		}
 
+		await Promise.all(routers.map(async ({proxy}) => proxy?.stop()));
 		await store.stop();
 		await rm(folder, {recursive: true});
 	}
