Scripts end with 2 when they can't run, and leave no process

A missing build, an error of the script or a run that takes too long ended with 1 or 124, and a script that was ended early left its routers running.

--- a/review/support/deployment.js
+++ b/review/support/deployment.js
@@ -32,6 +32,28 @@
 	return {program: program === 'node' ? process.execPath : program, args};
 }
 
+/** Processes that run; a script that is ended early leaves none behind. */
+const children = new Set();
+
+process.once('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
+// An error of the script says nothing of the rule.
+process.once('uncaughtException', error => {
+	console.error(error);
+	process.exit(2);
+});
+
+for (const signal of ['SIGINT', 'SIGTERM']) {
+	process.once(signal, () => {
+		// The case couldn't run to its end.
+		process.exit(2);
+	});
+}
+
 async function waitUntil(text, check, timeoutMs = startTimeoutMs) {
 	const endsAt = performance.now() + timeoutMs;
 	while (!await check()) {
@@ -143,7 +165,9 @@
 			});
 		}
 
+		children.add(child);
 		child.once('exit', (code, signal) => {
+			children.delete(child);
 			router.endedAt = performance.now();
 			router.end = signal ?? code;
 		});
