Buffer partial events without copying them for each piece

Cause: the event buffer joined all pending bytes with each chunk, so an event of n chunks cost n copies of up to 1 MiB. Evidence: for 20,000 chunks of 4 bytes it copied 800 MB.

Ruled out: the parser of chunked bodies, which is linear; the limit of an event's length, which bounds the memory and not the time.

Change: a growing buffer whose capacity doubles, and a search that goes on where it stopped. Bodies of requests and unstreamed answers, which kept an object for each piece, use it too. The streams of /v1, which had no limit on an event, give one up after a million characters.

--- a/packages/router/src/callers/body.ts
+++ b/packages/router/src/callers/body.ts
@@ -1,8 +1,9 @@
 /*
 Reads a request body up to a size limit.
 */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {createByteBuffer} from '../byte-buffer.ts';
 
 /** Reads the complete body as text; undefined when it is longer than `maxBytes`. Throws when the body is truncated. */
 export async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<string | undefined> {
@@ -10,16 +11,13 @@
 		return undefined;
 	}
 
-	const chunks: Buffer[] = [];
-	let length = 0;
+	const body = createByteBuffer();
 	for await (const chunk of incoming) {
-		length += (chunk as Buffer).length;
-		if (length > maxBytes) {
+		body.append(chunk as Buffer);
+		if (body.length > maxBytes) {
 			return undefined;
 		}
-
-		chunks.push(chunk as Buffer);
 	}
 
-	return Buffer.concat(chunks).toString('utf8');
+	return body.take().toString('utf8');
 }
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -12,6 +12,7 @@
 import {
 	Outcome, RefusalKind, refusals, type Refusal,
 } from '@shallotloom/core/refusal.ts';
+import {createByteBuffer} from '../byte-buffer.ts';
 import {createRefusalBody} from '../exchange.ts';
 import type {Address} from '../listener.ts';
 import {writeRefusal} from './call-exchange.ts';
@@ -128,20 +129,20 @@
 			return;
 		}
 
-		const chunks: Buffer[] = [];
+		const buffered = createByteBuffer();
 		const maxBodyBytes = limits.bodyBytes;
 		let size = 0;
 		request.on('data', (chunk: Buffer) => {
 			size += chunk.length;
 			if (size <= maxBodyBytes) {
-				chunks.push(chunk);
+				buffered.append(chunk);
 			} else if (!response.headersSent) {
 				refuseAndClose(response, createNotRunRefusal(RefusalKind.BodyTooLarge, String(maxBodyBytes)));
 			}
 		});
 		request.on('end', () => {
 			if (size <= maxBodyBytes) {
-				onRequest(request, response, size === 0 ? undefined : Buffer.concat(chunks));
+				onRequest(request, response, size === 0 ? undefined : buffered.take());
 			}
 		});
 		request.on('error', () => {
--- a/packages/router/src/gateway/event-buffer.ts
+++ b/packages/router/src/gateway/event-buffer.ts
@@ -1,8 +1,10 @@
 /*
 Splits a stream into complete server-sent events, so that a caller never receives part of one. An event ends with an empty
-line.
+line. Each byte is searched once, and one that arrives before the end of its event is copied a bounded number of times, however small the
+pieces of the stream are.
 */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
+import {createByteBuffer} from '../byte-buffer.ts';
 
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
@@ -16,22 +18,41 @@
 	push(chunk: Buffer): Buffer[];
 };
 
+/** What the bytes before the next one end with. */
+enum Position {
+	InLine,
+	AfterLineFeed,
+	/** After a line feed and a carriage return, which with another line feed are an empty line. */
+	AfterCarriageReturn,
+}
+
 export function createEventBuffer(): EventBuffer {
-	let pending: Buffer = Buffer.alloc(0);
-	/** Number of pending bytes that were searched already and in which no event ends. */
-	let scannedBytes = 0;
-
-	/** Offset after the first complete event in the pending bytes; -1 when there is none. */
-	function findEventEnd(): number {
-		for (let index = scannedBytes; index < pending.length; index += 1) {
-			if (pending[index] !== lineFeed) {
+	const partial = createByteBuffer();
+	let position = Position.InLine;
+
+	/** Returns the offset after the end of the first event that ends in the chunk at or after an offset; -1 when none does. */
+	function findEventEnd(chunk: Buffer, start: number): number {
+		let offset = start;
+		while (offset < chunk.length) {
+			if (position === Position.InLine) {
+				const next = chunk.indexOf(lineFeed, offset);
+				if (next === -1) {
+					return -1;
+				}
+
+				position = Position.AfterLineFeed;
+				offset = next + 1;
 				continue;
 			}
 
-			const next = pending[index + 1] === carriageReturn ? index + 2 : index + 1;
-			if (pending[next] === lineFeed) {
-				return next + 1;
+			const byte = chunk[offset];
+			offset += 1;
+			if (byte === lineFeed) {
+				position = Position.InLine;
+				return offset;
 			}
+
+			position = byte === carriageReturn && position === Position.AfterLineFeed ? Position.AfterCarriageReturn : Position.InLine;
 		}
 
 		return -1;
@@ -39,23 +60,25 @@
 
 	return {
 		push(chunk) {
-			pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
 			const events: Buffer[] = [];
-			for (let end = findEventEnd(); end !== -1; end = findEventEnd()) {
-				events.push(pending.subarray(0, end));
-				pending = pending.subarray(end);
-				scannedBytes = 0;
+			let start = 0;
+			for (let end = findEventEnd(chunk, 0); end !== -1; end = findEventEnd(chunk, start)) {
+				partial.append(chunk.subarray(start, end));
+				events.push(partial.take());
+				start = end;
+			}
+
+			if (start < chunk.length) {
+				partial.append(chunk.subarray(start));
 			}
 
-			// The end of an event may straddle two chunks: up to two of its bytes may already be here.
-			scannedBytes = Math.max(0, pending.length - 2);
 			return events;
 		},
 		get hasPartialEvent() {
-			return pending.length > 0;
+			return partial.length > 0;
 		},
 		get partialEventBytes() {
-			return pending.length;
+			return partial.length;
 		},
 	};
 }
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -7,6 +7,7 @@
 import type {Dispatcher} from 'undici';
 import {SendEnd, type GatewayInbound, type GatewayOutboundOf} from '@shallotloom/core/gateway/ports.ts';
 import type {LoadReport} from '@shallotloom/core/gateway/rows.ts';
+import {createByteBuffer} from '../byte-buffer.ts';
 import {sendBufferedAnswer, type CallExchange} from './call-exchange.ts';
 import {AnsweredRequest, type CallFormat, type ParsedAnswerHead} from './call-format.ts';
 import {filterAnswerHeaders} from './hop-by-hop-headers.ts';
@@ -326,7 +327,7 @@
 }
 
 function createBufferedRelay({exchange, head, hasLength, reportDelivered}: {exchange: CallExchange; head: AnswerHead; hasLength: boolean; reportDelivered: () => void}): BodyRelay {
-	const chunks: Buffer[] = [];
+	const buffered = createByteBuffer();
 	let size = 0;
 	/** Whether the answer exceeded the buffer and is relayed as it arrives. */
 	let isPassthrough = false;
@@ -335,7 +336,7 @@
 		isPassthrough = true;
 		exchange.response.writeHead(head.status, head.headers);
 		reportDelivered();
-		writeWithBackpressure(exchange, controller, Buffer.concat(chunks));
+		writeWithBackpressure(exchange, controller, buffered.take());
 	}
 
 	return {
@@ -350,7 +351,7 @@
 				return undefined;
 			}
 
-			chunks.push(chunk);
+			buffered.append(chunk);
 			if (size > maxBufferedAnswerBytes) {
 				startPassthrough(controller);
 			}
@@ -372,7 +373,7 @@
 				return {end: SendEnd.Broken, detail: `status ${head.status} in place of the rest of a stream`};
 			}
 
-			const answer = {...head, body: Buffer.concat(chunks)};
+			const answer = {...head, body: buffered.take()};
 			if (head.status >= minServerErrorStatus) {
 				exchange.failedAnswer = answer;
 				return {end: SendEnd.Failed, detail: `status ${head.status}`};
--- a/packages/router/src/targets/engine-stream.ts
+++ b/packages/router/src/targets/engine-stream.ts
@@ -10,10 +10,13 @@
 	nextOffset: number;
 	hasFinishReason: boolean;
 	hasDoneMarker: boolean;
-	/** A token is missing; later events must not be sent to the caller. */
+	/** A token is missing, or the rest can't be read; later events must not be sent to the caller. */
 	hasGap: boolean;
 };
 
+/** Longest event, in characters; one without end would fill the memory. */
+const maxEventLength = 1024 * 1024;
+
 export type StreamValidator = {
 	readonly state: StreamState;
 	/** Processes a piece of the stream and returns the text to forward to the caller. */
@@ -68,6 +71,10 @@
 	}
 
 	const parser = createParser({
+		maxBufferSize: maxEventLength,
+		onError({type}) {
+			state.hasGap ||= type === 'max-buffer-size-exceeded';
+		},
 		onEvent(message) {
 			if (state.hasGap || state.hasDoneMarker) {
 				return;
@@ -92,7 +99,10 @@
 		state,
 		push(chunk) {
 			output = '';
-			parser.feed(chunk);
+			if (!state.hasGap) {
+				parser.feed(chunk);
+			}
+
 			return output;
 		},
 	};
