Deliver the first event of a stream once its origin is in the store

Cause: the origins of streams were written to the store each 450 ms, and events delivered without waiting for that. Evidence: all streams that were refused had begun within the last period.

Ruled out: lookups that end too soon, and records overwritten by the new process; both would hit streams of any age.

Change: the origin is written from the send on, each 75 ms or at the rate that the fleet shares (a fifth of the platform's writes, a tenth before). The first events of a stream that its caller may resume are held back until the write has succeeded, for 90 ms at most; where the store may have another version of the stream, until that is corrected. Only while a pool has several versions.

The model's callers gave up where they found no instance, so it couldn't show the fault; they look for one again now.

--- a/packages/bench/src/rollout-model/callers.ts
+++ b/packages/bench/src/rollout-model/callers.ts
@@ -68,6 +68,9 @@
 /** Callers honour a retry-after delay up to this fraction of the time left until their deadline. */
 const maxRetryDelayFraction = 1 / 3;
 
+/** Time after which a caller that finds no instance looks for one again, in milliseconds. */
+const reconnectMs = 200;
+
 const maxEvents = 60;
 const minEvents = 5;
 
@@ -103,12 +106,19 @@
 	}
 
 	function startAttempt(stream: CallerStream) {
-		const reachable = getReachable();
-		if (stream.attempts >= maxAttempts || queue.now >= stream.deadline || reachable.length === 0) {
+		if (stream.attempts >= maxAttempts || queue.now >= stream.deadline) {
 			stream.isDone = true;
 			return;
 		}
 
+		const reachable = getReachable();
+		if (reachable.length === 0) {
+			queue.schedule(reconnectMs, () => {
+				startAttempt(stream);
+			});
+			return;
+		}
+
 		const instance = reachable[Math.floor(random.uniform() * reachable.length)]!;
 		attemptCount += 1;
 		const id = `c${attemptCount}`;
--- a/packages/bench/src/rollout-model/fleet.ts
+++ b/packages/bench/src/rollout-model/fleet.ts
@@ -158,6 +158,8 @@
 	let storedVersions: StoredVersions | undefined;
 	/** How to cancel the sends in progress, by call. */
 	const openSends = new Map<string, () => void>();
+	/** How to deliver the events of a send that are held back, by call and send. */
+	const heldSends = new Map<string, () => void>();
 	const targets = createVersionedTargets({
 		queue, random, failureDomains, onChange: publishTargets,
 	});
@@ -211,6 +213,9 @@
 	/** Handlers of the outbound items that matter here; all others are ignored. */
 	const outboundHandlers: {[Kind in GatewayOutbound['kind']]?: (instance: ModelInstance, item: GatewayOutboundOf<Kind>) => void} = {
 		send: sendToTarget,
+		releaseEvents(_instance, {call, send}) {
+			heldSends.get(`${call} ${send}`)?.();
+		},
 		storeStreams(instance, {groups}) {
 			writeToStore(instance, 'streamsWritten', () => {
 				storedStreams.set(instance.registration.id, groups);
@@ -241,15 +246,35 @@
 		},
 	};
 
-	function sendToTarget(instance: ModelInstance, {call, send, target}: GatewayOutboundOf<'send'>) {
+	function sendToTarget(instance: ModelInstance, {
+		call, send, target, isHeld,
+	}: GatewayOutboundOf<'send'>) {
 		const attempt = callers.attempts.get(call);
 		if (!attempt) {
 			return;
 		}
 
 		let hasEvent = false;
+		/** Deliveries that wait for the release of the events; undefined once they don't any more. */
+		let held: Array<() => void> | undefined = isHeld ? [] : undefined;
+		const deliverToCaller = (action: () => void) => {
+			if (held) {
+				held.push(action);
+			} else {
+				action();
+			}
+		};
+
+		heldSends.set(`${call} ${send}`, () => {
+			const actions = held ?? [];
+			held = undefined;
+			for (const action of actions) {
+				action();
+			}
+		});
 		const end = (sendEnd: SendEnd) => {
 			openSends.delete(call);
+			heldSends.delete(`${call} ${send}`);
 			deliver(instance, peerDelayMs, {
 				kind: 'sendEnded', call, send, end: sendEnd, load: undefined, detail: '',
 			});
@@ -263,17 +288,25 @@
 					return;
 				}
 
-				callers.onEvent(call, softwareVersion);
-				if (!hasEvent) {
-					hasEvent = true;
+				const isFirst = !hasEvent;
+				hasEvent = true;
+				deliverToCaller(() => {
+					callers.onEvent(call, softwareVersion);
+					if (isFirst) {
+						push(instance, {kind: 'answerDelivered', call});
+					}
+				});
+				if (isFirst) {
 					push(instance, {
 						kind: 'answerStarted', call, send, load: undefined,
-					}, {kind: 'answerDelivered', call});
+					});
 				}
 			},
 			onEnd() {
-				callers.onEnd(call);
-				end(SendEnd.Complete);
+				deliverToCaller(() => {
+					callers.onEnd(call);
+					end(SendEnd.Complete);
+				});
 			},
 			onBroken() {
 				end(SendEnd.Broken);
--- a/packages/core/src/gateway/admissions.ts
+++ b/packages/core/src/gateway/admissions.ts
@@ -132,5 +132,9 @@
 		recordedVersion: unknownSoftwareVersion,
 		recordedFor: '',
 		lookup: undefined,
+		storedVersion: undefined,
+		possibleStoredVersions: new Set(),
+		isHeld: false,
+		heldSince: undefined,
 	};
 }
--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -29,6 +29,7 @@
 	CallState, unknownSoftwareVersion, type Call, type PoolTarget, type StreamOrigin,
 } from './rows.ts';
 import {checkLookup, startLookup} from './stream-lookups.ts';
+import {mustHold} from './stream-holds.ts';
 import {correctRecords, recordOrigin} from './stream-origins.ts';
 import {createSuspectFields} from './suspects.ts';
 import {
@@ -163,6 +164,8 @@
 
 	recordColdSend(gateway, target);
 	spendRateShare(target);
+	call.isHeld = mustHold(gateway, call);
+	call.heldSince = undefined;
 	recordSend(target, uncachedTokens);
 	if (call.prompt) {
 		recordCachedSegments(gateway, target, call.prompt);
@@ -183,6 +186,7 @@
 		isStreamed: route.kind === CallKind.Streamed,
 		isResumed: call.hasAnswerBytes,
 		isResumedByCaller: call.resumption !== undefined,
+		isHeld: call.isHeld,
 		isRepeatable: route.kind === CallKind.Repeatable,
 	});
 	addLogLine(gateway, {
@@ -315,6 +319,7 @@
 	}
 
 	call.firstByteAt = gateway.now;
+	call.heldSince = gateway.now;
 	target.lastAnswerAt = gateway.now;
 	disproveCrash(gateway, target);
 	const expectedLoad = estimateLoad(gateway, target);
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -152,6 +152,8 @@
 	storedStreamsMs: number;
 	/** Number of these writes per second by all instances together. */
 	storedStreamsPerSecond: number;
+	/** Longest time for which the first event of a stream waits until the store knows where that began. */
+	maxStreamHoldMs: number;
 	/** Time after a stall for which no stream is resumed. */
 	streamHoldMs: number;
 	/** Time within which the platform lists the restart of a target whose process has ended, or removes the target. */
@@ -236,8 +238,9 @@
 	streamLookupPeers: 16,
 	streamQueryMs: 150,
 	streamLookupMs: 500,
-	storedStreamsMs: 450,
-	storedStreamsPerSecond: 40,
+	storedStreamsMs: 75,
+	storedStreamsPerSecond: 80,
+	maxStreamHoldMs: 90,
 	streamHoldMs: 300,
 	restartListingMs: 5 * second,
 	removalTimeoutMs: 10 * second,
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -101,7 +101,11 @@
 		isStreamed: boolean; isResumed: boolean; isRepeatable: boolean;
 		/** Whether the caller resumes a stream that an earlier attempt of it began. */
 		isResumedByCaller: boolean;
+		/** Whether the events of the stream are held back until `releaseEvents`. */
+		isHeld: boolean;
 	}
+	/** Deliver the events of a send that were held back, and those that follow. */
+	| {kind: 'releaseEvents'; call: string; send: number}
 	/** Cancel the call at its target; its answer is no longer needed. */
 	| {kind: 'cancel'; call: string}
 	/** Forward to the caller the failure answer of the target that the adapter keeps. */
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -129,6 +129,13 @@
 	recordedFor: string;
 	/** Lookup of its stream; undefined when there is none. */
 	lookup: StreamLookup | undefined;
+	/** Software version that the platform's store has for its stream; undefined while that isn't known. */
+	storedVersion: string | undefined;
+	/** Versions that the store may have for it: those of the last successful write, and of the writes that were begun since. */
+	possibleStoredVersions: Set<string>;
+	/** Whether the first events of its stream are held back until the store knows where that began, and since when they wait. */
+	isHeld: boolean;
+	heldSince: number | undefined;
 };
 
 export enum TargetStanding {
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -21,6 +21,7 @@
 import {
 	onStoredStreams, onStreamsWritten, onVersionsWritten, storedStreamsSystem,
 } from './stored-streams.ts';
+import {streamHoldsSystem} from './stream-holds.ts';
 import {onStreamQuery, onStreamReply} from './stream-lookups.ts';
 import {onStreamRecords, streamRecordsSystem} from './stream-origins.ts';
 import {fairLevelsSystem} from './shares.ts';
@@ -82,6 +83,7 @@
 	digestsSystem,
 	streamRecordsSystem,
 	storedStreamsSystem,
+	streamHoldsSystem,
 	removalSystem,
 	stopSystem,
 ];
--- a/packages/core/src/gateway/stored-streams.ts
+++ b/packages/core/src/gateway/stored-streams.ts
@@ -3,8 +3,8 @@
 instances and end with them; the load that the store answers is the end of all instances at once, for example by a loss of power, after
 which callers resume their streams at new processes.
 
-While a pool has several versions, each instance writes where its open streams began, in one object and at a rate that the fleet shares. The
-versions that pools have had recently are written by one instance when they change. Each process reads both once, when it starts.
+While a pool has several versions, each instance writes where its open streams began, or will begin where they were sent, in one object and at
+a rate that the fleet shares. The first events of a stream wait for that (`stream-holds.ts`). The versions that pools have had recently are written by one instance when they change. Each process reads both once, when it starts.
 */
 import type {StoredVersions, StreamGroup} from '../messages.ts';
 import {startPeriodIfDue} from '../world.ts';
@@ -15,9 +15,11 @@
 } from './pool-versions.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {isResponsible} from './quarantines.ts';
-import {unknownSoftwareVersion, type StreamOrigin} from './rows.ts';
+import {
+	CallState, unknownSoftwareVersion, type Call, type StreamOrigin,
+} from './rows.ts';
 import {getServingCandidates} from './serving-set.ts';
-import {recordOrigin} from './stream-origins.ts';
+import {getExpectedOrigin, recordOrigin} from './stream-origins.ts';
 
 /** State of one object in the store. */
 export type StoredObjectState = {
@@ -30,6 +32,10 @@
 export type StoredStreams = {
 	/** Whether this process has read what the store holds; it writes nothing before. */
 	isRead: boolean;
+	/** Whether a pool has several versions, so that the origins of streams are written. */
+	isRecording: boolean;
+	/** Versions of the streams in the write that is under way, by call. */
+	pendingVersions: Map<string, string>;
 	/** Records that the process before this one wrote. */
 	previous: StreamGroup[];
 	records: StoredObjectState;
@@ -51,7 +57,7 @@
 export function createStoredStreams(): StoredStreams {
 	const createState = (): StoredObjectState => ({written: undefined, isPending: false, retryAt: Number.NEGATIVE_INFINITY});
 	return {
-		isRead: false, previous: [], records: createState(), versions: createState(),
+		isRead: false, isRecording: false, pendingVersions: new Map(), previous: [], records: createState(), versions: createState(),
 	};
 }
 
@@ -81,7 +87,17 @@
 }
 
 export function onStreamsWritten(gateway: Gateway, {isSuccessful}: GatewayInboundOf<'streamsWritten'>) {
-	handleWritten(gateway, gateway.storedStreams.records, isSuccessful);
+	const {storedStreams: {records, pendingVersions}, calls} = gateway;
+	handleWritten(gateway, records, isSuccessful);
+	if (!isSuccessful) {
+		return;
+	}
+
+	for (const call of calls.rows()) {
+		const version = pendingVersions.get(call.id);
+		call.storedVersion = version;
+		call.possibleStoredVersions = new Set(version === undefined ? [] : [version]);
+	}
 }
 
 export function onVersionsWritten(gateway: Gateway, {isSuccessful}: GatewayInboundOf<'versionsWritten'>) {
@@ -105,11 +121,12 @@
 	return true;
 }
 
-/** Origins of the open streams of which callers have received events. */
-function * findOpenStreams({calls}: Gateway): Generator<[number, StreamOrigin]> {
-	for (const {stream, origin, hasAnswerBytes} of calls.rows()) {
-		if (stream !== undefined && origin && hasAnswerBytes && origin.softwareVersion !== unknownSoftwareVersion) {
-			yield [stream, origin];
+/** The open streams that have begun, or will at the target to which they were sent, with their origins. */
+function * findOpenStreams({calls}: Gateway): Generator<{call: Call; stream: number; origin: StreamOrigin}> {
+	for (const call of calls.rows()) {
+		const origin = getExpectedOrigin(call);
+		if (call.stream !== undefined && (call.hasAnswerBytes || call.state === CallState.Sent) && origin.softwareVersion !== unknownSoftwareVersion) {
+			yield {call, stream: call.stream, origin};
 		}
 	}
 }
@@ -121,7 +138,7 @@
 	const groups = new Map<string, StreamGroup>((isPreviousRecent ? storedStreams.previous : []).map(group =>
 		[`${group.pool} ${group.softwareVersion}`, {...group, streams: [...group.streams]}]));
 	let count = [...groups.values()].reduce((sum, {streams}) => sum + streams.length, 0);
-	for (const [stream, {pool, softwareVersion}] of findOpenStreams(gateway)) {
+	for (const {stream, origin: {pool, softwareVersion}} of findOpenStreams(gateway)) {
 		const key = `${pool} ${softwareVersion}`;
 		const group = groups.get(key) ?? {pool, softwareVersion, streams: []};
 		groups.set(key, group);
@@ -142,13 +159,25 @@
 }
 
 function storeRecords(gateway: Gateway) {
-	if (!startPeriodIfDue(gateway, 'storedStreams', getRecordsPeriodMs(gateway)) || !hasSeveralVersions(gateway)) {
+	const {storedStreams, outbox} = gateway;
+	if (!startPeriodIfDue(gateway, 'storedStreams', getRecordsPeriodMs(gateway))) {
+		return;
+	}
+
+	storedStreams.isRecording = hasSeveralVersions(gateway);
+	if (!storedStreams.isRecording) {
 		return;
 	}
 
 	const groups = createStreamGroups(gateway);
-	if ((groups.length > 0 || gateway.storedStreams.records.written !== undefined) && startWrite(gateway, gateway.storedStreams.records, groups)) {
-		gateway.outbox.push({kind: 'storeStreams', groups});
+	if ((groups.length > 0 || storedStreams.records.written !== undefined) && startWrite(gateway, storedStreams.records, groups)) {
+		storedStreams.pendingVersions.clear();
+		for (const {call, origin: {softwareVersion}} of findOpenStreams(gateway)) {
+			call.possibleStoredVersions.add(softwareVersion);
+			storedStreams.pendingVersions.set(call.id, softwareVersion);
+		}
+
+		outbox.push({kind: 'storeStreams', groups});
 	}
 }
 
--- a/packages/core/src/gateway/stream-origins.ts
+++ b/packages/core/src/gateway/stream-origins.ts
@@ -84,7 +84,7 @@
 }
 
 /** Where the stream of an open call began, or will begin if its current target sends the first event. */
-function getExpectedOrigin({origin, pool, targetVersion}: Call): StreamOrigin {
+export function getExpectedOrigin({origin, pool, targetVersion}: Call): StreamOrigin {
 	return origin ?? {pool, softwareVersion: targetVersion};
 }
 
--- a/packages/router/src/gateway/call-exchange.ts
+++ b/packages/router/src/gateway/call-exchange.ts
@@ -32,6 +32,8 @@
 	/** Number of the send whose answer is used; answers to other sends are discarded. */
 	currentSend: number;
 	controller: DispatchController | undefined;
+	/** Delivers the events of the current send that are held back; undefined when there are none. */
+	releaseEvents: (() => void) | undefined;
 	/** Error answer of the last target that failed the call. */
 	failedAnswer: BufferedAnswer | undefined;
 };
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -187,6 +187,12 @@
 					});
 				}
 			},
+			releaseEvents({call, send}) {
+				const exchange = exchanges.get(call);
+				if (exchange?.currentSend === send) {
+					exchange.releaseEvents?.();
+				}
+			},
 			cancel({call}) {
 				const exchange = exchanges.get(call);
 				if (exchange) {
@@ -283,6 +289,7 @@
 			lastEventId: undefined,
 			currentSend: 0,
 			controller: undefined,
+			releaseEvents: undefined,
 			failedAnswer: undefined,
 		};
 		exchanges.set(id, exchange);
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -66,6 +66,7 @@
 	const {connectionPools, format} = options;
 	exchange.currentSend = command.send;
 	exchange.failedAnswer = undefined;
+	exchange.releaseEvents = undefined;
 	const headers = format.createTargetHeaders(exchange.headers, {
 		target: command.target,
 		workspace: command.workspace,
@@ -142,7 +143,8 @@
 type BodyRelay = {
 	/** Returns how the send ended when the rest of the body is of no use; undefined while it goes on. */
 	onData(controller: DispatchController, chunk: Buffer): RelayEnd | undefined;
-	onEnd(): RelayEnd;
+	/** Returns how the send ended; undefined when the relay reports that itself, once it has delivered the rest. */
+	onEnd(): RelayEnd | undefined;
 };
 
 function createAnswerHandler(exchange: CallExchange, command: SendCommand, {format, push, onMalformedHeader, isRateLimited}: TargetSendOptions): AnswerHandler {
@@ -230,7 +232,15 @@
 				body = createDiscardingRelay(parsed.isWrongTarget ? SendEnd.WrongTarget : SendEnd.Refused, `status ${status}`);
 			} else if (command.isStreamed && status < 300) {
 				body = createStreamRelay({
-					exchange, head, format, reportStarted, reportDelivered,
+					exchange,
+					head,
+					format,
+					isHeld: command.isHeld,
+					reportStarted,
+					reportDelivered,
+					reportComplete() {
+						reportEnd(SendEnd.Complete, '');
+					},
 				});
 			} else {
 				reportStarted();
@@ -248,8 +258,10 @@
 		},
 		onEnd() {
 			if (isCurrent() && body) {
-				const {end, detail} = body.onEnd();
-				reportEnd(end, detail);
+				const bodyEnd = body.onEnd();
+				if (bodyEnd) {
+					reportEnd(bodyEnd.end, bodyEnd.detail);
+				}
 			}
 		},
 		onError: reportEnd,
@@ -280,10 +292,25 @@
 	}
 }
 
+type StreamRelayOptions = {
+	exchange: CallExchange;
+	head: AnswerHead;
+	format: CallFormat;
+	/** Whether events are held back until the core releases them. */
+	isHeld: boolean;
+	reportStarted: () => void;
+	reportDelivered: () => void;
+	/** Called when a stream that ended while its events were held back has been delivered. */
+	reportComplete: () => void;
+};
+
 function createStreamRelay({
-	exchange, head, format, reportStarted, reportDelivered,
-}: {exchange: CallExchange; head: AnswerHead; format: CallFormat; reportStarted: () => void; reportDelivered: () => void}): BodyRelay {
+	exchange, head, format, isHeld, reportStarted, reportDelivered, reportComplete,
+}: StreamRelayOptions): BodyRelay {
 	const events = createEventBuffer();
+	/** Complete events that are held back; undefined once they aren't any more. */
+	let held: Buffer[] | undefined = isHeld ? [] : undefined;
+	let hasEnded = false;
 
 	function writeHead() {
 		if (!exchange.response.headersSent) {
@@ -292,6 +319,35 @@
 		}
 	}
 
+	function deliver(controller: DispatchController, complete: Buffer[]) {
+		writeHead();
+		for (const event of complete) {
+			exchange.lastEventId = format.parseEventId(event) ?? exchange.lastEventId;
+		}
+
+		writeWithBackpressure(exchange, controller, complete.length === 1 ? complete[0]! : Buffer.concat(complete));
+	}
+
+	function finish() {
+		writeHead();
+		exchange.isFinished = true;
+		exchange.response.end();
+	}
+
+	/** Lets the core release the events, which it does after the first one. */
+	function awaitRelease(controller: DispatchController) {
+		exchange.releaseEvents ??= () => {
+			exchange.releaseEvents = undefined;
+			const complete = held ?? [];
+			held = undefined;
+			deliver(controller, complete);
+			if (hasEnded) {
+				finish();
+				reportComplete();
+			}
+		};
+	}
+
 	return {
 		onData(controller, chunk) {
 			const complete = events.push(chunk);
@@ -303,13 +359,16 @@
 				return undefined;
 			}
 
+			if (held) {
+				held.push(...complete);
+				awaitRelease(controller);
+			}
+
 			reportStarted();
-			writeHead();
-			for (const event of complete) {
-				exchange.lastEventId = format.parseEventId(event) ?? exchange.lastEventId;
+			if (!held) {
+				deliver(controller, complete);
 			}
 
-			writeWithBackpressure(exchange, controller, complete.length === 1 ? complete[0]! : Buffer.concat(complete));
 			return undefined;
 		},
 		onEnd() {
@@ -317,10 +376,13 @@
 				return {end: SendEnd.Broken, detail: 'stream ended within an event'};
 			}
 
+			if (held && held.length > 0) {
+				hasEnded = true;
+				return undefined;
+			}
+
 			reportStarted();
-			writeHead();
-			exchange.isFinished = true;
-			exchange.response.end();
+			finish();
 			return {end: SendEnd.Complete, detail: ''};
 		},
 	};
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -10,7 +10,7 @@
 import {MemberState} from '@shallotloom/core/messages.ts';
 import {allocatePort} from '@shallotloom/standin/free-port.ts';
 import {AnsweredRequest, type CallFormat} from '../../src/gateway/call-format.ts';
-import {startGatewayRouter, type GatewayRouter} from '../../src/gateway/gateway-router.ts';
+import {startGatewayRouter, type GatewayRouter, type StreamStore} from '../../src/gateway/gateway-router.ts';
 import {createGatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
 import {createLog} from '../../src/log.ts';
 import {createTimer} from '../../src/timer.ts';
@@ -76,7 +76,7 @@
 };
 
 /** Starts a router in front of targets at these addresses. */
-export async function startTestRouter(addresses: string[], timeoutMs = 2000): Promise<TestRouter> {
+export async function startTestRouter(addresses: string[], timeoutMs = 2000, streamStore: Partial<StreamStore> = {}): Promise<TestRouter> {
 	const [callers, peers] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const withdrawals: Array<Promise<unknown>> = [];
 	const router = await startGatewayRouter({
@@ -95,6 +95,7 @@
 		streamStore: {
 			putStreams: async () => true,
 			putVersions: async () => true,
+			...streamStore,
 		},
 		registry: {
 			register() {
