Watch the platform's data closely once no watcher reports any more

Cause: the role of an instance followed from the registrations alone. It waited up to 28 s for a change and relied on digests of instances that were gone, until it took them for unreachable after 3 s. Evidence: its log shows no request to the store between the loss and 3.2 s.

Ruled out: a request on a silent connection, and too long a delay before asking for a reported change; neither request nor report was there.

Change: an instance stands by for a kind of data only while a digest of one that watches it with short waits is at most 1.5 periods old. When it no longer does, it asks the store at once and watches with short waits itself. The time budget has the path.

--- a/packages/core/src/gateway/data-sources.ts
+++ b/packages/core/src/gateway/data-sources.ts
@@ -1,11 +1,16 @@
 /*
 How closely this instance watches the platform's data. A watch whose connection has gone silent is noticed only when its wait
 is over, so waits bound the time for which data can be out of date; but each end of a wait is a call to the platform. So only
-a few instances wait for a short time. The others wait for long, and learn from digests which changes exist: one that misses a
-change that another instance has asks the platform at once.
+a few instances wait for a short time. The others stand by: they wait for long, and learn from digests which changes exist. One that misses a
+change that another instance has asks the platform at once, and one that hears of no instance with short waits any more asks and then
+waits for a short time itself.
 */
 import {LogPart} from '../ports.ts';
-import {addLogLine, hasRecentDigest, type Gateway} from './gateway.ts';
+import {startPeriodIfDue} from '../world.ts';
+import {
+	addLogLine, hasRecentDigest, isSelf, type Gateway,
+} from './gateway.ts';
+import {watchRolePeriodMs} from './limits.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import type {DataVersion, Instance, MissingData} from './rows.ts';
 
@@ -98,17 +103,54 @@
 	return kind === DataKind.Targets ? isTargetWatcher(gateway, id) : watchers.has(id) || watchers.size === 0;
 }
 
+/** Whether a digest of an instance that watches a kind of data closely has arrived so recently that this one may rely on the next. */
+function isChangeReported(gateway: Gateway, kind: DataKind): boolean {
+	const {instances, now, startedAt, limits: {watcherSilenceMs}} = gateway;
+	if (now - startedAt <= watcherSilenceMs) {
+		return true;
+	}
+
+	for (const instance of instances.rows()) {
+		const isRecent = now - instance.reportedAt - instance.stalledMs <= watcherSilenceMs;
+		if (isRecent && !isSelf(gateway, instance) && isWatcher(gateway, kind, instance.id)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /** Returns how closely this instance watches a kind of data. */
 export function getWatchRole(gateway: Gateway, kind: DataKind): WatchRole {
 	const {self, instances} = gateway;
 	if (!isWatcher(gateway, kind, self.id)) {
-		return WatchRole.Standby;
+		return isChangeReported(gateway, kind) ? WatchRole.Standby : WatchRole.Only;
 	}
 
 	const hasOthers = [...instances.rows()].some(instance => instance.id !== self.id && isWatcher(gateway, kind, instance.id) && hasRecentDigest(gateway, instance));
 	return hasOthers ? WatchRole.Shared : WatchRole.Only;
 }
 
+/**
+Asks the platform for each kind of data that this instance has to watch more closely from now on: the watch that waits for long may be on a
+connection that has gone silent.
+*/
+export function watchRolesSystem(gateway: Gateway) {
+	if (!startPeriodIfDue(gateway, 'watchRoles', watchRolePeriodMs)) {
+		return;
+	}
+
+	for (const kind of Object.values(DataKind)) {
+		const role = getWatchRole(gateway, kind);
+		if (role !== WatchRole.Standby && gateway.watchRoles.get(kind) === WatchRole.Standby) {
+			gateway.outbox.push({kind: 'refreshData', data: kind});
+			addLogLine(gateway, {part: LogPart.Membership, text: 'data watched closely', fields: {data: kind, role}});
+		}
+
+		gateway.watchRoles.set(kind, role);
+	}
+}
+
 /**
 Whether most instances that watch targets and report to this one lost the platform recently; it may not have noticed that itself.
 */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -8,7 +8,7 @@
 import type {LogPart} from '../ports.ts';
 import {createTable, type Table} from '../table.ts';
 import type {Catalogue} from './catalogue.ts';
-import type {DataKind} from './data-sources.ts';
+import type {DataKind, WatchRole} from './data-sources.ts';
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
 import {createStoredStreams, type StoredStreams} from './stored-streams.ts';
@@ -138,6 +138,8 @@
 	primaryInstances: Set<string>;
 	/** Ids of the primary instances that watch the platform most closely. */
 	watchers: Set<string>;
+	/** How closely this instance watches the platform's data, by kind. */
+	watchRoles: Map<DataKind, WatchRole>;
 	/** Latest change that this instance has, by kind of data. */
 	dataVersions: Map<DataKind, DataVersion>;
 	/** Revision up to which this instance has all changes, by kind of data. */
@@ -221,6 +223,7 @@
 		servingInstances: new Set(),
 		primaryInstances: new Set(),
 		watchers: new Set(),
+		watchRoles: new Map(),
 		dataVersions: new Map(),
 		coveredVersions: new Map(),
 		missingData: new Map(),
--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -3,6 +3,9 @@
 */
 import {second} from '../units.ts';
 
+/** Period at which an instance checks how closely it has to watch data, in milliseconds. */
+export const watchRolePeriodMs = 100;
+
 export type GatewayLimits = {
 	/** Retries that the targets of a pool accept from the whole fleet, as a fraction of its calls in a window. */
 	retryRatio: number;
@@ -25,6 +28,8 @@
 	watchersPerDomain: number;
 	/** Time for which another instance has a change before this one asks the platform for it. */
 	missingDataMs: number;
+	/** Time without a digest from any instance that watches a kind of data closely after which this one does so itself. */
+	watcherSilenceMs: number;
 	/** Time for which the answer is awaited before the platform is asked once more. */
 	refreshTimeoutMs: number;
 	/** Fraction of the capacity of the serving set that may be in use before it grows. */
@@ -180,6 +185,7 @@
 	minServingFraction: 0.25,
 	watchersPerDomain: 2,
 	missingDataMs: 300,
+	watcherSilenceMs: 1.5 * second,
 	refreshTimeoutMs: 2 * second,
 	maxServingUse: 0.5,
 	servingDecayMs: 10 * second,
--- a/packages/core/src/gateway/step.ts
+++ b/packages/core/src/gateway/step.ts
@@ -5,7 +5,7 @@
 	callsSystem, locatingCallsSystem, onAnswerDelivered, onAnswerStarted, onCallArrived, onCallerGone, quarantinedCallsSystem, timeoutsSystem,
 } from './calls.ts';
 import {crashEvidenceSystem} from './crash-evidence.ts';
-import {missingDataSystem, onDataVersion} from './data-sources.ts';
+import {missingDataSystem, onDataVersion, watchRolesSystem} from './data-sources.ts';
 import type {Gateway} from './gateway.ts';
 import {
 	digestsSystem, onDigest, onRegistrations, registrationSystem, removalSystem, unlistedInstancesSystem,
@@ -67,6 +67,7 @@
 const systems: Array<(gateway: Gateway) => void> = [
 	targetsSystem,
 	missingDataSystem,
+	watchRolesSystem,
 	formerTargetsSystem,
 	domainsSystem,
 	unlistedInstancesSystem,
--- a/packages/core/src/gateway/time-budgets.ts
+++ b/packages/core/src/gateway/time-budgets.ts
@@ -4,6 +4,7 @@
 can vary follow from the bounds: every path has to fit. `listPaths` names the paths with their parts, for tests and for the design page.
 */
 import {DataKind} from './data-sources.ts';
+import {watchRolePeriodMs} from './limits.ts';
 
 /** Bounds in time, in milliseconds. */
 export type TimeBounds = {
@@ -23,6 +24,8 @@
 	standbyDigestMs: number;
 	/** Time for which another instance has a change before this one asks the platform for it. */
 	missingDataMs: number;
+	/** Silence of all instances that watch data closely after which another one does so itself. */
+	watcherSilenceMs: number;
 	/** Time after the end of an outage in which entries of running targets that lapsed may come back. */
 	relistTimeoutMs: number;
 	/** Timeout of a request that doesn't wait for a change. */
@@ -66,6 +69,9 @@
 const standbyDigestFraction = 0.5;
 const missingDataFraction = 0.15;
 
+/** Silence after which a digest counts as missing, in periods of digests to instances that stand by. */
+const watcherSilencePeriods = 1.5;
+
 /** Fraction of the shortest bound after which an unanswered watch fails. */
 const watchMarginFraction = 0.4;
 
@@ -108,6 +114,7 @@
 	const shortestMs = Math.min(departureMs, configurationMs, domainOutMs);
 	const standbyDigestMs = Math.min(maxStandbyDigestMs, shortestMs * standbyDigestFraction);
 	const missingDataMs = Math.min(maxMissingDataMs, shortestMs * missingDataFraction);
+	const untilWatchedMs = (shortestMs * (1 - reserveFraction)) - watchRolePeriodMs - answerMs - applyMs;
 	const untilListedMs = ((recoveryMs + departureMs) * (1 - reserveFraction)) - answerMs - applyMs;
 	const relistTimeoutMs = Math.min(maxRelistTimeoutMs, untilListedMs * (1 - minRecoveryFraction));
 	const untilReachedMs = Math.min(untilListedMs - relistTimeoutMs, (recoveryMs * (1 - reserveFraction)) - answerMs - applyMs);
@@ -123,6 +130,7 @@
 		digestMs: Math.min(maxDigestMs, shortestMs * digestFraction),
 		standbyDigestMs,
 		missingDataMs,
+		watcherSilenceMs: Math.min(watcherSilencePeriods * standbyDigestMs, untilWatchedMs),
 		relistTimeoutMs: Math.floor(relistTimeoutMs),
 		requestTimeoutMs,
 		watchMarginMs,
@@ -157,6 +165,13 @@
 						batch: budget.maxBatchDelayMs[kind], answer: answerMs, digest: budget.standbyDigestMs, missing: budget.missingDataMs, secondAnswer: answerMs, step: applyMs,
 					},
 				},
+				{
+					name: `${kind}: loss of the instances that report changes`,
+					boundMs,
+					partsMs: {
+						silence: budget.watcherSilenceMs, period: watchRolePeriodMs, answer: answerMs, step: applyMs,
+					},
+				},
 				{name: `${kind}: silent watch of the only watcher`, boundMs, partsMs: {wait: budget.soleWatchWaitMs[kind], ...afterSilence}},
 				{name: `${kind}: silent watch`, boundMs: Math.max(boundMs, recoveryMs), partsMs: {wait: budget.watchWaitMs[kind], ...afterSilence}},
 			];
--- a/packages/core/test/gateway/data-sources.test.ts
+++ b/packages/core/test/gateway/data-sources.test.ts
@@ -134,3 +134,49 @@
 	bench.step({kind: 'targets', targets: [createListedTarget('t1')]});
 	expect(bench.gateway.targets.has('t2')).toBe(true);
 });
+
+describe('a standby instance', () => {
+	const ids = Array.from({length: 100}, (_, index) => `i${index}`);
+	const allKinds = Object.values(DataKind);
+	const {primaryInstances: primary, watchers} = createBench({instances: ids}).gateway;
+	let bench: Bench;
+
+	function reportFrom(senders: Iterable<string>) {
+		bench.step(...[...senders].map(id => createDigestFrom(id)));
+	}
+
+	beforeEach(() => {
+		bench = createBench({instances: [ids.find(id => !primary.has(id))!]});
+		bench.step({kind: 'registrations', registrations: ids.map(id => createRegistration(id))});
+		for (let periods = 0; periods < 4; periods += 1) {
+			bench.wait(1000);
+			reportFrom(primary);
+		}
+	});
+
+	// Guards against a silent watch on an instance that waits for reports of instances which are gone.
+	test('asks for all data and watches them closely soon after the last watcher was lost', () => {
+		expect(allKinds.map(kind => getWatchRole(bench.gateway, kind))).toEqual(allKinds.map(() => WatchRole.Standby));
+		expect(getRefreshed(bench.wait(1400))).toEqual([]);
+		expect(getRefreshed([...bench.wait(150), ...bench.wait(100)])).toEqual(allKinds);
+		expect(allKinds.map(kind => getWatchRole(bench.gateway, kind))).toEqual(allKinds.map(() => WatchRole.Only));
+		expect(getRefreshed(bench.wait(1000))).toEqual([]);
+	});
+
+	test('doesn\'t rely on digests of instances that learn of changes late themselves', () => {
+		bench.wait(1000);
+		reportFrom([...primary].filter(id => !watchers.has(id)));
+		expect(getRefreshed([...bench.wait(600), ...bench.wait(100)])).toEqual(allKinds.filter(kind => kind !== DataKind.Targets));
+	});
+
+	test('stands by again once digests arrive', () => {
+		bench.wait(1700);
+		reportFrom(primary);
+		expect(allKinds.map(kind => getWatchRole(bench.gateway, kind))).toEqual(allKinds.map(() => WatchRole.Standby));
+	});
+
+	test('doesn\'t take its own stalls for the silence of others', () => {
+		bench.wait(1700);
+		expect(getRefreshed(bench.step({kind: 'stalled', ms: 1600}))).toEqual([]);
+	});
+});
