Take the rest of a stream only from an answer that fits its head

What callers saw, by the report of other operators: the text of a failure in the middle of their stream, or a stream that ended as if it were complete, after the next target had answered with an error.

Cause: any 2xx answer to the request for the rest was relayed as events, whatever its head said. Evidence: of nine kinds of answers, 204, 200 without content, 200 with a text, and the stream from its start were joined to the first part.

Ruled out: failures and redirections, short or large, were cut off before too; a second head that throws was the reason for the large ones.

Change: the exchange keeps status and media type of the head that was delivered, and the first event of the rest must come after the last one. Otherwise the send counts as broken, and the body isn't read.

--- a/packages/router/src/gateway/call-exchange.ts
+++ b/packages/router/src/gateway/call-exchange.ts
@@ -14,6 +14,9 @@
 	body: Buffer;
 };
 
+/** What stays the same in the head of a stream when another target sends the rest. */
+export type StreamHead = {status: number; mediaType: string};
+
 export type CallExchange = {
 	id: string;
 	/** Request id that the caller chose. */
@@ -29,6 +32,8 @@
 	isFinished: boolean;
 	/** Id of the last event sent to the caller. */
 	lastEventId: string | undefined;
+	/** Status and media type of the stream of which the caller has received the head; undefined before. */
+	streamHead: StreamHead | undefined;
 	/** Number of the send whose answer is used; answers to other sends are discarded. */
 	currentSend: number;
 	controller: DispatchController | undefined;
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -287,6 +287,7 @@
 			response,
 			isFinished: false,
 			lastEventId: undefined,
+			streamHead: undefined,
 			currentSend: 0,
 			controller: undefined,
 			releaseEvents: undefined,
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -8,7 +8,7 @@
 import {SendEnd, type GatewayInbound, type GatewayOutboundOf} from '@shallotloom/core/gateway/ports.ts';
 import type {LoadReport} from '@shallotloom/core/gateway/rows.ts';
 import {createByteBuffer} from '../byte-buffer.ts';
-import {sendBufferedAnswer, type CallExchange} from './call-exchange.ts';
+import {sendBufferedAnswer, type CallExchange, type StreamHead} from './call-exchange.ts';
 import {AnsweredRequest, type CallFormat, type ParsedAnswerHead} from './call-format.ts';
 import {filterAnswerHeaders} from './hop-by-hop-headers.ts';
 import {createEventBuffer} from './event-buffer.ts';
@@ -127,6 +127,16 @@
 	[AnsweredRequest.Unnamed]: isConnectionReused => isConnectionReused ? 'refusal without a request id on a connection that carried another answer' : undefined,
 };
 
+/** Media type of an answer, without parameters; '' when it names none. */
+function getMediaType(headers: IncomingHttpHeaders): string {
+	return (headers['content-type'] ?? '').split(';', 1)[0]!.trim().toLowerCase();
+}
+
+/** Whether the head of an answer can be that of the rest of a stream. */
+function isRestOf({status, mediaType}: StreamHead, restStatus: number, headers: IncomingHttpHeaders): boolean {
+	return restStatus === status && getMediaType(headers) === mediaType;
+}
+
 /** Handles the answer to one send. */
 type AnswerHandler = {
 	/** `isConnectionReused`: whether the connection has carried another answer before. */
@@ -227,6 +237,13 @@
 
 			reportNotices(parsed);
 			load = parsed.load;
+			if (exchange.streamHead && !parsed.isWrongTarget && !parsed.isNotRun && !isRestOf(exchange.streamHead, status, headers)) {
+				const detail = `status ${status}, ${getMediaType(headers) || 'no content type'}, in place of the rest of a stream`;
+				reportEnd(SendEnd.Broken, detail);
+				controller.abort(new CancelledError(detail));
+				return;
+			}
+
 			const head = {status, headers: filterAnswerHeaders(headers)};
 			if (parsed.isWrongTarget || parsed.isNotRun) {
 				body = createDiscardingRelay(parsed.isWrongTarget ? SendEnd.WrongTarget : SendEnd.Refused, `status ${status}`);
@@ -234,6 +251,7 @@
 				body = createStreamRelay({
 					exchange,
 					head,
+					mediaType: getMediaType(headers),
 					format,
 					isHeld: command.isHeld,
 					reportStarted,
@@ -295,6 +313,7 @@
 type StreamRelayOptions = {
 	exchange: CallExchange;
 	head: AnswerHead;
+	mediaType: string;
 	format: CallFormat;
 	/** Whether events are held back until the core releases them. */
 	isHeld: boolean;
@@ -305,9 +324,11 @@
 };
 
 function createStreamRelay({
-	exchange, head, format, isHeld, reportStarted, reportDelivered, reportComplete,
+	exchange, head, mediaType, format, isHeld, reportStarted, reportDelivered, reportComplete,
 }: StreamRelayOptions): BodyRelay {
 	const events = createEventBuffer();
+	/** Whether the next event is the first one of the rest of a stream that another target began. */
+	let isRest = exchange.streamHead !== undefined;
 	/** Complete events that are held back; undefined once they aren't any more. */
 	let held: Buffer[] | undefined = isHeld ? [] : undefined;
 	let hasEnded = false;
@@ -315,10 +336,17 @@
 	function writeHead() {
 		if (!exchange.response.headersSent) {
 			exchange.response.writeHead(head.status, head.headers);
+			exchange.streamHead = {status: head.status, mediaType};
 			reportDelivered();
 		}
 	}
 
+	/** Whether an event doesn't come after the last one that the caller has received; ids that are no whole numbers have no order. */
+	function isRepeated(event: Buffer): boolean {
+		const [id, lastId] = [format.parseEventId(event), exchange.lastEventId].map(text => text === undefined || text === '' ? Number.NaN : Number(text));
+		return Number.isSafeInteger(id) && Number.isSafeInteger(lastId) && id! <= lastId!;
+	}
+
 	function deliver(controller: DispatchController, complete: Buffer[]) {
 		writeHead();
 		for (const event of complete) {
@@ -359,6 +387,11 @@
 				return undefined;
 			}
 
+			if (isRest && isRepeated(complete[0]!)) {
+				return {end: SendEnd.Broken, detail: `event after ${exchange.lastEventId} comes twice in the rest of a stream`};
+			}
+
+			isRest = false;
 			if (held) {
 				held.push(...complete);
 				awaitRelease(controller);
