Infer the version of a stream only while in step with the fleet

Cause: where no record was found, an instance inferred the only version from its own list once all that it had asked had replied. Out of step, it counted nobody as alive, so it asked nobody, and its list was old. Two instances that were cut off together confirmed each other.

Ruled out: records of origins, which name a version and don't depend on the list.

Change: the inference counts only if most of the instances that serve or would serve have replied, or the platform has answered a request for targets that was sent after the lookup began; it is asked at once. Without its answer the attempt is refused, not run.

--- a/packages/bench/src/rollout-model/fleet.ts
+++ b/packages/bench/src/rollout-model/fleet.ts
@@ -234,6 +234,15 @@
 			run.refusals[refusal.kind] = (run.refusals[refusal.kind] ?? 0) + 1;
 			callers.onBroken(call, refusal.retryAfterMs);
 		},
+		refreshData(instance, {data}) {
+			if (data === DataKind.Targets) {
+				queue.schedule(storeDelayMs, () => {
+					if (queue.now >= instance.cutFromPlatformUntil) {
+						push(instance, ...createTargetMessages(), {kind: 'platformReach', isReached: true, tookMs: storeDelayMs});
+					}
+				});
+			}
+		},
 		sendDigest(instance, {to, digest}) {
 			sendToPeer(instance, to, {
 				kind: 'digest', from: instance.registration.id, incarnation: instance.registration.incarnation, digest,
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -52,6 +52,8 @@
 	connectedBefore: number;
 	/** Time of its last answer. */
 	lastAnswerAt: number;
+	/** When the latest request for targets that was answered had been sent: the list has all changes up to then. */
+	listedAt: number;
 	/** Whether this instance has noticed an outage in which entries may have lapsed. */
 	hadOutage: boolean;
 	/** When it was last seen to have returned with older data; undefined while that hasn't happened. */
@@ -192,7 +194,7 @@
 		domainsOut: new Set(),
 		unconfirmedDomainsOut: new Set(),
 		platform: {
-			isReached: true, since: now, connectedBefore: now, lastAnswerAt: now, hadOutage: false, dataReturnedAt: undefined, returnedEra: undefined,
+			isReached: true, since: now, connectedBefore: now, lastAnswerAt: now, listedAt: Number.NEGATIVE_INFINITY, hadOutage: false, dataReturnedAt: undefined, returnedEra: undefined,
 		},
 		calls: createTable<Call>({key: call => call.id}),
 		queues: new Map(),
--- a/packages/core/src/gateway/platform-data.ts
+++ b/packages/core/src/gateway/platform-data.ts
@@ -11,7 +11,7 @@
 import {forgetStoredQuarantines} from './stored-quarantines.ts';
 import {forgetStoredStreams} from './stored-streams.ts';
 
-export function onPlatformReach(gateway: Gateway, {isReached}: GatewayInboundOf<'platformReach'>) {
+export function onPlatformReach(gateway: Gateway, {isReached, tookMs = 0}: GatewayInboundOf<'platformReach'>) {
 	const {platform, now} = gateway;
 	if (isReached && !platform.isReached) {
 		onReachedAgain(gateway);
@@ -25,6 +25,7 @@
 
 	if (isReached) {
 		platform.lastAnswerAt = now;
+		platform.listedAt = Math.max(platform.listedAt, now - tookMs);
 	}
 }
 
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -55,8 +55,11 @@
 		| {kind: 'domainsOut'; domains: string[]}
 		/** All registered instances. */
 		| {kind: 'registrations'; registrations: Registration[]}
-		/** Whether the platform can be reached. */
-		| {kind: 'platformReach'; isReached: boolean}
+		/**
+		Whether the platform can be reached, by the end of a request for targets. `tookMs`: time since that was sent, in milliseconds; 0 by
+		default.
+		*/
+		| {kind: 'platformReach'; isReached: boolean; tookMs?: number}
 		/**
 		The platform returned with an older copy of its data, which shows in the objects of a kind. `era`: that of the data now; undefined
 		when the platform doesn't state it.
--- a/packages/core/src/gateway/rows.ts
+++ b/packages/core/src/gateway/rows.ts
@@ -70,6 +70,8 @@
 	replies: Map<string, PoolVersions[]>;
 	/** Origin that an instance replied. */
 	origin: StreamOrigin | undefined;
+	/** Whether the platform has been asked for targets on its behalf. */
+	hasAskedPlatform: boolean;
 };
 
 export enum CallState {
--- a/packages/core/src/gateway/stream-lookups.ts
+++ b/packages/core/src/gateway/stream-lookups.ts
@@ -1,17 +1,20 @@
 /*
 Lookups of where a stream began, for calls with which callers resume one. The instance asks the holders of the stream, and in a small fleet
 all others. The call goes on where one of them knows the origin, or where no version but one can have begun the stream by what all of them
-know. Otherwise it is refused: an answer must not be put together from events of two versions.
+know. That counts only if this instance is in step with the fleet: most instances replied, or the platform has listed the targets since the lookup
+began. Otherwise the call is refused: an answer must not be put together from events of two versions.
 */
 import type {PoolVersions} from '../messages.ts';
 import {LogPart} from '../ports.ts';
 import type {CallRoute} from './catalogue.ts';
+import {DataKind} from './data-sources.ts';
 import {addLogLine, isAlive, type Gateway} from './gateway.ts';
 import {createPoolVersions, findOnlyVersion} from './pool-versions.ts';
 import type {GatewayInboundOf} from './ports.ts';
 import {
 	CallState, type Call, type Instance, type StreamLookup, type StreamOrigin,
 } from './rows.ts';
+import {getServingCandidates} from './serving-set.ts';
 import {findOrigin, rankHolders, updateHolderRanking} from './stream-origins.ts';
 
 /** How the origin of a stream was found. */
@@ -61,7 +64,7 @@
 
 	call.state = CallState.Locating;
 	call.lookup = {
-		key, startedAt: gateway.now, queriedAt: gateway.now, asked: [], replies: new Map(), origin: undefined,
+		key, startedAt: gateway.now, queriedAt: gateway.now, asked: [], replies: new Map(), origin: undefined, hasAskedPlatform: false,
 	};
 	query(gateway, call.lookup, call.route);
 	return undefined;
@@ -112,11 +115,16 @@
 	});
 }
 
+/** Whether this instance can't have missed a version for being cut off or standing still. */
+function isInStep(gateway: Gateway, {replies, startedAt}: StreamLookup): boolean {
+	const others = getServingCandidates(gateway).filter(id => id !== gateway.self.id);
+	return 2 * (replies.size + 1) > others.length + 1 || gateway.platform.listedAt >= startedAt;
+}
+
 /** Derives the origin of a stream from the versions of its pool; undefined while several can have begun it. */
 function inferOrigin(gateway: Gateway, {route, lookup}: Call): StreamOrigin | undefined {
 	const [only, ...others] = route.weightedPools;
 	const {asked, replies} = lookup!;
-	// An instance that is cut off from the others may have missed a new version.
 	if (!only || others.length > 0 || (asked.length > 0 && replies.size === 0)) {
 		return undefined;
 	}
@@ -126,6 +134,13 @@
 	return softwareVersion === undefined ? undefined : {pool: only.pool, softwareVersion};
 }
 
+function askPlatform({outbox}: Gateway, lookup: StreamLookup) {
+	if (!lookup.hasAskedPlatform) {
+		lookup.hasAskedPlatform = true;
+		outbox.push({kind: 'refreshData', data: DataKind.Targets});
+	}
+}
+
 /** Checks a lookup; undefined while it goes on. */
 export function checkLookup(gateway: Gateway, call: Call): LookupEnd | undefined {
 	const {limits: {streamQueryMs, streamRecordMs, streamLookupMs}, now} = gateway;
@@ -149,11 +164,16 @@
 	}
 
 	const inferred = inferOrigin(gateway, call);
-	if (inferred) {
+	if (inferred && isInStep(gateway, call.lookup!)) {
 		logFound(gateway, call, inferred, OriginSource.OnlyVersion);
 		return {kind: 'found', origin: inferred};
 	}
 
+	if (inferred && now - startedAt < streamLookupMs) {
+		askPlatform(gateway, call.lookup!);
+		return undefined;
+	}
+
 	// A record that was written just before the stream broke may still be on its way.
 	if ((isAnswered && queriedAt - startedAt >= streamRecordMs) || now - startedAt >= streamLookupMs) {
 		return {kind: 'unknown'};
--- a/packages/core/test/gateway/stream-versions.test.ts
+++ b/packages/core/test/gateway/stream-versions.test.ts
@@ -1,9 +1,10 @@
 import {
 	SendEnd, type GatewayInbound, type GatewayOutbound, type GatewayOutboundOf,
 } from '../../src/gateway/ports.ts';
+import type {StreamQuery, StreamReply} from '../../src/messages.ts';
 import {Outcome, RefusalKind} from '../../src/refusal.ts';
 import {
-	createBench, createListedTarget, createPrompt, endSend, filterByKind, type Bench,
+	createBench, createDigestFrom, createListedTarget, createPrompt, endSend, filterByKind, type Bench,
 } from '../support/gateways.ts';
 
 function createEngine(id: string, softwareVersion: string) {
@@ -97,6 +98,68 @@
 	expect(filterByKind(bench.call({path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId}}), 'send')).toHaveLength(1);
 });
 
+describe('an instance that was out of step while a version joined', () => {
+	const others = ['b', 'c', 'd'];
+	let bench: Bench;
+
+	/** Lets the caller of a stream that another instance began resume it here. */
+	const resume = () => bench.call({
+		path: '/chat/x', prompt: createPrompt('p', 100), resumption: {firstRequestId: 'elsewhere'}, remainingMs: 5000,
+	});
+
+	beforeEach(() => {
+		bench = createBench({targets: [createEngine('t1', 'v1'), createEngine('t2', 'v1')], instances: ['a', ...others], isFirstStart: true});
+		bench.step(...others.map(id => createDigestFrom(id)));
+	});
+
+	// Guards against streams of a new version that go on at the old one, at an instance that hasn't seen the new one.
+	test.each([
+		['it stood still', () => [...bench.wait(6000), ...bench.step({kind: 'stalled', ms: 6000})]],
+		['the others are silent', () => bench.wait(4000)],
+	])('resumes no stream by its own list of versions after %s', (_name, disturb) => {
+		disturb();
+		const outbox = [...resume(), ...bench.wait(200)];
+		expect(filterByKind(outbox, 'refreshData').map(({data}) => data)).toContain('targets');
+		outbox.push(...bench.step(
+			{kind: 'targets', targets: [createEngine('t1', 'v1'), createEngine('t2', 'v1'), createEngine('t3', 'v2')]},
+			{kind: 'platformReach', isReached: true, tookMs: 20},
+		), ...bench.wait(600));
+		expect(filterByKind(outbox, 'send')).toEqual([]);
+		expect(filterByKind(outbox, 'refuse')).toMatchObject([{refusal: {kind: RefusalKind.StreamUnknown, outcome: Outcome.NotRun}}]);
+	});
+
+	test('resumes none on an answer of the platform to a request from before', () => {
+		bench.wait(6000);
+		const outbox = [...resume(), ...bench.wait(200), ...bench.step({kind: 'platformReach', isReached: true, tookMs: 3000}), ...bench.wait(600)];
+		expect(filterByKind(outbox, 'send')).toEqual([]);
+	});
+
+	test('resumes none on the reply of another one that was cut off with it', () => {
+		bench.wait(1900);
+		bench.step(createDigestFrom('b'));
+		bench.wait(1000);
+		const outbox = resume();
+		const [query] = filterByKind(outbox, 'sendStreamMessage');
+		expect(query).toMatchObject({to: 'b'});
+		const reply: StreamReply = {
+			kind: 'streamReply',
+			stream: (query!.message as StreamQuery).stream,
+			pool: undefined,
+			softwareVersion: undefined,
+			versions: [{pool: 'engines', softwareVersions: ['v1'], isComplete: true}],
+		};
+		outbox.push(...bench.step({kind: 'streamReply', from: 'b', message: reply}), ...bench.wait(600));
+		expect(filterByKind(outbox, 'send')).toEqual([]);
+	});
+
+	test('resumes a stream once the platform has confirmed that there is one version', () => {
+		bench.wait(6000);
+		resume();
+		bench.wait(200);
+		expect(filterByKind(bench.step({kind: 'platformReach', isReached: true, tookMs: 20}), 'send')).toHaveLength(1);
+	});
+});
+
 test('a version that has just been removed may have begun an unknown stream', () => {
 	const bench = createBench({targets: [createEngine('t1', 'v1'), createEngine('t2', 'v2')], isFirstStart: true});
 	bench.step({kind: 'targets', targets: [createEngine('t2', 'v2')]});
