Reword comments and names of the change

Read as a newcomer: a header line was too long, two sentences spoke of hearing and patience, and the wait without a bound wasn't explained. No behaviour changes; types and lint pass.

--- a/packages/core/src/gateway/data-sources.ts
+++ b/packages/core/src/gateway/data-sources.ts
@@ -2,8 +2,8 @@
 How closely this instance watches the platform's data. A watch whose connection has gone silent is noticed only when its wait
 is over, so waits bound the time for which data can be out of date; but each end of a wait is a call to the platform. So only
 a few instances wait for a short time. The others stand by: they wait for long, and learn from digests which changes exist. One that misses a
-change that another instance has asks the platform at once, and one that hears of no instance with short waits any more asks and then
-waits for a short time itself.
+change that another instance has asks the platform at once, and one that gets no digest from an instance with short waits any more asks
+and then waits for a short time itself.
 */
 import {LogPart} from '../ports.ts';
 import {startPeriodIfDue} from '../world.ts';
--- a/packages/core/src/gateway/stored-streams.ts
+++ b/packages/core/src/gateway/stored-streams.ts
@@ -4,7 +4,8 @@
 which callers resume their streams at new processes.
 
 While a pool has several versions, each instance writes where its open streams began, or will begin where they were sent, in one object and at
-a rate that the fleet shares. The first events of a stream wait for that (`stream-holds.ts`). The versions that pools have had recently are written by one instance when they change. Each process reads both once, when it starts.
+a rate that the fleet shares. The first events of a stream wait for that (`stream-holds.ts`). The versions that pools have had recently are
+written by one instance when they change. Each process reads both once, when it starts.
 */
 import type {StoredVersions, StreamGroup} from '../messages.ts';
 import {startPeriodIfDue} from '../world.ts';
--- a/packages/core/src/gateway/stream-holds.ts
+++ b/packages/core/src/gateway/stream-holds.ts
@@ -1,7 +1,7 @@
 /*
 Holds of streams. After the end of all instances at once, only the platform's store knows where streams began. So while a pool has several
 versions, the first events of a stream that its caller may resume wait until the store has the origin. A write begins when the call is sent,
-and the prefill mostly takes longer. The wait is bounded: an answer is worth more than its resumption.
+and the prefill mostly takes longer. The wait is bounded, since a late answer harms its caller more than one that can't be resumed.
 */
 import {CallKind} from './catalogue.ts';
 import type {Gateway} from './gateway.ts';
@@ -21,7 +21,7 @@
 
 function canRelease(gateway: Gateway, call: Call, heldSince: number): boolean {
 	const {softwareVersion} = getExpectedOrigin(call);
-	// With another version in the store, the stream would be resumed there.
+	// While the store has another version, the stream would be resumed there, so this wait has no bound.
 	if ([...call.possibleStoredVersions].some(version => version !== softwareVersion)) {
 		return false;
 	}
