--- a/packages/router/src/byte-buffer.ts
+++ b/packages/router/src/byte-buffer.ts
@@ -14,6 +14,7 @@
 
 const minCapacityBytes = 1024;
 
+/** Creates an empty buffer. A single piece is returned without a copy. */
 export function createByteBuffer(): ByteBuffer {
 	/** The first piece itself, which is not written to, until a second one arrives. */
 	let storage: Buffer = Buffer.alloc(0);
