--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,6 +1,6 @@
 /*
 Bundles each program into one file under dist/ that runs as `node dist/NAME.js`. With --platform it bundles the programs for
-the users' platform instead, under target/.
+the users' platform instead, under target/. `--out FOLDER` names another folder.
 */
 import process from 'node:process';
 import {execFileSync} from 'node:child_process';
@@ -32,11 +32,14 @@
 
 const {version} = JSON.parse(readFileSync('package.json', 'utf8'));
 const isPlatformBuild = process.argv.includes('--platform');
+const outIndex = process.argv.indexOf('--out');
+const defaultOutdir = isPlatformBuild ? 'target' : 'dist';
+const outdir = outIndex === -1 ? defaultOutdir : process.argv[outIndex + 1];
 const entryPoints = isPlatformBuild ? platformPrograms : Object.fromEntries(Object.entries(programs).filter(([, entry]) => existsSync(entry)));
 
 await build({
 	entryPoints,
-	outdir: isPlatformBuild ? 'target' : 'dist',
+	outdir,
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
@@ -51,5 +54,5 @@
 });
 
 if (!quiet) {
-	console.log(`built ${Object.keys(entryPoints).length} programs under ${isPlatformBuild ? 'target' : 'dist'}/`);
+	console.log(`built ${Object.keys(entryPoints).length} programs under ${outdir}/`);
 }
