--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -14,11 +14,12 @@
 } from '@shallotloom/core/refusal.ts';
 import {createByteBuffer} from '../byte-buffer.ts';
 import {createRefusalBody} from '../exchange.ts';
-import type {Address} from '../listener.ts';
+import {bindServer, type Address, type BindOptions} from '../listener.ts';
 import {writeRefusal} from './call-exchange.ts';
 
 export type CallerListenerOptions = {
 	address: Address;
+	bind?: BindOptions | undefined;
 	/** Called with each request once its body has been read in full. */
 	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) => void;
 };
@@ -91,7 +92,7 @@
 }
 
 /** Starts the listener; rejects when its address can't be bound. */
-export async function listenForCallers({address, onRequest}: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForCallers({address, bind, onRequest}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const openResponses = new Map<ServerResponse, Socket>();
@@ -160,10 +161,7 @@
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
 	server.on('clientError', refuseUnparsable);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.host, resolve);
-	});
+	await bindServer(server, address, bind);
 	return {
 		setLimits(next) {
 			limits = next;
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -17,7 +17,7 @@
 import {LogPart} from '@shallotloom/core/ports.ts';
 import {Outcome, RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 import {createCoreLoop, type CoreLoop} from '../core-loop.ts';
-import {parseAddress} from '../listener.ts';
+import {bindDefaults, parseAddress, type BindOptions} from '../listener.ts';
 import {AdapterPart, type Log} from '../log.ts';
 import {createPeerClient} from '../peers/peer-client.ts';
 import {startPeerServer} from '../peers/peer-server.ts';
@@ -60,6 +60,10 @@
 	callerListenAddress: string;
 	/** IP number and port for peers. */
 	peerListenAddress: string;
+	/** How to wait for addresses that other sockets hold. */
+	bind?: BindOptions;
+	/** Called before callers can connect; the start fails when it rejects. */
+	beforeCallers?: (gateway: Gateway) => Promise<void>;
 	limits: Partial<GatewayLimits>;
 	/** Whether the whole fleet starts for the first time. */
 	isFirstStart: boolean;
@@ -85,6 +89,13 @@
 	close(): Promise<void>;
 };
 
+export const gatewayRouterDefaults = {
+	bind: bindDefaults,
+	async beforeCallers() {
+		// Nothing has to be bound before callers can connect.
+	},
+} satisfies Partial<GatewayRouterOptions>;
+
 /** Interval of the core's steps while no messages arrive, in milliseconds; it bounds the precision of timeouts. */
 export const tickMs = 20;
 
@@ -94,8 +105,8 @@
 /** Starts a router; rejects when one of its addresses can't be bound. */
 export async function startGatewayRouter(options: GatewayRouterOptions): Promise<GatewayRouter> {
 	const {
-		format, registry, quarantineStore, streamStore, log, metrics, timer,
-	} = options;
+		format, registry, quarantineStore, streamStore, log, metrics, timer, bind, beforeCallers,
+	} = {...gatewayRouterDefaults, ...options};
 	const gateway = createGateway({
 		self: {...options.self, incarnation: randomBytes(4).toString('hex')},
 		seed: randomBytes(4).readInt32LE(),
@@ -338,10 +349,6 @@
 		}
 	}
 
-	const listener = await listenForCallers({
-		address: parseAddress(options.callerListenAddress),
-		onRequest: handleCall,
-	});
 	/** Handlers of the messages between instances that routed calls need; other kinds are ignored. */
 	const messageHandlers: {[Kind in PeerMessage['kind']]?: (from: string, incarnation: string, message: PeerMessageOf<Kind>) => void} = {
 		digest(from, incarnation, digest) {
@@ -361,12 +368,20 @@
 	};
 
 	const peerServer = await startPeerServer({
-		...parseAddress(options.peerListenAddress),
+		address: parseAddress(options.peerListenAddress),
+		bind,
 		traffic,
 		onMessage(from, incarnation, message) {
 			messageHandlers[message.kind]?.(from, incarnation, message as never);
 		},
 	});
+	await beforeCallers(gateway);
+	// Calls are answered from the first one on, so callers can connect only once nothing else has to be waited for.
+	const listener = await listenForCallers({
+		address: parseAddress(options.callerListenAddress),
+		bind,
+		onRequest: handleCall,
+	});
 	loop.start();
 
 	return {
--- a/packages/router/src/listener.ts
+++ b/packages/router/src/listener.ts
@@ -1,7 +1,9 @@
 /*
-Starts and closes the router's HTTP listeners.
+Binds the addresses of a router, and starts and closes its HTTP listeners.
 */
 import {createServer, type Server} from 'node:http';
+import type {Server as NetServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {getRequestListener} from '@hono/node-server';
 import type {RouterSettings} from '@shallotloom/settings/router-settings.ts';
 
@@ -16,14 +18,76 @@
 	return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
 }
 
+export type BindOptions = {
+	/** Longest time to wait for an address that another socket holds, in milliseconds. */
+	maxWaitMs: number;
+	/** Called once when an address has to be waited for. */
+	onWait?: (address: Address, code: string) => void;
+	/** Called when an address that was waited for is bound, with the time that took in milliseconds. */
+	onBound?: (address: Address, waitedMs: number) => void;
+};
+
+export const bindDefaults = {maxWaitMs: 0} satisfies BindOptions;
+
+/** Interval between attempts to bind an address that is in use, in milliseconds. */
+const bindRetryMs = 100;
+
+/** Errors of a bind that pass by themselves: another socket holds the address, or its interface isn't up yet. */
+const passingBindErrors = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
+
+async function tryToBind(server: NetServer, {host, port}: Address): Promise<NodeJS.ErrnoException | undefined> {
+	return new Promise(resolve => {
+		const onListening = () => {
+			server.off('error', onError);
+			resolve(undefined);
+		};
+
+		const onError = (error: NodeJS.ErrnoException) => {
+			server.off('listening', onListening);
+			resolve(error);
+		};
+
+		server.once('listening', onListening);
+		server.once('error', onError);
+		server.listen(port, host);
+	});
+}
+
+/** Binds a server to an address. While another socket holds the address, it tries again; it rejects when the wait is over. */
+export async function bindServer(server: NetServer, address: Address, {maxWaitMs, onWait, onBound}: BindOptions = bindDefaults) {
+	const startedAt = performance.now();
+	for (let attempts = 1; ; attempts += 1) {
+		const error = await tryToBind(server, address);
+		const waitedMs = Math.round(performance.now() - startedAt);
+		if (!error) {
+			if (attempts > 1) {
+				onBound?.(address, waitedMs);
+			}
+
+			return;
+		}
+
+		if (!passingBindErrors.has(error.code ?? '') || waitedMs >= maxWaitMs) {
+			throw new Error(`can't bind ${address.host}:${address.port} after ${waitedMs} ms: ${error.message}`, {cause: error});
+		}
+
+		if (attempts === 1) {
+			onWait?.(address, error.code!);
+		}
+
+		await sleep(bindRetryMs);
+	}
+}
+
 export type ListenerOptions = {
+	bind?: BindOptions;
 	limits: Pick<RouterSettings['limits'], 'headerBytes' | 'headersTimeoutMs' | 'requestTimeoutMs' | 'connections'>;
 	/** When it returns true, each answer closes its connection; false by default. */
 	isStopping?: () => boolean;
 };
 
 /** Starts a listener; rejects when its address can't be bound. */
-export async function listen(app: App, {host, port}: Address, {limits, isStopping = () => false}: ListenerOptions): Promise<Server> {
+export async function listen(app: App, address: Address, {limits, bind, isStopping = () => false}: ListenerOptions): Promise<Server> {
 	const listener = getRequestListener(app.fetch);
 	const server = createServer({
 		maxHeaderSize: limits.headerBytes,
@@ -39,10 +103,7 @@
 		void listener(incoming, outgoing);
 	});
 	server.maxConnections = limits.connections;
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
+	await bindServer(server, address, bind);
 	return server;
 }
 
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -7,11 +7,12 @@
 import type {PeerMessage} from '@shallotloom/core/messages.ts';
 import {Peer} from '@shallotloom/protocol/gen/peer_pb.ts';
 import type {ControlTraffic} from '../control-traffic.ts';
+import {bindServer, type Address, type BindOptions} from '../listener.ts';
 import {decodeMessage} from './codec.ts';
 
 export type PeerServerOptions = {
-	host: string;
-	port: number;
+	address: Address;
+	bind?: BindOptions | undefined;
 	traffic: ControlTraffic;
 	onMessage: (from: string, incarnation: string, message: PeerMessage) => void;
 };
@@ -24,7 +25,7 @@
 const maxBatchBytes = 4 * 1024 * 1024;
 
 /** Starts the server; rejects when the address can't be bound. */
-export async function startPeerServer({host, port, traffic, onMessage}: PeerServerOptions): Promise<PeerServer> {
+export async function startPeerServer({address, bind, traffic, onMessage}: PeerServerOptions): Promise<PeerServer> {
 	const server: Http2Server = createServer({}, connectNodeAdapter({
 		readMaxBytes: maxBatchBytes,
 		routes(router) {
@@ -52,10 +53,7 @@
 			sockets.delete(socket);
 		});
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
+	await bindServer(server, address, bind);
 	return {
 		async close() {
 			for (const socket of sockets) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -14,7 +14,7 @@
 import {createCoreLoop, type CoreLoop, type OutboxHandlers} from './core-loop.ts';
 import {createExchanges, type Exchanges} from './exchanges.ts';
 import {
-	closeListener, drainListener, listen, parseAddress,
+	bindDefaults, closeListener, drainListener, listen, parseAddress, type BindOptions,
 } from './listener.ts';
 import {AdapterPart, type Log} from './log.ts';
 import {createMetrics} from './metrics.ts';
@@ -32,6 +32,8 @@
 export type RouterOptions = {
 	settings: RouterSettings;
 	log: Log;
+	/** How to wait for addresses that other sockets hold. */
+	bind?: BindOptions;
 	/** Called when a planned stop is complete. */
 	onStopped: () => void;
 };
@@ -84,7 +86,7 @@
 }
 
 /** Starts a router; rejects when one of its addresses can't be bound. */
-export async function startRouter({settings, log, onStopped}: RouterOptions): Promise<Router> {
+export async function startRouter({settings, log, bind = bindDefaults, onStopped}: RouterOptions): Promise<Router> {
 	const timer = createTimer();
 	const traffic = createControlTraffic();
 	const counts = createMetricCounters();
@@ -137,7 +139,8 @@
 	});
 	platform.start();
 	const peerServer = await startPeerServer({
-		...parseAddress(settings.listen.peers),
+		address: parseAddress(settings.listen.peers),
+		bind,
 		traffic,
 		onMessage(from, incarnation, message) {
 			push({
@@ -148,10 +151,10 @@
 	// The lease announces the address for peers, so the loop starts only after that address is bound.
 	loop.start();
 	const callerServer = await listenForCallers({
-		settings, world, timer, log, counts, open: exchanges.open,
+		settings, world, timer, log, counts, bind, open: exchanges.open,
 	});
 	const operatorServer = await listenForOperators({
-		settings, world, log, counts, traffic, proposals, store: platform.store,
+		settings, world, log, counts, traffic, bind, proposals, store: platform.store,
 	});
 
 	return {
@@ -181,11 +184,12 @@
 	counts: MetricCounters;
 	traffic: ControlTraffic;
 	push: (inbound: Inbound) => void;
+	bind: BindOptions;
 };
 
 function createPeers({
 	settings, world, timer, traffic, log, push,
-}: Omit<Dependencies, 'counts'>): PeerClient {
+}: Omit<Dependencies, 'counts' | 'bind'>): PeerClient {
 	return createPeerClient({
 		sender: world.self.id,
 		incarnation: world.self.incarnation,
@@ -202,16 +206,16 @@
 }
 
 async function listenForCallers({
-	settings, world, timer, log, counts, open,
+	settings, world, timer, log, counts, bind, open,
 }: Omit<Dependencies, 'traffic' | 'push'> & {open: Exchanges['open']}): Promise<Server> {
 	const app = createCallerApp({
 		world, now: timer.now, open, onRefused: counts.countRefusal, onInternalError: createErrorLogger(log, AdapterPart.Callers), ...settings.limits,
 	});
-	return listen(app, parseAddress(settings.listen.callers), {limits: settings.limits, isStopping: () => world.stopRequestedAt !== undefined});
+	return listen(app, parseAddress(settings.listen.callers), {limits: settings.limits, bind, isStopping: () => world.stopRequestedAt !== undefined});
 }
 
 async function listenForOperators({
-	settings, world, log, counts, traffic, proposals, store,
+	settings, world, log, counts, traffic, bind, proposals, store,
 }: Omit<Dependencies, 'timer' | 'push'> & {proposals: Proposals; store: ObjectStore}): Promise<Server> {
 	const metrics = createMetrics();
 	const app = createOperatorApp({
@@ -226,7 +230,7 @@
 			return metrics.scrape();
 		},
 	});
-	return listen(app, parseAddress(settings.listen.operators), {limits: settings.limits});
+	return listen(app, parseAddress(settings.listen.operators), {limits: settings.limits, bind});
 }
 
 /** Time for the last refusals to reach their callers after the stop is complete. */
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,12 +1,15 @@
 /*
 Bundles each program into one file under dist/ that runs as `node dist/NAME.js`. With --platform it bundles the programs for
-the users' platform instead, under target/. `--out FOLDER` names another folder.
+the users' platform instead, under target/, with the parts that they load later under target/chunks/. `--out FOLDER` names another folder.
 */
+import path from 'node:path';
 import process from 'node:process';
 import {execFileSync} from 'node:child_process';
-import {existsSync, readFileSync} from 'node:fs';
+import {existsSync, readFileSync, rmSync} from 'node:fs';
 import {build} from 'esbuild';
 
+const chunkFolder = 'chunks';
+
 const quiet = process.argv.includes('--quiet');
 
 /** Entry module of each program. */
@@ -37,10 +40,16 @@
 const outdir = outIndex === -1 ? defaultOutdir : process.argv[outIndex + 1];
 const entryPoints = isPlatformBuild ? platformPrograms : Object.fromEntries(Object.entries(programs).filter(([, entry]) => existsSync(entry)));
 
+// Chunks of an earlier build have other names and would stay.
+rmSync(path.join(outdir, chunkFolder), {recursive: true, force: true});
+
 await build({
 	entryPoints,
 	outdir,
 	bundle: true,
+	// A part that an entry loads with `import()` is a file of its own, so that the entry runs before it is read.
+	splitting: isPlatformBuild,
+	chunkNames: `${chunkFolder}/[name]-[hash]`,
 	platform: 'node',
 	target: 'node20',
 	format: 'esm',
