--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -148,14 +148,14 @@
 			});
 		},
 	});
-	// The lease announces the address for peers, so the loop starts only after that address is bound.
-	loop.start();
-	const callerServer = await listenForCallers({
-		settings, world, timer, log, counts, bind, open: exchanges.open,
-	});
 	const operatorServer = await listenForOperators({
 		settings, world, log, counts, traffic, bind, proposals, store: platform.store,
 	});
+	const callerServer = await listenForCallers({
+		settings, world, timer, log, counts, bind, open: exchanges.open,
+	});
+	// The lease announces the addresses, so the loop starts only after they are bound.
+	loop.start();
 
 	return {
 		world,
--- a/packages/router/test/support/program.ts
+++ b/packages/router/test/support/program.ts
@@ -7,6 +7,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 /** Loopback address derived from this process's id, so that fixed ports are free on it. */
 export const host = `127.${64 + (Math.floor(process.pid / 256) % 64)}.${process.pid % 256}.1`;
@@ -28,11 +29,16 @@
 	run: (...args: string[]) => Promise<ProgramResult>;
 	/** Starts the program; resolves when it listens or has exited. */
 	start: (...args: string[]) => Promise<RunningProgram>;
+	/** Starts the program without waiting for anything. */
+	launch: (...args: string[]) => RunningProgram;
 	remove: () => Promise<void>;
 };
 
 export type RunningProgram = {
 	output: () => string;
+	signal: (signal: NodeJS.Signals) => void;
+	/** Resolves to the exit code, or to undefined if the program still runs when the time is over. */
+	waitForEnd: (timeoutMs: number) => Promise<number | null | undefined>;
 	/** Kills the process and waits until it has exited. */
 	end: () => Promise<void>;
 };
@@ -54,8 +60,8 @@
 
 export async function bundleRouter(): Promise<Program> {
 	const directory = await mkdtemp(path.join(tmpdir(), 'shallotloom-router-'));
-	const file = path.join(directory, 'router.cjs');
-	await bundleProgram('packages/router/src/cli/main.ts', file, 'cjs');
+	const file = path.join(directory, 'router.mjs');
+	await bundleProgram('packages/router/src/cli/main.ts', file, 'esm');
 
 	function launch(args: string[]) {
 		const child = spawn(process.execPath, [file, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
@@ -69,6 +75,28 @@
 		return {child, texts: captured};
 	}
 
+	function createRunning({child, texts}: ReturnType<typeof launch>): RunningProgram {
+		const ended = once(child, 'close') as Promise<[number | null]>;
+		return {
+			output: () => texts.output + texts.errors,
+			signal(signal) {
+				child.kill(signal);
+			},
+			async waitForEnd(timeoutMs) {
+				const timer = new AbortController();
+				const [code] = await Promise.race([ended, sleep(timeoutMs, [undefined], {signal: timer.signal})]);
+				timer.abort();
+				return code;
+			},
+			async end() {
+				if (child.exitCode === null && child.signalCode === null) {
+					child.kill('SIGKILL');
+					await ended;
+				}
+			},
+		};
+	}
+
 	return {
 		async writeSettings(text) {
 			const settingsFile = path.join(directory, 'settings.yaml');
@@ -80,20 +108,16 @@
 			const [code] = await once(child, 'close') as [number | null];
 			return {code, ...texts};
 		},
+		launch: (...args) => createRunning(launch(args)),
 		async start(...args) {
-			const {child, texts} = launch(args);
+			const launched = launch(args);
+			const {child, texts} = launched;
 			const ended = once(child, 'close');
 			while (!texts.output.includes('listening callers=') && child.exitCode === null) {
 				await Promise.race([once(child.stdout, 'data'), ended]);
 			}
 
-			return {
-				output: () => texts.output + texts.errors,
-				async end() {
-					child.kill('SIGKILL');
-					await ended;
-				},
-			};
+			return createRunning(launched);
 		},
 		remove: async () => rm(directory, {recursive: true, force: true}),
 	};
