--- a/packages/core/src/gateway/admissions.ts
+++ b/packages/core/src/gateway/admissions.ts
@@ -60,6 +60,7 @@
 	}
 
 	if (!stopAdmissionHandlers[stopPhase](gateway, now + computeRemainingMs(arrival, route))) {
+		gateway.refusedWhileStopping += 1;
 		return {kind: 'refused', refusal: createRefusal(RefusalKind.Stopping, '', 0)};
 	}
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -72,6 +72,8 @@
 	/** Undefined until a stop is requested. */
 	stopRequestedAt: number | undefined;
 	stopPhase: StopPhase;
+	/** Calls that were refused on arrival because of the stop. */
+	refusedWhileStopping: number;
 	/** Undefined until the first one arrives. */
 	catalogue: Catalogue | undefined;
 	/** Whether the platform's list of targets has been received. */
@@ -185,6 +187,7 @@
 		state: MemberState.Active,
 		stopRequestedAt: undefined,
 		stopPhase: StopPhase.Lingering,
+		refusedWhileStopping: 0,
 		catalogue: undefined,
 		hasTargetList: false,
 		targets: createTable<PoolTarget>({key: target => target.id, index: target => target.pool}),
--- a/packages/core/test/gateway/planned-stops.test.ts
+++ b/packages/core/test/gateway/planned-stops.test.ts
@@ -1,4 +1,5 @@
 import {SendEnd} from '../../src/gateway/ports.ts';
+import {LogPart} from '../../src/ports.ts';
 import {Outcome, RefusalKind} from '../../src/refusal.ts';
 import {
 	createBench, createListedTarget, createRoute, createTestCatalogue, endSend, filterByKind, type Bench,
@@ -56,3 +57,16 @@
 	expect(filterByKind(outbox, 'cancel')).toMatchObject([{call: 'c1'}]);
 	expect(outbox.findIndex(({kind}) => kind === 'stopped')).toBeGreaterThan(outbox.findLastIndex(({kind}) => kind === 'refuse'));
 });
+
+test('each phase says when it was due and when it ran, and the end says what became of the calls that were cut', () => {
+	const bench = drain();
+	bench.gateway.targets.get('t1')!.slots = 1;
+	bench.call({remainingMs: streamMs});
+	const ended = filterByKind(bench.wait(maxStopMs), 'log').find(({part}) => part === LogPart.Stop);
+	expect(ended).toMatchObject({
+		text: 'stopped',
+		fields: {
+			dueMs: maxStopMs, afterMs: maxStopMs + 2500, calls: 1, refused: 1, begun: 0, mayHaveRun: 1, notRun: 0,
+		},
+	});
+});
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -17,8 +17,19 @@
 import type {Address} from '../listener.ts';
 import {writeRefusal} from './call-exchange.ts';
 
+/** Why the router closed a connection without the end of an answer. */
+export enum ConnectionEnd {
+	/** Its bytes were no request. */
+	Unparsable = 'unparsable',
+	/** It was idle when the listener closed. */
+	Idle = 'idle',
+	/** It was still open when all connections were closed. */
+	Left = 'left',
+}
+
 export type CallerListenerOptions = {
 	address: Address;
+	onConnectionClosed: (reason: ConnectionEnd) => void;
 	/** Called with each request once its body has been read in full. */
 	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) => void;
 };
@@ -68,11 +79,6 @@
 
 /** Refuses bytes that can't be parsed as a request, and closes the connection. */
 function refuseUnparsable(error: NodeJS.ErrnoException, socket: Socket) {
-	if (!socket.writable || error.code === 'ECONNRESET') {
-		socket.destroy();
-		return;
-	}
-
 	const refusal = createNotRunRefusal(parserRefusalKinds[error.code ?? ''] ?? RefusalKind.MalformedBody, error.message);
 	const {status} = refusals[refusal.kind];
 	const body = JSON.stringify(createRefusalBody(refusal));
@@ -91,10 +97,11 @@
 }
 
 /** Starts the listener; rejects when its address can't be bound. */
-export async function listenForCallers({address, onRequest}: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForCallers({address, onRequest, onConnectionClosed}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const openResponses = new Map<ServerResponse, Socket>();
+	const connections = new Set<Socket>();
 
 	/** While the listener closes, closes the connection after a response whose head was sent before and so announced no close. */
 	function closeWhenFinished({socket}: IncomingMessage, response: ServerResponse) {
@@ -159,7 +166,33 @@
 		requestTimeout: 0,
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
-	server.on('clientError', refuseUnparsable);
+	server.on('connection', socket => {
+		connections.add(socket);
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		if (!socket.writable || error.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
+		}
+
+		onConnectionClosed(ConnectionEnd.Unparsable);
+		refuseUnparsable(error, socket);
+	});
+
+	/** Closes connections with `close`, and counts those. */
+	function closeConnections(reason: ConnectionEnd, close: () => void) {
+		const open = [...connections].filter(({destroyed}) => !destroyed);
+		close();
+		for (const {destroyed} of open) {
+			if (destroyed) {
+				onConnectionClosed(reason);
+			}
+		}
+	}
+
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
@@ -182,17 +215,23 @@
 			state.isClosing = true;
 			// A connection that has carried no request yet becomes idle without the end of a response.
 			const idleCheck = setInterval(() => {
-				server.closeIdleConnections();
+				closeConnections(ConnectionEnd.Idle, () => {
+					server.closeIdleConnections();
+				});
 			}, idleConnectionCheckMs);
 			await new Promise<void>(resolve => {
-				server.close(() => {
-					resolve();
+				closeConnections(ConnectionEnd.Idle, () => {
+					server.close(() => {
+						resolve();
+					});
 				});
 			});
 			clearInterval(idleCheck);
 		},
 		closeAllConnections() {
-			server.closeAllConnections();
+			closeConnections(ConnectionEnd.Left, () => {
+				server.closeAllConnections();
+			});
 		},
 	};
 }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -15,9 +15,14 @@
 import {getSuspectKind, SuspectKind} from '@shallotloom/core/gateway/suspects.ts';
 import {isPaused} from '@shallotloom/core/gateway/target-notices.ts';
 import {RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
+import type {ConnectionEnd} from './caller-listener.ts';
 
 export type GatewayMetrics = {
 	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
+	/** Counts an answer that was cut after it had begun. */
+	countCutAnswer(cause: RefusalKind): void;
+	/** Counts a connection of a caller that the router closed without the end of an answer. */
+	countClosedConnection(reason: ConnectionEnd): void;
 	/** Counts a send that resumes a stream. */
 	countSend(send: GatewayOutboundOf<'send'>): void;
 	/** Counts the call events that an inbound message reports. */
@@ -49,6 +54,12 @@
 	const refusedStreams = new Counter({
 		name: 'shallotloom_streams_not_resumed_total', help: 'Streams that could not be resumed at the software version that began them, by pool and cause.', labelNames: ['pool', 'cause'], registers,
 	});
+	const cutAnswers = new Counter({
+		name: 'shallotloom_answers_cut_total', help: 'Answers that were cut after they had begun, by cause.', labelNames: ['cause'], registers,
+	});
+	const closedConnections = new Counter({
+		name: 'shallotloom_caller_connections_closed_total', help: 'Connections of callers that the router closed without the end of an answer, by reason.', labelNames: ['reason'], registers,
+	});
 	const disconnectedCallers = new Counter({name: 'shallotloom_callers_left_total', help: 'Calls whose caller left before the answer.', registers});
 	const firstByteSeconds = new Histogram({
 		name: 'shallotloom_first_byte_seconds', help: 'Time from a call\'s arrival to its first byte.', buckets: firstByteBucketsSeconds, registers,
@@ -143,6 +154,12 @@
 				refusedStreams.inc({pool: pool ?? '', cause});
 			}
 		},
+		countCutAnswer(cause) {
+			cutAnswers.inc({cause});
+		},
+		countClosedConnection(reason) {
+			closedConnections.inc({reason});
+		},
 		countSend({pool, isResumed, isResumedByCaller}) {
 			if (isResumed || isResumedByCaller) {
 				resumedStreams.inc({pool, by: isResumed ? 'router' : 'caller'});
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -209,6 +209,10 @@
 				const exchange = exchanges.get(call);
 				metrics.countRefusal(refusal, {pool, cause});
 				if (exchange) {
+					if (!exchange.isFinished && exchange.response.headersSent) {
+						metrics.countCutAnswer(cause ?? refusal.kind);
+					}
+
 					cancelSend(exchange);
 					endWithRefusal(exchange, refusal);
 				}
@@ -341,6 +345,7 @@
 	const listener = await listenForCallers({
 		address: parseAddress(options.callerListenAddress),
 		onRequest: handleCall,
+		onConnectionClosed: metrics.countClosedConnection,
 	});
 	/** Handlers of the messages between instances that routed calls need; other kinds are ignored. */
 	const messageHandlers: {[Kind in PeerMessage['kind']]?: (from: string, incarnation: string, message: PeerMessageOf<Kind>) => void} = {
