Derive the times of a planned stop from the grace period

With a grace period of 2 to 6 s, answers were cut before the last sixth of it, since a stop ended 1 s before the kill whatever the grace period was; with 2 and 3 s the time in which all calls are taken, 2.5 s, was longer than the stop. One budget now divides the grace period into linger, drain, flush, exit and margin. With 8 s the times stay as they were (2.5 s and 7 s after the request).

--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -2,6 +2,7 @@
 Limits, weights and periods of the gateway with their defaults. Times are in milliseconds unless the name says otherwise.
 */
 import {second} from '../units.ts';
+import type {StopBudget} from './time-budgets.ts';
 
 /** Period at which an instance checks how closely it has to watch data, in milliseconds. */
 export const watchRolePeriodMs = 100;
@@ -167,11 +168,7 @@
 	removalTimeoutMs: number;
 	/** Minimum interval between two registrations. */
 	minRegisterIntervalMs: number;
-	/** Time at the start of a planned stop in which callers that cached the address beyond its TTL can still connect. */
-	lingerMs: number;
-	/** Maximum duration of a planned stop. */
-	maxStopMs: number;
-};
+} & StopBudget;
 
 export const defaultGatewayLimits: GatewayLimits = {
 	retryRatio: 0.2,
@@ -253,4 +250,6 @@
 	minRegisterIntervalMs: 2 * second,
 	lingerMs: 2.5 * second,
 	maxStopMs: 7 * second,
+	stopFlushMs: 333,
+	stopExitMs: 333,
 };
--- a/packages/core/src/gateway/time-budgets.ts
+++ b/packages/core/src/gateway/time-budgets.ts
@@ -2,6 +2,7 @@
 Budgets of the bounds in time. Several parts work one after another until a change of the platform's data is in force everywhere, or until
 an outage is over; none of them sees what the others use of the time. So each path is a list of parts, and the times of the parts that
 can vary follow from the bounds: every path has to fit. `listPaths` names the paths with their parts, for tests and for the design page.
+The same holds for a planned stop, whose parts add up to the grace period: `listStopParts`.
 */
 import {DataKind} from './data-sources.ts';
 import {watchRolePeriodMs} from './limits.ts';
@@ -184,3 +185,70 @@
 		},
 	];
 }
+
+/** What the times of a planned stop follow from, in milliseconds. */
+export type StopBounds = {
+	/** From the request to stop until the process is killed. */
+	graceMs: number;
+	/** Time for which callers may cache an address. */
+	addressTtlMs: number;
+	/** Period of digests, from which other instances learn of the stop. */
+	digestMs: number;
+};
+
+/** Times of a planned stop, in milliseconds. */
+export type StopBudget = {
+	/** Time after the request to stop in which calls are taken that may outlast the stop. */
+	lingerMs: number;
+	/** Time after the request to stop at which the calls that are left get their final answers. */
+	maxStopMs: number;
+	/** Time after that for the bytes that have been written; then all connections are closed. */
+	stopFlushMs: number;
+	/** Time after that for the withdrawal of the registration; then the process exits. */
+	stopExitMs: number;
+};
+
+/** Last part of the grace period, in which answers may be cut. */
+const cutFraction = 1 / 6;
+
+/** The part in which answers may be cut is divided evenly: a delay before the cut, the flush, the exit, and a margin before the kill. */
+const cutParts = 4;
+
+/** Upper limits of the parts of long grace periods: more time is of no use. */
+const maxStopFlushMs = 1000;
+const maxStopExitMs = 500;
+const maxStopMarginMs = 1000;
+
+/** Largest fraction of the time until the final answers in which calls are taken that may outlast the stop. */
+const lingerFraction = 0.4;
+
+/** Longest such time: an answer to a later call counts as lost when it is cut. */
+const maxLingerMs = 2500;
+
+/** Divides the grace period among the parts of a planned stop. */
+export function createStopBudget({graceMs, addressTtlMs, digestMs}: StopBounds): StopBudget {
+	const partMs = graceMs * cutFraction / cutParts;
+	const stopFlushMs = Math.floor(Math.min(maxStopFlushMs, partMs));
+	const stopExitMs = Math.floor(Math.min(maxStopExitMs, partMs));
+	const maxStopMs = Math.floor(graceMs - stopFlushMs - stopExitMs - Math.min(maxStopMarginMs, partMs));
+	return {
+		lingerMs: Math.floor(Math.min(maxLingerMs, addressTtlMs + digestMs, maxStopMs * lingerFraction)),
+		maxStopMs,
+		stopFlushMs,
+		stopExitMs,
+	};
+}
+
+/** The parts of a planned stop, one after another, up to the kill. */
+export function listStopParts({graceMs}: StopBounds, budget: StopBudget): Record<string, number> {
+	const {
+		lingerMs, maxStopMs, stopFlushMs, stopExitMs,
+	} = budget;
+	return {
+		linger: lingerMs,
+		drain: maxStopMs - lingerMs,
+		flush: stopFlushMs,
+		exit: stopExitMs,
+		margin: graceMs - maxStopMs - stopFlushMs - stopExitMs,
+	};
+}
--- a/packages/core/test/gateway/time-budgets.test.ts
+++ b/packages/core/test/gateway/time-budgets.test.ts
@@ -1,4 +1,6 @@
-import {createTimeBudget, listPaths, type TimeBounds} from '../../src/gateway/time-budgets.ts';
+import {
+	createStopBudget, createTimeBudget, listPaths, listStopParts, type TimeBounds,
+} from '../../src/gateway/time-budgets.ts';
 
 const bounds: TimeBounds = {
 	departureMs: 2000, configurationMs: 2000, domainOutMs: 5000, recoveryMs: 3000,
@@ -23,3 +25,16 @@
 		expect(Math.min(...Object.values(partsMs))).toBeGreaterThanOrEqual(0);
 	}
 });
+
+/** Longest delay between two steps of the core on a loaded machine. */
+const delayMs = 80;
+
+test.each([2000, 3000, 4000, 5000, 6000, 8000, 15_000, 30_000])('the parts of a planned stop add up to its grace period: %d ms', graceMs => {
+	const stopBounds = {graceMs, addressTtlMs: 2000, digestMs: 500};
+	const parts = listStopParts(stopBounds, createStopBudget(stopBounds));
+	expect(Object.keys(parts)).toEqual(['linger', 'drain', 'flush', 'exit', 'margin']);
+	expect(Object.values(parts).reduce((sum, part) => sum + part, 0)).toBeCloseTo(graceMs);
+	expect(Math.min(...Object.values(parts))).toBeGreaterThanOrEqual(delayMs);
+	expect(parts.linger! + parts.drain!).toBeGreaterThan(graceMs * 5 / 6);
+	expect(parts.linger! + delayMs).toBeLessThan(3000);
+});
