Decide by the time of a stop and by the kind of a call what a stopping instance takes

What callers saw or could see: after a stall that went over the end of a phase, calls of the same step were admitted as if the phase lasted on, and cut at the end of the stop; a reload of the settings during a stop moved its end, possibly beyond the kill; the phases that were due together took one step each; a call that may not be repeated was taken although its usual time lay beyond the end of the stop, where its caller is told that its outcome is unknown.

The times of a stop are now copied when it is requested. Admission compares times and not phases; several phases run in one step if they are due. While the instance lingers, a call that may not be repeated is taken if its objective lies before the end of the stop, and refused as not run otherwise; others are taken as before, since they can be sent again or resumed.

--- a/packages/core/src/gateway/admissions.ts
+++ b/packages/core/src/gateway/admissions.ts
@@ -9,7 +9,7 @@
 import {
 	CallKind, findRoute, type CallRoute, type Catalogue, type Tenancy,
 } from './catalogue.ts';
-import {StopPhase, type Gateway} from './gateway.ts';
+import {StopPhase, type Gateway, type PlannedStop} from './gateway.ts';
 import {
 	CallState, unknownSoftwareVersion, type Call, type CallArrival,
 } from './rows.ts';
@@ -26,21 +26,40 @@
 /** Tenancy of calls on routes that need no key, and of all calls while the catalogue defines no keys. */
 const anonymousTenancy: Tenancy = {workspace: '', priority: undefined};
 
-/** Whether a planned stop leaves a call the time until its deadline, by the phase of the stop. */
-const stopAdmissionHandlers: Record<StopPhase, (gateway: Gateway, deadline: number) => boolean> = {
-	[StopPhase.Lingering]: () => true,
-	// Calls on connections that are still open: one that may outlast the stop would be cut.
-	[StopPhase.Draining]: ({stopRequestedAt, limits}, deadline) => stopRequestedAt === undefined || deadline <= stopRequestedAt + limits.maxStopMs,
-	[StopPhase.Done]: () => false,
+/** Deadline and objective of a call that has arrived, as points in time. */
+type ArrivalTimes = {deadline: number; objectiveAt: number};
+
+/**
+Whether a call is taken while the instance lingers, by its kind: others that are left at the end of the stop can be sent again, but the
+caller of one that may not be repeated couldn't know what became of it.
+*/
+const lingeringAdmissionHandlers: Record<CallKind, (times: ArrivalTimes, endsAt: number) => boolean> = {
+	[CallKind.Repeatable]: () => true,
+	[CallKind.Streamed]: () => true,
+	[CallKind.Once]: ({objectiveAt}, endsAt) => objectiveAt <= endsAt,
 };
 
+/**
+Whether a planned stop leaves a call the time that it needs. The time decides and not the phase, which is behind it after a stall of the
+process.
+*/
+function isTakenDuringStop({stopPhase, now}: Gateway, {requestedAt, times: {lingerMs, maxStopMs}}: PlannedStop, kind: CallKind, times: ArrivalTimes): boolean {
+	const endsAt = requestedAt + maxStopMs;
+	if (stopPhase === StopPhase.Done || now >= endsAt) {
+		return false;
+	}
+
+	// A caller that is refused can be served by another instance now.
+	return now - requestedAt < lingerMs ? lingeringAdmissionHandlers[kind](times, endsAt) : times.deadline <= endsAt;
+}
+
 /** Time from the arrival of a call until its final answer is due. */
 function computeRemainingMs(arrival: CallArrival, route: CallRoute): number {
 	return Math.min(arrival.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
 }
 
 export function admit(gateway: Gateway, arrival: CallArrival): Admission {
-	const {catalogue, stopPhase, now} = gateway;
+	const {catalogue, stop, now} = gateway;
 	if (!catalogue) {
 		return {kind: 'refused', refusal: createRefusal(RefusalKind.NotReady, '', second)};
 	}
@@ -59,8 +78,8 @@
 		return {kind: 'refused', refusal: createRefusal(RefusalKind.DeadlinePassed)};
 	}
 
-	if (!stopAdmissionHandlers[stopPhase](gateway, now + computeRemainingMs(arrival, route))) {
-		gateway.refusedWhileStopping += 1;
+	if (stop && !isTakenDuringStop(gateway, stop, route.kind, {deadline: now + computeRemainingMs(arrival, route), objectiveAt: now + route.objectiveMs})) {
+		stop.refusedCalls += 1;
 		return {kind: 'refused', refusal: createRefusal(RefusalKind.Stopping, '', 0)};
 	}
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
 import {createStoredStreams, type StoredStreams} from './stored-streams.ts';
+import type {StopBudget} from './time-budgets.ts';
 import type {
 	Call, Crash, DataVersion, FormerTarget, Instance, MissingData, PoolTarget, Quarantine, SendCount, StoredQuarantine, Usage, StreamOrigin,
 } from './rows.ts';
@@ -43,6 +44,15 @@
 	Done = 'done',
 }
 
+/** A planned stop that has been requested. */
+export type PlannedStop = {
+	requestedAt: number;
+	/** Its times as of the request: new settings don't change them. */
+	times: Readonly<StopBudget>;
+	/** Calls that were refused on arrival because of the stop. */
+	refusedCalls: number;
+};
+
 /** Whether the platform can be reached, since when, and whether its data is complete. */
 export type PlatformReachability = {
 	isReached: boolean;
@@ -70,10 +80,8 @@
 	now: number;
 	state: MemberState;
 	/** Undefined until a stop is requested. */
-	stopRequestedAt: number | undefined;
+	stop: PlannedStop | undefined;
 	stopPhase: StopPhase;
-	/** Calls that were refused on arrival because of the stop. */
-	refusedWhileStopping: number;
 	/** Undefined until the first one arrives. */
 	catalogue: Catalogue | undefined;
 	/** Whether the platform's list of targets has been received. */
@@ -185,9 +193,8 @@
 		startedAt: now,
 		now,
 		state: MemberState.Active,
-		stopRequestedAt: undefined,
+		stop: undefined,
 		stopPhase: StopPhase.Lingering,
-		refusedWhileStopping: 0,
 		catalogue: undefined,
 		hasTargetList: false,
 		targets: createTable<PoolTarget>({key: target => target.id, index: target => target.pool}),
--- a/packages/core/src/gateway/planned-stops.ts
+++ b/packages/core/src/gateway/planned-stops.ts
@@ -8,17 +8,28 @@
 import {RefusalKind} from '../refusal.ts';
 import {createRefusal} from './admissions.ts';
 import {abandonCalls} from './calls.ts';
-import {addLogLine, StopPhase, type Gateway} from './gateway.ts';
+import {
+	addLogLine, StopPhase, type Gateway, type PlannedStop,
+} from './gateway.ts';
 import {CallState, type Call} from './rows.ts';
 
 export function onStopRequested(gateway: Gateway) {
-	if (gateway.stopRequestedAt !== undefined) {
+	if (gateway.stop) {
 		return;
 	}
 
-	gateway.stopRequestedAt = gateway.now;
+	const {
+		lingerMs, maxStopMs, stopFlushMs, stopExitMs,
+	} = gateway.limits;
+	gateway.stop = {
+		requestedAt: gateway.now,
+		times: {
+			lingerMs, maxStopMs, stopFlushMs, stopExitMs,
+		},
+		refusedCalls: 0,
+	};
 	gateway.state = MemberState.Leaving;
-	addLogLine(gateway, {part: LogPart.Stop, text: 'stop requested', fields: describePhase(gateway, 0)});
+	addLogLine(gateway, {part: LogPart.Stop, text: 'stop requested', fields: describePhase(gateway, gateway.stop, 0)});
 }
 
 /** What a call that is cut at the end of a stop has become. */
@@ -48,37 +59,44 @@
 }
 
 /** Log fields of a phase: when it was due and when it ran, in milliseconds after the request to stop. */
-function describePhase({now, stopRequestedAt, calls, refusedWhileStopping}: Gateway, dueMs: number): Record<string, number> {
+function describePhase({now, calls}: Gateway, {requestedAt, refusedCalls}: PlannedStop, dueMs: number): Record<string, number> {
 	return {
-		dueMs, afterMs: Math.round(now - (stopRequestedAt ?? now)), calls: calls.size, refused: refusedWhileStopping,
+		dueMs, afterMs: Math.round(now - requestedAt), calls: calls.size, refused: refusedCalls,
 	};
 }
 
-/** Handlers of the phases of a planned stop. */
-const stopPhaseHandlers: Record<StopPhase, (gateway: Gateway, sinceMs: number) => void> = {
-	[StopPhase.Lingering](gateway, sinceMs) {
-		if (sinceMs >= gateway.limits.lingerMs) {
-			gateway.stopPhase = StopPhase.Draining;
-			gateway.outbox.push({kind: 'closeListener'});
-			addLogLine(gateway, {part: LogPart.Stop, text: 'takes no more callers', fields: describePhase(gateway, gateway.limits.lingerMs)});
+/** Handlers of the phases of a planned stop; each returns whether its phase has ended. */
+const stopPhaseHandlers: Record<StopPhase, (gateway: Gateway, stop: PlannedStop) => boolean> = {
+	[StopPhase.Lingering](gateway, stop) {
+		const {requestedAt, times: {lingerMs}} = stop;
+		if (gateway.now - requestedAt < lingerMs) {
+			return false;
 		}
+
+		gateway.stopPhase = StopPhase.Draining;
+		gateway.outbox.push({kind: 'closeListener'});
+		addLogLine(gateway, {part: LogPart.Stop, text: 'takes no more callers', fields: describePhase(gateway, stop, lingerMs)});
+		return true;
 	},
-	[StopPhase.Draining](gateway, sinceMs) {
-		if (gateway.calls.size === 0 || sinceMs >= gateway.limits.maxStopMs) {
-			gateway.stopPhase = StopPhase.Done;
-			addLogLine(gateway, {part: LogPart.Stop, text: 'stopped', fields: {...describePhase(gateway, gateway.limits.maxStopMs), ...countCutCalls(gateway)}});
-			abandonCalls(gateway, createRefusal(RefusalKind.Stopping, 'the router stopped', 0));
-			gateway.outbox.push({kind: 'withdraw'}, {kind: 'stopped'});
+	[StopPhase.Draining](gateway, stop) {
+		const {requestedAt, times: {maxStopMs}} = stop;
+		if (gateway.calls.size > 0 && gateway.now - requestedAt < maxStopMs) {
+			return false;
 		}
+
+		gateway.stopPhase = StopPhase.Done;
+		addLogLine(gateway, {part: LogPart.Stop, text: 'stopped', fields: {...describePhase(gateway, stop, maxStopMs), ...countCutCalls(gateway)}});
+		abandonCalls(gateway, createRefusal(RefusalKind.Stopping, 'the router stopped', 0));
+		gateway.outbox.push({kind: 'withdraw'}, {kind: 'stopped'});
+		return true;
 	},
-	[StopPhase.Done]() {
-		// Nothing left to do: the process exits.
-	},
+	// Nothing left to do: the process exits.
+	[StopPhase.Done]: () => false,
 };
 
-/** Advances a planned stop. */
+/** Advances a planned stop by the phases that are due: after a stall, several may be. */
 export function stopSystem(gateway: Gateway) {
-	if (gateway.stopRequestedAt !== undefined) {
-		stopPhaseHandlers[gateway.stopPhase](gateway, gateway.now - gateway.stopRequestedAt);
+	if (gateway.stop && stopPhaseHandlers[gateway.stopPhase](gateway, gateway.stop)) {
+		stopSystem(gateway);
 	}
 }
--- a/packages/core/test/gateway/planned-stops.test.ts
+++ b/packages/core/test/gateway/planned-stops.test.ts
@@ -1,3 +1,5 @@
+import {CallKind} from '../../src/gateway/catalogue.ts';
+import {StopPhase} from '../../src/gateway/gateway.ts';
 import {SendEnd} from '../../src/gateway/ports.ts';
 import {LogPart} from '../../src/ports.ts';
 import {Outcome, RefusalKind} from '../../src/refusal.ts';
@@ -9,12 +11,17 @@
 const streamMs = 12_000;
 const slots = 2;
 
-/** Starts a stop, and waits until the instance drains. */
-function drain(): Bench {
-	const catalogue = createTestCatalogue({routes: [createRoute({pathPrefix: '/look/', timeoutMs: streamMs})]});
-	const bench = createBench({catalogue, targets: [createListedTarget('t1', {slots})], limits: {maxStopMs}});
+/** Starts a stop with one call in work. */
+function linger(route = createRoute({pathPrefix: '/look/', timeoutMs: streamMs})): Bench {
+	const bench = createBench({catalogue: createTestCatalogue({routes: [route]}), targets: [createListedTarget('t1', {slots})], limits: {maxStopMs}});
 	bench.call({remainingMs: streamMs});
 	bench.step({kind: 'stopRequested'});
+	return bench;
+}
+
+/** Starts a stop, and waits until the instance drains. */
+function drain(): Bench {
+	const bench = linger();
 	expect(filterByKind(bench.wait(2500), 'closeListener')).toHaveLength(1);
 	return bench;
 }
@@ -70,3 +77,42 @@
 		},
 	});
 });
+
+// Guards against calls that are taken since the phase of the stop is behind the time.
+test('a call that arrives with the first step after a stall is refused if it may outlast the stop', () => {
+	const bench = linger();
+	bench.gateway.now += 4000;
+	const outbox = bench.call({remainingMs: streamMs});
+	expect(filterByKind(outbox, 'send')).toEqual([]);
+	expect(filterByKind(outbox, 'refuse')).toMatchObject([{refusal: {kind: RefusalKind.Stopping, outcome: Outcome.NotRun}}]);
+});
+
+test('a stop ends with the first step after a stall that began before its second phase', () => {
+	const bench = linger();
+	expect(filterByKind(bench.wait(maxStopMs), 'stopped')).toHaveLength(1);
+});
+
+// Guards against a running stop that new settings prolong beyond its kill.
+test('neither new settings nor another request to stop change the times of a running stop', () => {
+	const bench = linger();
+	Object.assign(bench.gateway.limits, {lingerMs: 6000, maxStopMs: 60_000});
+	bench.wait(2500);
+	bench.step({kind: 'stopRequested'});
+	expect(bench.gateway.stopPhase).toBe(StopPhase.Draining);
+	expect(filterByKind(bench.wait(maxStopMs - 2500), 'stopped')).toHaveLength(1);
+});
+
+const lingeringCases: Array<[CallKind, number, boolean]> = [
+	[CallKind.Once, 6000, false], [CallKind.Once, 4000, true], [CallKind.Repeatable, 6000, true], [CallKind.Streamed, 6000, true],
+];
+
+// Guards against calls that a stopping instance takes and whose outcome it can't tell their callers.
+test.each(lingeringCases)('a call that is %s with an objective of %d ms, two seconds into a stop of seven: taken %s', (kind, objectiveMs, isTaken) => {
+	const bench = linger(createRoute({
+		pathPrefix: '/look/', timeoutMs: streamMs, kind, objectiveMs,
+	}));
+	bench.wait(2000);
+	const outbox = bench.call({remainingMs: streamMs});
+	expect(filterByKind(outbox, 'send')).toHaveLength(isTaken ? 1 : 0);
+	expect(filterByKind(outbox, 'refuse').map(({refusal: {kind: refusalKind, outcome}}) => [refusalKind, outcome])).toEqual(isTaken ? [] : [[RefusalKind.Stopping, Outcome.NotRun]]);
+});
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -382,11 +382,11 @@
 			listener.leave();
 		},
 		async close() {
-			const {stopRequestedAt, limits} = gateway;
-			const untilStopEndsMs = stopRequestedAt === undefined ? 0 : stopRequestedAt + limits.maxStopMs - timer.now();
-			await Promise.race([listenerClosed ?? listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilStopEndsMs))]);
+			const {stop} = gateway;
+			const untilFlushedMs = stop ? stop.requestedAt + stop.times.maxStopMs + stop.times.stopFlushMs - timer.now() : 0;
+			await Promise.race([listenerClosed ?? listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilFlushedMs))]);
 			listener.closeAllConnections();
-			await Promise.race([withdrawal, sleep(withdrawalTimeoutMs)]);
+			await Promise.race([withdrawal, sleep(stop?.times.stopExitMs ?? 0)]);
 			loop.stop();
 			stopWatchingStalls();
 			stopWatchingUse();
@@ -398,10 +398,7 @@
 }
 
 /** How long the last answers may take at least to reach their callers before all connections are closed, in milliseconds. */
-const listenerCloseTimeoutMs = 200;
-
-/** How long the withdrawal of the registration may take, in milliseconds; other instances remove what is left of it. */
-const withdrawalTimeoutMs = 500;
+const listenerCloseTimeoutMs = 100;
 
 async function sleep(ms: number) {
 	return new Promise(resolve => {
