Read what has arrived before the connections of callers are closed

What callers saw: during a planned stop, a request that had arrived while the process stood still, on a kept connection or in the queue of new ones, was reset unread, so that a caller whose request may not be repeated couldn't know whether it would run.

Cause: the listener closed, and idle connections were closed, in a timer, before the event loop polled its sockets.

The listener now stays open until the stop is complete, so that each request gets a true answer: it is served if its deadline lies before the end of the stop, and otherwise refused as not run with the end of the connection announced. Before the listener closes, the loop polls until neither a connection nor a request has arrived. Idle are connections without an open response and without bytes of a next request; those that node:http takes for idle include ones whose last response is still being sent.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -37,9 +37,9 @@
 
 /** Phase of a planned stop. */
 export enum StopPhase {
-	/** New connections are still accepted, from callers that cached the address. */
+	/** Calls are taken from callers that cached the address. */
 	Lingering = 'lingering',
-	/** New connections are no longer accepted; calls finish. */
+	/** Calls finish; new ones are taken only if their deadline lies before the end of the stop. */
 	Draining = 'draining',
 	Done = 'done',
 }
--- a/packages/core/src/gateway/planned-stops.ts
+++ b/packages/core/src/gateway/planned-stops.ts
@@ -1,7 +1,7 @@
 /*
-Planned stops. The instance is no longer advertised, but lingers for callers that have cached its address. Then it accepts no new
-connections and drains: calls that may outlast the stop are refused on arrival, and the others finish. What is left at the end of the stop
-gets a final answer.
+Planned stops. The instance is no longer advertised, but lingers for callers that have cached its address. Then it drains: calls that may
+outlast the stop are refused on arrival, and the others finish. What is left at the end of the stop gets a final answer. Connections are
+accepted until then, so that each caller gets a true answer. See docs/design/stops.md.
 */
 import {MemberState} from '../messages.ts';
 import {LogPart} from '../ports.ts';
@@ -74,7 +74,6 @@
 		}
 
 		gateway.stopPhase = StopPhase.Draining;
-		gateway.outbox.push({kind: 'closeListener'});
 		addLogLine(gateway, {part: LogPart.Stop, text: 'takes no more callers', fields: describePhase(gateway, stop, lingerMs)});
 		return true;
 	},
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -128,8 +128,6 @@
 	| {kind: 'sendStreamMessage'; to: string; peerUrl: string; message: StreamMessage}
 	/** Register this instance with the platform, or update its registration. */
 	| {kind: 'register'; registration: Registration}
-	/** Accept no more connections, and close idle ones. */
-	| {kind: 'closeListener'}
 	/** Remove the registration of this instance. */
 	| {kind: 'withdraw'}
 	/** Remove the registration of another instance, which has been silent for too long. */
@@ -144,6 +142,7 @@
 	/** Ask the platform for changes of a kind of data at once. */
 	| {kind: 'refreshData'; data: DataKind}
 	| {kind: 'log'; part: LogPart; level: 'debug' | 'info' | 'warn' | 'error'; text: string; request?: string; fields?: Record<string, unknown>}
+	/** The planned stop is complete: close the listener for callers and all connections. */
 	| {kind: 'stopped'};
 
 export type GatewayOutboundOf<Kind extends GatewayOutbound['kind']> = Extract<GatewayOutbound, {kind: Kind}>;
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -7,7 +7,7 @@
 import {
 	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import type {CallerLimits} from '@shallotloom/core/gateway/catalogue.ts';
 import {
 	Outcome, RefusalKind, refusals, type Refusal,
@@ -15,6 +15,7 @@
 import {createByteBuffer} from '../byte-buffer.ts';
 import {createRefusalBody} from '../exchange.ts';
 import type {Address} from '../listener.ts';
+import {runAfterNextPoll} from '../loop-stalls.ts';
 import {writeRefusal} from './call-exchange.ts';
 
 /** Why the router closed a connection without the end of an answer. */
@@ -39,7 +40,10 @@
 	setLimits(limits: CallerLimits): void;
 	/** From now on, each connection is closed after the next response whose head hasn't been sent yet. */
 	leave(): void;
-	/** Stops accepting connections and closes those that are or become idle; resolves when all have closed. */
+	/**
+	Reads what has arrived, stops accepting connections and closes those that are or become idle; resolves when all have closed. Responses
+	to requests that it reads announce the end of their connections.
+	*/
 	close(): Promise<void>;
 	closeAllConnections(): void;
 };
@@ -67,6 +71,9 @@
 /** Interval at which idle connections are closed after the listener has been closed, in milliseconds. */
 const idleConnectionCheckMs = 50;
 
+/** Most polls for connections and requests that have arrived before the listener closes. */
+const maxPollsBeforeClose = 50;
+
 function createNotRunRefusal(kind: RefusalKind, detail = ''): Refusal {
 	return {kind, outcome: Outcome.NotRun, detail};
 }
@@ -101,7 +108,10 @@
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const openResponses = new Map<ServerResponse, Socket>();
-	const connections = new Set<Socket>();
+	/** Open connections, each with the bytes that it had received at the end of its last request. */
+	const connections = new Map<Socket, number>();
+	/** Number of connections and requests so far. */
+	let arrivals = 0;
 
 	/** While the listener closes, closes the connection after a response whose head was sent before and so announced no close. */
 	function closeWhenFinished({socket}: IncomingMessage, response: ServerResponse) {
@@ -126,6 +136,7 @@
 	}
 
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
+		arrivals += 1;
 		closeWhenFinished(request, response);
 		if (state.isLeaving) {
 			response.setHeader('connection', 'close');
@@ -148,6 +159,7 @@
 			}
 		});
 		request.on('end', () => {
+			connections.set(request.socket, request.socket.bytesRead);
 			if (size <= maxBodyBytes) {
 				onRequest(request, response, size === 0 ? undefined : buffered.take());
 			}
@@ -167,7 +179,8 @@
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
 	server.on('connection', socket => {
-		connections.add(socket);
+		arrivals += 1;
+		connections.set(socket, 0);
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -182,17 +195,31 @@
 		refuseUnparsable(error, socket);
 	});
 
-	/** Closes connections with `close`, and counts those. */
-	function closeConnections(reason: ConnectionEnd, close: () => void) {
-		const open = [...connections].filter(({destroyed}) => !destroyed);
-		close();
-		for (const {destroyed} of open) {
-			if (destroyed) {
-				onConnectionClosed(reason);
+	/** Closes the connections on which no response is open and no request has begun. */
+	function closeIdleConnections() {
+		const busy = new Set(openResponses.values());
+		for (const [socket, requestBytes] of connections) {
+			if (!socket.destroyed && !busy.has(socket) && socket.bytesRead === requestBytes) {
+				onConnectionClosed(ConnectionEnd.Idle);
+				socket.destroy();
 			}
 		}
 	}
 
+	/**
+	Resolves once the event loop has polled without finding a new connection or request. Closing a connection earlier would reset it with
+	what has arrived, and its caller couldn't know whether its request was read.
+	*/
+	async function readArrived() {
+		let known = -1;
+		for (let polls = 0; known !== arrivals && polls < maxPollsBeforeClose; polls += 1) {
+			known = arrivals;
+			await new Promise<void>(resolve => {
+				runAfterNextPoll(resolve);
+			});
+		}
+	}
+
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
@@ -212,26 +239,27 @@
 			}
 		},
 		async close() {
+			state.isLeaving = true;
+			await readArrived();
 			state.isClosing = true;
-			// A connection that has carried no request yet becomes idle without the end of a response.
+			closeIdleConnections();
+			// A connection on which a request has begun may become idle without the end of a response.
 			const idleCheck = setInterval(() => {
-				closeConnections(ConnectionEnd.Idle, () => {
-					server.closeIdleConnections();
-				});
+				runAfterNextPoll(closeIdleConnections);
 			}, idleConnectionCheckMs);
 			await new Promise<void>(resolve => {
-				closeConnections(ConnectionEnd.Idle, () => {
-					server.close(() => {
-						resolve();
-					});
+				// That of node:http also closes connections whose last response has been written, but not sent.
+				NetServer.prototype.close.call(server, () => {
+					resolve();
 				});
 			});
 			clearInterval(idleCheck);
 		},
 		closeAllConnections() {
-			closeConnections(ConnectionEnd.Left, () => {
-				server.closeAllConnections();
-			});
+			for (const socket of connections.keys()) {
+				onConnectionClosed(ConnectionEnd.Left);
+				socket.destroy();
+			}
 		},
 	};
 }
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -107,7 +107,6 @@
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
-	let listenerClosed: Promise<void> | undefined;
 	let withdrawal: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
 		metrics.countInbound(inbound, timer.now());
@@ -232,9 +231,6 @@
 			register({registration}) {
 				registry.register(registration);
 			},
-			closeListener() {
-				listenerClosed = listener.close();
-			},
 			withdraw() {
 				withdrawal = registry.withdraw();
 			},
@@ -384,7 +380,7 @@
 		async close() {
 			const {stop} = gateway;
 			const untilFlushedMs = stop ? stop.requestedAt + stop.times.maxStopMs + stop.times.stopFlushMs - timer.now() : 0;
-			await Promise.race([listenerClosed ?? listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilFlushedMs))]);
+			await Promise.race([listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilFlushedMs))]);
 			listener.closeAllConnections();
 			await Promise.race([withdrawal, sleep(stop?.times.stopExitMs ?? 0)]);
 			loop.stop();
--- a/packages/router/test/gateway/answers.test.ts
+++ b/packages/router/test/gateway/answers.test.ts
@@ -472,5 +472,9 @@
 	expect(received.headers.connection).toBe('close');
 	await waitUntil('the stop is complete', async () => testRouter!.router.gateway.stopPhase === StopPhase.Done);
 
+	const late = await sendRequest(callerAddress, '/book/x');
+	expect(late).toMatchObject({status: 503, isComplete: true, headers: {connection: 'close', 'retry-after': '0'}});
+	expect(getRequests()).toHaveLength(1);
+	await testRouter!.stop();
 	expect(await requestStatus(callerAddress, '/book/x')).toBe(0);
 });
