Announce the end of a connection with the last of its open responses

What callers saw: of two requests that were sent one after the other on a connection, both of which had been passed on to targets, the second got no answer when a stop began: the connection was closed after the first answer.

Cause: while the instance is leaving, each open response announced the end of its connection, and node:http closes the connection after the first one that does. A request behind a response that had announced the end was even passed on anew.

Now only the last open response of a connection announces its end, an earlier one takes its announcement back if its head hasn't been sent, and a request behind an announced end isn't handled.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -129,6 +129,27 @@
 		});
 	}
 
+	function getOpenResponses(socket: Socket): ServerResponse[] {
+		return [...openResponses].filter(([, other]) => other === socket).map(([response]) => response);
+	}
+
+	/** Announces the end of a connection with the last of the responses that are open on it: an earlier one would cut off the others. */
+	function announceEnd(socket: Socket) {
+		const open = getOpenResponses(socket);
+		for (const response of open.filter(({headersSent}) => !headersSent)) {
+			if (response === open.at(-1)) {
+				response.setHeader('connection', 'close');
+			} else {
+				response.removeHeader('connection');
+			}
+		}
+	}
+
+	/** Whether a response that is open on a connection has already announced its end, so that no response can follow. */
+	function isEndAnnounced(socket: Socket): boolean {
+		return getOpenResponses(socket).some(response => response.headersSent && response.getHeader('connection') === 'close');
+	}
+
 	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
 		// The rest of the request stays unread, so the connection can't be reused.
 		response.setHeader('connection', 'close');
@@ -137,9 +158,14 @@
 
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
 		arrivals += 1;
+		if (isEndAnnounced(request.socket)) {
+			request.resume();
+			return;
+		}
+
 		closeWhenFinished(request, response);
 		if (state.isLeaving) {
-			response.setHeader('connection', 'close');
+			announceEnd(request.socket);
 		}
 
 		if (computeHeaderBytes(request) > limits.headerBytes) {
@@ -232,10 +258,8 @@
 		},
 		leave() {
 			state.isLeaving = true;
-			for (const response of openResponses.keys()) {
-				if (!response.headersSent) {
-					response.setHeader('connection', 'close');
-				}
+			for (const socket of new Set(openResponses.values())) {
+				announceEnd(socket);
 			}
 		},
 		async close() {
