--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import {defaultGatewayLimits, type GatewayLimits} from './limits.ts';
 import type {GatewayOutbound} from './ports.ts';
 import {createStoredStreams, type StoredStreams} from './stored-streams.ts';
+import type {StopBudget} from './time-budgets.ts';
 import type {
 	Call, Crash, DataVersion, FormerTarget, Instance, MissingData, PoolTarget, Quarantine, SendCount, StoredQuarantine, Usage, StreamOrigin,
 } from './rows.ts';
@@ -36,13 +37,22 @@
 
 /** Phase of a planned stop. */
 export enum StopPhase {
-	/** New connections are still accepted, from callers that cached the address. */
+	/** Calls are taken from callers that cached the address. */
 	Lingering = 'lingering',
-	/** New connections are no longer accepted; calls finish. */
+	/** Calls finish; new ones are taken only if their deadline lies before the end of the stop. */
 	Draining = 'draining',
 	Done = 'done',
 }
 
+/** A planned stop that has been requested. */
+export type PlannedStop = {
+	requestedAt: number;
+	/** Its times as of the request: new settings don't change them. */
+	times: Readonly<StopBudget>;
+	/** Calls that were refused on arrival because of the stop. */
+	refusedCalls: number;
+};
+
 /** Whether the platform can be reached, since when, and whether its data is complete. */
 export type PlatformReachability = {
 	isReached: boolean;
@@ -70,7 +80,7 @@
 	now: number;
 	state: MemberState;
 	/** Undefined until a stop is requested. */
-	stopRequestedAt: number | undefined;
+	stop: PlannedStop | undefined;
 	stopPhase: StopPhase;
 	/** Undefined until the first one arrives. */
 	catalogue: Catalogue | undefined;
@@ -183,7 +193,7 @@
 		startedAt: now,
 		now,
 		state: MemberState.Active,
-		stopRequestedAt: undefined,
+		stop: undefined,
 		stopPhase: StopPhase.Lingering,
 		catalogue: undefined,
 		hasTargetList: false,
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -7,7 +7,7 @@
 import {
 	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import type {CallerLimits} from '@shallotloom/core/gateway/catalogue.ts';
 import {
 	Outcome, RefusalKind, refusals, type Refusal,
@@ -15,11 +15,23 @@
 import {createByteBuffer} from '../byte-buffer.ts';
 import {createRefusalBody} from '../exchange.ts';
 import {bindServer, type Address, type BindOptions} from '../listener.ts';
+import {runAfterNextPoll} from '../loop-stalls.ts';
 import {writeRefusal} from './call-exchange.ts';
 
+/** Why the router closed a connection without the end of an answer. */
+export enum ConnectionEnd {
+	/** Its bytes were no request. */
+	Unparsable = 'unparsable',
+	/** It was idle when the listener closed. */
+	Idle = 'idle',
+	/** It was still open when all connections were closed. */
+	Left = 'left',
+}
+
 export type CallerListenerOptions = {
 	address: Address;
 	bind?: BindOptions | undefined;
+	onConnectionClosed: (reason: ConnectionEnd) => void;
 	/** Called with each request once its body has been read in full. */
 	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) => void;
 };
@@ -29,7 +41,10 @@
 	setLimits(limits: CallerLimits): void;
 	/** From now on, each connection is closed after the next response whose head hasn't been sent yet. */
 	leave(): void;
-	/** Stops accepting connections and closes those that are or become idle; resolves when all have closed. */
+	/**
+	Reads what has arrived, stops accepting connections and closes those that are or become idle; resolves when all have closed. Responses
+	to requests that it reads announce the end of their connections.
+	*/
 	close(): Promise<void>;
 	closeAllConnections(): void;
 };
@@ -57,6 +72,9 @@
 /** Interval at which idle connections are closed after the listener has been closed, in milliseconds. */
 const idleConnectionCheckMs = 50;
 
+/** Most polls for connections and requests that have arrived before the listener closes. */
+const maxPollsBeforeClose = 50;
+
 function createNotRunRefusal(kind: RefusalKind, detail = ''): Refusal {
 	return {kind, outcome: Outcome.NotRun, detail};
 }
@@ -69,11 +87,6 @@
 
 /** Refuses bytes that can't be parsed as a request, and closes the connection. */
 function refuseUnparsable(error: NodeJS.ErrnoException, socket: Socket) {
-	if (!socket.writable || error.code === 'ECONNRESET') {
-		socket.destroy();
-		return;
-	}
-
 	const refusal = createNotRunRefusal(parserRefusalKinds[error.code ?? ''] ?? RefusalKind.MalformedBody, error.message);
 	const {status} = refusals[refusal.kind];
 	const body = JSON.stringify(createRefusalBody(refusal));
@@ -92,10 +105,14 @@
 }
 
 /** Starts the listener; rejects when its address can't be bound. */
-export async function listenForCallers({address, bind, onRequest}: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForCallers({address, bind, onRequest, onConnectionClosed}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const openResponses = new Map<ServerResponse, Socket>();
+	/** Open connections, each with the bytes that it had received at the end of its last request. */
+	const connections = new Map<Socket, number>();
+	/** Number of connections and requests so far. */
+	let arrivals = 0;
 
 	/** While the listener closes, closes the connection after a response whose head was sent before and so announced no close. */
 	function closeWhenFinished({socket}: IncomingMessage, response: ServerResponse) {
@@ -113,6 +130,27 @@
 		});
 	}
 
+	function getOpenResponses(socket: Socket): ServerResponse[] {
+		return [...openResponses].filter(([, other]) => other === socket).map(([response]) => response);
+	}
+
+	/** Announces the end of a connection with the last of the responses that are open on it: an earlier one would cut off the others. */
+	function announceEnd(socket: Socket) {
+		const open = getOpenResponses(socket);
+		for (const response of open.filter(({headersSent}) => !headersSent)) {
+			if (response === open.at(-1)) {
+				response.setHeader('connection', 'close');
+			} else {
+				response.removeHeader('connection');
+			}
+		}
+	}
+
+	/** Whether a response that is open on a connection has already announced its end, so that no response can follow. */
+	function isEndAnnounced(socket: Socket): boolean {
+		return getOpenResponses(socket).some(response => response.headersSent && response.getHeader('connection') === 'close');
+	}
+
 	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
 		// The rest of the request stays unread, so the connection can't be reused.
 		response.setHeader('connection', 'close');
@@ -120,9 +158,15 @@
 	}
 
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
+		arrivals += 1;
+		if (isEndAnnounced(request.socket)) {
+			request.resume();
+			return;
+		}
+
 		closeWhenFinished(request, response);
 		if (state.isLeaving) {
-			response.setHeader('connection', 'close');
+			announceEnd(request.socket);
 		}
 
 		if (computeHeaderBytes(request) > limits.headerBytes) {
@@ -142,6 +186,7 @@
 			}
 		});
 		request.on('end', () => {
+			connections.set(request.socket, request.socket.bytesRead);
 			if (size <= maxBodyBytes) {
 				onRequest(request, response, size === 0 ? undefined : buffered.take());
 			}
@@ -160,7 +205,48 @@
 		requestTimeout: 0,
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
-	server.on('clientError', refuseUnparsable);
+	server.on('connection', socket => {
+		arrivals += 1;
+		connections.set(socket, 0);
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		if (!socket.writable || error.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
+		}
+
+		onConnectionClosed(ConnectionEnd.Unparsable);
+		refuseUnparsable(error, socket);
+	});
+
+	/** Closes the connections on which no response is open and no request has begun. */
+	function closeIdleConnections() {
+		const busy = new Set(openResponses.values());
+		for (const [socket, requestBytes] of connections) {
+			if (!socket.destroyed && !busy.has(socket) && socket.bytesRead === requestBytes) {
+				onConnectionClosed(ConnectionEnd.Idle);
+				socket.destroy();
+			}
+		}
+	}
+
+	/**
+	Resolves once the event loop has polled without finding a new connection or request. Closing a connection earlier would reset it with
+	what has arrived, and its caller couldn't know whether its request was read.
+	*/
+	async function readArrived() {
+		let known = -1;
+		for (let polls = 0; known !== arrivals && polls < maxPollsBeforeClose; polls += 1) {
+			known = arrivals;
+			await new Promise<void>(resolve => {
+				runAfterNextPoll(resolve);
+			});
+		}
+	}
+
 	await bindServer(server, address, bind);
 	return {
 		setLimits(next) {
@@ -170,27 +256,32 @@
 		},
 		leave() {
 			state.isLeaving = true;
-			for (const response of openResponses.keys()) {
-				if (!response.headersSent) {
-					response.setHeader('connection', 'close');
-				}
+			for (const socket of new Set(openResponses.values())) {
+				announceEnd(socket);
 			}
 		},
 		async close() {
+			state.isLeaving = true;
+			await readArrived();
 			state.isClosing = true;
-			// A connection that has carried no request yet becomes idle without the end of a response.
+			closeIdleConnections();
+			// A connection on which a request has begun may become idle without the end of a response.
 			const idleCheck = setInterval(() => {
-				server.closeIdleConnections();
+				runAfterNextPoll(closeIdleConnections);
 			}, idleConnectionCheckMs);
 			await new Promise<void>(resolve => {
-				server.close(() => {
+				// That of node:http also closes connections whose last response has been written, but not sent.
+				NetServer.prototype.close.call(server, () => {
 					resolve();
 				});
 			});
 			clearInterval(idleCheck);
 		},
 		closeAllConnections() {
-			server.closeAllConnections();
+			for (const socket of connections.keys()) {
+				onConnectionClosed(ConnectionEnd.Left);
+				socket.destroy();
+			}
 		},
 	};
 }
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -118,7 +118,6 @@
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
-	let listenerClosed: Promise<void> | undefined;
 	let withdrawal: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
 		metrics.countInbound(inbound, timer.now());
@@ -220,6 +219,10 @@
 				const exchange = exchanges.get(call);
 				metrics.countRefusal(refusal, {pool, cause});
 				if (exchange) {
+					if (!exchange.isFinished && exchange.response.headersSent) {
+						metrics.countCutAnswer(cause ?? refusal.kind);
+					}
+
 					cancelSend(exchange);
 					endWithRefusal(exchange, refusal);
 				}
@@ -239,9 +242,6 @@
 			register({registration}) {
 				registry.register(registration);
 			},
-			closeListener() {
-				listenerClosed = listener.close();
-			},
 			withdraw() {
 				withdrawal = registry.withdraw();
 			},
@@ -381,6 +381,7 @@
 		address: parseAddress(options.callerListenAddress),
 		bind,
 		onRequest: handleCall,
+		onConnectionClosed: metrics.countClosedConnection,
 	});
 	loop.start();
 
@@ -392,11 +393,11 @@
 			listener.leave();
 		},
 		async close() {
-			const {stopRequestedAt, limits} = gateway;
-			const untilStopEndsMs = stopRequestedAt === undefined ? 0 : stopRequestedAt + limits.maxStopMs - timer.now();
-			await Promise.race([listenerClosed ?? listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilStopEndsMs))]);
+			const {stop} = gateway;
+			const untilFlushedMs = stop ? stop.requestedAt + stop.times.maxStopMs + stop.times.stopFlushMs - timer.now() : 0;
+			await Promise.race([listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilFlushedMs))]);
 			listener.closeAllConnections();
-			await Promise.race([withdrawal, sleep(withdrawalTimeoutMs)]);
+			await Promise.race([withdrawal, sleep(stop?.times.stopExitMs ?? 0)]);
 			loop.stop();
 			stopWatchingStalls();
 			stopWatchingUse();
@@ -408,10 +409,7 @@
 }
 
 /** How long the last answers may take at least to reach their callers before all connections are closed, in milliseconds. */
-const listenerCloseTimeoutMs = 200;
-
-/** How long the withdrawal of the registration may take, in milliseconds; other instances remove what is left of it. */
-const withdrawalTimeoutMs = 500;
+const listenerCloseTimeoutMs = 100;
 
 async function sleep(ms: number) {
 	return new Promise(resolve => {
