A request that can be sent to no target sets no target aside

Callers saw: one request with two Host headers, or with a tab or a form feed in its path, was answered with 503 "no target serves the pool", and for 0.25 s and longer so was everybody else's: undici refuses such a request (UND_ERR_INVALID_ARG), the adapter reported that no connection was established, and the core set aside one target after the other. A Host such as "[::1" was answered with 502 "unknown" though nothing was sent, and counted as a broken answer of the target.

Cause: what undici threw before it looked for a connection was classified by its code like a failed connection, and a code that isn't in the list (ERR_ASSERTION, EMFILE, ECONNRESET while connecting) like a broken answer, though no byte had been written.

Now the end of a send follows from what happened: a byte was written (broken), undici refused the request (unsendable: the caller gets 400 "not-run", the target isn't touched), this process has no descriptor or memory for a connection (no-resource: 503, the target isn't touched), else not sent.

--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -26,6 +26,10 @@
 	Failed = 'failed',
 	/** The connection broke, or the answer is incomplete. */
 	Broken = 'broken',
+	/** The request can't be written to any target, so nothing was sent. */
+	Unsendable = 'unsendable',
+	/** This process has no descriptor or memory left for a connection, so nothing was sent. */
+	NoResource = 'no-resource',
 }
 
 /** Instance as registered with the platform. */
--- a/packages/core/src/gateway/send-ends.ts
+++ b/packages/core/src/gateway/send-ends.ts
@@ -95,6 +95,15 @@
 
 type EndHandler = (gateway: Gateway, call: Call, detail: string) => void;
 
+/** Refuses a call that was charged but whose last send reached no target. */
+function refuseUnsent(gateway: Gateway, call: Call, refusal: Refusal, detail: string) {
+	if (!call.mayHaveRun) {
+		refundCall(gateway, call);
+	}
+
+	refuse(gateway, call, refusal, {detail});
+}
+
 /** Handles the end of a send for its call. */
 const endHandlers: Record<SendEnd, EndHandler> = {
 	[SendEnd.Complete](gateway, call) {
@@ -119,6 +128,12 @@
 
 		refuse(gateway, call, createFailureRefusal(gateway, call, detail));
 	},
+	[SendEnd.Unsendable](gateway, call, detail) {
+		refuseUnsent(gateway, call, {kind: RefusalKind.MalformedBody, outcome: Outcome.NotRun, detail}, detail);
+	},
+	[SendEnd.NoResource](gateway, call, detail) {
+		refuseUnsent(gateway, call, createRefusal(RefusalKind.NoCapacity, call.pool, computeRetryAfterMs(gateway, call.pool)), detail);
+	},
 	[SendEnd.WrongTarget](gateway, call, detail) {
 		call.attempts -= 1;
 		resendOrRefuse(gateway, call, detail);
--- a/packages/core/src/gateway/target-health.ts
+++ b/packages/core/src/gateway/target-health.ts
@@ -42,6 +42,12 @@
 		target.consecutiveFailures = Math.max(target.consecutiveFailures + 1, gateway.limits.failuresBeforeSetAside);
 		setAside(gateway, target, 'no connection');
 	},
+	[SendEnd.Unsendable]() {
+		// The request is at fault, not the target.
+	},
+	[SendEnd.NoResource]() {
+		// This process is at fault, not the target.
+	},
 	[SendEnd.Refused](gateway, target) {
 		target.fullUntil = gateway.now + gateway.limits.fullAfterRefusalMs;
 	},
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -29,8 +29,20 @@
 
 type SendCommand = GatewayOutboundOf<'send'>;
 
-/** Codes of errors that occur before any byte of a request is sent. */
-const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ETIMEDOUT', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
+/** Codes of errors that occur when this process, not the target, has no means for a connection. */
+const noResourceCodes = new Set(['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']);
+
+/** Codes with which undici refuses any request because the connections of its target have been closed. */
+const closedPoolCodes = new Set(['UND_ERR_CLOSED', 'UND_ERR_DESTROYED']);
+
+/** Returns how a send ended of which no byte was written. `isRefused`: whether undici refused the request itself. */
+function classifyUnsent(code: string, isRefused: boolean): SendEnd {
+	if (isRefused && !closedPoolCodes.has(code)) {
+		return SendEnd.Unsendable;
+	}
+
+	return noResourceCodes.has(code) ? SendEnd.NoResource : SendEnd.NotSent;
+}
 
 /** Statuses that tell callers that a request has not run; they must not be relayed from a target that may have run it. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
@@ -76,6 +88,8 @@
 	});
 	const answer = createAnswerHandler(exchange, command, options);
 	let wasSent = false;
+	// undici checks a request before it looks for a connection.
+	let isChecking = true;
 
 	connectionPools.getOrCreatePool(command.address).dispatch({
 		path: exchange.url,
@@ -113,10 +127,10 @@
 		},
 		onResponseError(_controller, error) {
 			const {code} = error as {code?: string};
-			const isNotSent = !wasSent && (code === undefined || notSentCodes.has(code) || code.startsWith('UND_ERR'));
-			answer.onError(isNotSent ? SendEnd.NotSent : SendEnd.Broken, code ?? error.message);
+			answer.onError(wasSent ? SendEnd.Broken : classifyUnsent(code ?? '', isChecking), isChecking ? error.message : (code ?? error.message));
 		},
 	});
+	isChecking = false;
 }
 
 /** Why an answer isn't taken for that of the request; undefined when it is. */
