Bytes that are no request are refused after the answers before them

Callers saw: a caller that wrote something else on its connection while a request was in work (bytes that are no HTTP, a head that is too large or came too slowly, a malformed body, CONNECT) got the refusal of these bytes at once and in place of the answer to its request: "400 not-run", "408 not-run" or "431 not-run" of a booking that ran at its target, whose own answer was never written. In the middle of a stream the head of the refusal stood among the events. CONNECT was closed without a word, and took the answers before it along.

Cause: the handler of `clientError` wrote to the socket without regard to the responses that were still owed on it, and node:http destroys the socket of a CONNECT that nobody handles.

Now such bytes are refused once the responses to the complete requests before them have been sent. A head that was too slow and has arrived by then is served.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -60,10 +60,13 @@
 	return {kind, outcome: Outcome.NotRun, detail};
 }
 
+/** Error code of a request whose head arrives too slowly; it may still arrive after that. */
+const headersTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Refusal kinds by error code of the HTTP parser; any other code is a malformed request. */
 const parserRefusalKinds: Record<string, RefusalKind> = {
 	HPE_HEADER_OVERFLOW: RefusalKind.HeadersTooLarge,
-	ERR_HTTP_REQUEST_TIMEOUT: RefusalKind.RequestTimeout,
+	[headersTimeoutCode]: RefusalKind.RequestTimeout,
 };
 
 /** Refuses bytes that can't be parsed as a request, and closes the connection. */
@@ -112,6 +115,32 @@
 		});
 	}
 
+	/** Connections with bytes that are no request. */
+	const unparsable = new WeakSet<Socket>();
+
+	/**
+	Refuses bytes that can't be parsed as a request after the responses to the requests before them, since callers take responses in the
+	order of their requests. A request whose body is malformed has no other response.
+	*/
+	function refuseAfterResponses(error: NodeJS.ErrnoException, socket: Socket) {
+		const last = [...openResponses].findLast(([{req}, responseSocket]) => responseSocket === socket && req.complete);
+		if (!last) {
+			refuseUnparsable(error, socket);
+			return;
+		}
+
+		if (!unparsable.has(socket)) {
+			unparsable.add(socket);
+			last[0].once('finish', () => {
+				unparsable.delete(socket);
+				const hasArrived = error.code === headersTimeoutCode && [...openResponses.values()].includes(socket);
+				if (!hasArrived) {
+					refuseAfterResponses(error, socket);
+				}
+			});
+		}
+	}
+
 	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
 		// The rest of the request stays unread, so the connection can't be reused.
 		response.setHeader('connection', 'close');
@@ -159,7 +188,10 @@
 		requestTimeout: 0,
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
-	server.on('clientError', refuseUnparsable);
+	server.on('clientError', refuseAfterResponses);
+	server.on('connect', (_request, socket) => {
+		refuseAfterResponses(new Error('CONNECT is not supported'), socket as Socket);
+	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
