Log the life of a process in one place, and time its end from the wait

The two programs wrote the same lines about addresses and process events; process-log.ts does. Two tests of starts failed in one run each at a load average of 15 to 28: their 6 s counted from the spawn, of which the start itself took a part.

--- a/packages/router/src/cli/program.ts
+++ b/packages/router/src/cli/program.ts
@@ -9,9 +9,9 @@
 import {checkRouterSettings, loadRouterSettings} from '@shallotloom/settings/router-settings.ts';
 import {describeProblems} from '@shallotloom/settings/problems.ts';
 import {ignoreOutputErrors, writeDiagnostic} from '../diagnostics.ts';
-import type {BindOptions} from '../listener.ts';
 import {AdapterPart, createLog} from '../log.ts';
 import {ExitCode, ProcessEvent, type ProcessLifecycle} from '../process-lifecycle.ts';
+import {createLoggedBind, logProcessEvent} from '../process-log.ts';
 import {startRouter, type Router} from '../router.ts';
 
 declare const SHALLOTLOOM_VERSION: string | undefined;
@@ -34,9 +34,6 @@
 	lifecycle.handle(ProcessEvent.Stopped);
 }
 
-/** Events that are no part of an ordinary life. */
-const failureEvents = new Set([ProcessEvent.StartFailed, ProcessEvent.StopTimedOut, ProcessEvent.Exception]);
-
 async function serve(file: string, lifecycle: ProcessLifecycle) {
 	const result = await loadRouterSettings(file);
 	if (result.kind !== 'ok') {
@@ -55,22 +52,12 @@
 		drain() {
 			program.drain?.();
 		},
-		record({event, state, atMs, cause}) {
-			log.write({
-				part: AdapterPart.Process, level: failureEvents.has(event) ? 'error' : 'info', text: `${event} while ${state}${cause === '' ? '' : `: ${cause}`}`, fields: {atMs},
-			});
+		record(record) {
+			logProcessEvent(log, record);
 		},
 	});
-	const bind: BindOptions = {
-		// A process that was here before may still be in its planned stop.
-		maxWaitMs: settings.stop.graceMs,
-		onWait({host, port}, code) {
-			log.write({part: AdapterPart.Process, level: 'warn', text: `waiting for address ${host}:${port}: ${code}`});
-		},
-		onBound({host, port}, waitedMs) {
-			log.write({part: AdapterPart.Process, level: 'info', text: `address ${host}:${port} bound after ${waitedMs} ms`});
-		},
-	};
+	// A process that was here before may still be in its planned stop.
+	const bind = createLoggedBind(log, settings.stop.graceMs);
 	const router = await startRouter({
 		settings,
 		log,
--- a/packages/router/test/process-starts.test.ts
+++ b/packages/router/test/process-starts.test.ts
@@ -19,7 +19,7 @@
 /** Longest planned stop of a process that may hold the addresses, in milliseconds. */
 const graceMs = 3000;
 
-/** Time in which a program ends that can't start, in milliseconds: that stop, a second to start, and 2 s. */
+/** Time in which a program ends that waits for an address, in milliseconds: that stop, and 3 s. */
 const endMs = 6000;
 
 const settings = `${minimalSettings}stop: {graceMs: ${graceMs}}\n`;
@@ -52,6 +52,7 @@
 test('a router whose address stays in use ends with 1 and names the address', async () => {
 	await occupy(8080);
 	running = program.launch('--settings', await program.writeSettings(settings));
+	await waitUntil('the router waits', async () => running!.output().includes('waiting for address'));
 	expect(await running.waitForEnd(endMs)).toBe(1);
 	expect(running.output()).toContain(`${host}:8080`);
 });
@@ -59,7 +60,7 @@
 test('a router that waits for an address ends with 0 on SIGTERM', async () => {
 	await occupy(8082);
 	running = program.launch('--settings', await program.writeSettings(settings));
-	await sleep(inUseMs);
+	await waitUntil('the router waits', async () => running!.output().includes('waiting for address'));
 	running.signal('SIGTERM');
 	expect(await running.waitForEnd(endMs)).toBe(0);
 });
