Answer running requests before bytes behind them are refused

What callers saw: after a request that had been passed on, bytes on its connection that are no request, or the head of a next request that stayed incomplete for headers_ms, were refused at once: 400 or 408 stood where the answer to the first request was due, and that answer was dropped with the connection. 408 even promises that the request hasn't run.

Cause: the refusal of unparsable bytes is written to the socket, past the responses that are open on it.

Now the connection announces its end with the last open response and is closed after it; a request whose own body is malformed is refused after the answers before it. Without an open response nothing changes.

pipelined-requests.test.ts before the change: 3 of the 6 tests failed (400 or 408 as the first answer, no 200), now 6 of 6 pass; answers.test.ts and broken-heads.test.ts pass.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -84,9 +84,13 @@
 	ERR_HTTP_REQUEST_TIMEOUT: RefusalKind.RequestTimeout,
 };
 
+function createParserRefusal({code, message}: NodeJS.ErrnoException): Refusal {
+	return createNotRunRefusal(parserRefusalKinds[code ?? ''] ?? RefusalKind.MalformedBody, message);
+}
+
 /** Refuses bytes that can't be parsed as a request, and closes the connection. */
 function refuseUnparsable(error: NodeJS.ErrnoException, socket: Socket) {
-	const refusal = createNotRunRefusal(parserRefusalKinds[error.code ?? ''] ?? RefusalKind.MalformedBody, error.message);
+	const refusal = createParserRefusal(error);
 	const {status} = refusals[refusal.kind];
 	const body = JSON.stringify(createRefusalBody(refusal));
 	socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`);
@@ -110,6 +114,8 @@
 	const openResponses = new Map<ServerResponse, Socket>();
 	/** Open connections, each with the bytes that it had received at the end of its last request. */
 	const connections = new Map<Socket, number>();
+	/** Connections with bytes that are no request, which are closed after the responses that are open. */
+	const unparsable = new WeakSet<Socket>();
 	/** Number of connections and requests so far. */
 	let arrivals = 0;
 
@@ -123,7 +129,7 @@
 			openResponses.delete(response);
 			// A caller may have sent the next request before this response was complete.
 			const hasNextRequest = [...openResponses.values()].includes(socket);
-			if (state.isClosing && !hasNextRequest) {
+			if ((state.isClosing || unparsable.has(socket)) && !hasNextRequest) {
 				socket.destroySoon();
 			}
 		});
@@ -217,8 +223,21 @@
 			return;
 		}
 
-		onConnectionClosed(ConnectionEnd.Unparsable);
-		refuseUnparsable(error, socket);
+		const open = getOpenResponses(socket);
+		const last = open.at(-1);
+		const isWithinRequest = last?.req.complete === false;
+		if (open.length === (isWithinRequest ? 1 : 0)) {
+			onConnectionClosed(ConnectionEnd.Unparsable);
+			refuseUnparsable(error, socket);
+			return;
+		}
+
+		// A refusal that is written to the socket now would stand where the answer to the request before is due.
+		unparsable.add(socket);
+		announceEnd(socket);
+		if (last && isWithinRequest) {
+			refuseAndClose(last, createParserRefusal(error));
+		}
 	});
 
 	/** Closes the connections on which no response is open and no request has begun. */
--- a/packages/router/test/gateway/pipelined-requests.test.ts
+++ b/packages/router/test/gateway/pipelined-requests.test.ts
@@ -5,6 +5,9 @@
 
 const answerMs = 300;
 
+/** Time of an answer that takes longer than the head of a request may. */
+const slowAnswerMs = 5000;
+
 let target: RawTarget;
 let testRouter: TestRouter;
 let socket: Socket;
@@ -21,7 +24,7 @@
 
 		setTimeout(() => {
 			targetSocket.write(isStream ? '0\r\n\r\n' : `${answerHead}Content-Length: 2\r\n\r\nok`);
-		}, answerMs);
+		}, head.includes('/slow') ? slowAnswerMs : answerMs);
 	});
 	testRouter = await startTestRouter([target.address], 10_000);
 	const [host, port] = testRouter.callerAddress.split(':');
@@ -79,3 +82,31 @@
 	expect(target.requests.map(({id}) => id)).toEqual(['r1']);
 	expect(getStatuses()).toEqual(['200']);
 });
+
+// Guards against a refusal of later bytes that stands where the answer to a running request is due.
+test('bytes that are no request don\'t take the place of the answer to the request before them', async () => {
+	socket.write(createRequest('r1', '/book/1'));
+	await waitUntil('it is at the target', async () => target.requests.length === 1);
+	socket.write('no request\r\n\r\n');
+	await waitUntil('the connection is closed', async () => isClosed);
+	expect(getStatuses()[0]).toBe('200');
+	expect(text).toContain('ok');
+});
+
+test('a request whose head stays incomplete doesn\'t end the answer to the request before it', async () => {
+	socket.write(createRequest('r1', '/book/slow'));
+	await waitUntil('it is at the target', async () => target.requests.length === 1);
+	socket.write('GET /book/2 HTTP/1.1\r\n');
+	await waitUntil('the connection is closed', async () => isClosed);
+	expect(getStatuses()[0]).toBe('200');
+	expect(text).toContain('ok');
+}, 15_000);
+
+test('a request with a malformed body is refused after the answer to the request before it', async () => {
+	socket.write(createRequest('r1', '/book/1'));
+	await waitUntil('it is at the target', async () => target.requests.length === 1);
+	socket.write('POST /book/2 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n');
+	await waitUntil('the connection is closed', async () => isClosed);
+	expect(getStatuses()).toEqual(['200', '400']);
+	expect(target.requests).toHaveLength(1);
+});
