Log the close of connections at the end of a stop, and bound what follows

The line connections closed has dueMs, afterMs and the connections that were left. The withdrawal and the close of the connections to peers and targets have one bound in time, the exit part of the stop's budget, at most 500 ms; before, the close of those connections had none.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -45,7 +45,8 @@
 	to requests that it reads announce the end of their connections.
 	*/
 	close(): Promise<void>;
-	closeAllConnections(): void;
+	/** Closes the connections that are left; returns their number. */
+	closeAllConnections(): number;
 };
 
 /** Limits that apply until the first catalogue arrives. */
@@ -299,10 +300,13 @@
 			clearInterval(idleCheck);
 		},
 		closeAllConnections() {
-			for (const socket of connections.keys()) {
+			const left = [...connections.keys()].filter(({destroyed}) => !destroyed);
+			for (const socket of left) {
 				onConnectionClosed(ConnectionEnd.Left);
 				socket.destroy();
 			}
+
+			return left.length;
 		},
 	};
 }
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -6,7 +6,9 @@
 import {randomBytes} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {DataKind} from '@shallotloom/core/gateway/data-sources.ts';
-import {createGateway, type Gateway, type GatewaySelf} from '@shallotloom/core/gateway/gateway.ts';
+import {
+	createGateway, type Gateway, type GatewaySelf, type PlannedStop,
+} from '@shallotloom/core/gateway/gateway.ts';
 import type {GatewayLimits} from '@shallotloom/core/gateway/limits.ts';
 import type {GatewayInbound, GatewayOutbound, Registration} from '@shallotloom/core/gateway/ports.ts';
 import {isRateLimited} from '@shallotloom/core/gateway/rate-limits.ts';
@@ -378,23 +380,40 @@
 			listener.leave();
 		},
 		async close() {
-			const {stop} = gateway;
-			const untilFlushedMs = stop ? stop.requestedAt + stop.times.maxStopMs + stop.times.stopFlushMs - timer.now() : 0;
-			await Promise.race([listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilFlushedMs))]);
-			listener.closeAllConnections();
-			await Promise.race([withdrawal, sleep(stop?.times.stopExitMs ?? 0)]);
+			const {flushMs, exitMs} = computeCloseTimes(gateway.stop);
+			const sinceStopMs = () => timer.now() - (gateway.stop?.requestedAt ?? timer.now());
+			await Promise.race([listener.close(), sleep(Math.max(minFlushMs, flushMs - sinceStopMs()))]);
+			const left = listener.closeAllConnections();
+			log.write({
+				part: LogPart.Stop, level: 'info', text: 'connections closed', fields: {dueMs: flushMs, afterMs: Math.round(sinceStopMs()), left},
+			});
+			const untilExit = sleep(Math.min(maxExitMs, Math.max(0, exitMs - sinceStopMs())));
+			await Promise.race([withdrawal, untilExit]);
 			loop.stop();
 			stopWatchingStalls();
 			stopWatchingUse();
 			timer.stop();
 			peers.close();
-			await Promise.all([peerServer.close(), connectionPools.destroyAll()]);
+			await Promise.race([Promise.all([peerServer.close(), connectionPools.destroyAll()]), untilExit]);
 		},
 	};
 }
 
 /** How long the last answers may take at least to reach their callers before all connections are closed, in milliseconds. */
-const listenerCloseTimeoutMs = 100;
+const minFlushMs = 100;
+
+/** How long the withdrawal of the registration may take at most, in milliseconds; other instances remove what is left of it. */
+const maxExitMs = 500;
+
+/** When all connections are closed and when the process exits, in milliseconds after the request to stop. */
+function computeCloseTimes(stop: PlannedStop | undefined): {flushMs: number; exitMs: number} {
+	if (!stop) {
+		return {flushMs: minFlushMs, exitMs: minFlushMs + maxExitMs};
+	}
+
+	const {maxStopMs, stopFlushMs, stopExitMs} = stop.times;
+	return {flushMs: maxStopMs + stopFlushMs, exitMs: maxStopMs + stopFlushMs + stopExitMs};
+}
 
 async function sleep(ms: number) {
 	return new Promise(resolve => {
