Keep connections of callers open beyond the idle timeout that they were told

What callers could see: Keep-Alive named the moment at which the connection is closed (6 s with an idle timeout of 5 s in the configuration), so that a request within the time given met the close; and a new configuration with a shorter idle timeout closed a connection whose answer was running before the time that its caller had been told. The request was reset unread.

Cause: node:http derives the header from its own timeout, in which the margin of a second was included, and applies the timeout that is in force when an answer ends.

The header now names the configured idle timeout, and the connection stays open that long and the margin longer.

Two new tests in planned-stop.test.ts before the change: both failed (timeout=6 instead of 5; no answer after the change of the configuration), now both pass.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -75,6 +75,8 @@
 /** Most polls for connections and requests that have arrived before the listener closes. */
 const maxPollsBeforeClose = 50;
 
+const msPerSecond = 1000;
+
 function createNotRunRefusal(kind: RefusalKind, detail = ''): Refusal {
 	return {kind, outcome: Outcome.NotRun, detail};
 }
@@ -120,6 +122,24 @@
 	/** Number of connections and requests so far. */
 	let arrivals = 0;
 
+	/**
+	Says how long the connection stays open after a response, and keeps it open that long: node:http would say the time at which it closes the
+	connection, and apply new limits to it.
+	*/
+	function keepAlive({socket}: IncomingMessage, response: ServerResponse) {
+		const {idleTimeoutMs} = limits;
+		const seconds = Math.floor(idleTimeoutMs / msPerSecond);
+		if (seconds > 0 && response.shouldKeepAlive) {
+			response.setHeader('keep-alive', `timeout=${seconds}`);
+		}
+
+		response.once('finish', () => {
+			if (getOpenResponses(socket).length === 0) {
+				socket.setTimeout(idleTimeoutMs + keepAliveMarginMs);
+			}
+		});
+	}
+
 	/** While the listener closes, closes the connection after a response whose head was sent before and so announced no close. */
 	function closeWhenFinished({socket}: IncomingMessage, response: ServerResponse) {
 		openResponses.set(response, socket);
@@ -146,6 +166,7 @@
 		for (const response of open.filter(({headersSent}) => !headersSent)) {
 			if (response === open.at(-1)) {
 				response.setHeader('connection', 'close');
+				response.removeHeader('keep-alive');
 			} else {
 				response.removeHeader('connection');
 			}
@@ -160,6 +181,7 @@
 	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
 		// The rest of the request stays unread, so the connection can't be reused.
 		response.setHeader('connection', 'close');
+		response.removeHeader('keep-alive');
 		writeRefusal(response, refusal);
 	}
 
@@ -171,6 +193,7 @@
 		}
 
 		closeWhenFinished(request, response);
+		keepAlive(request, response);
 		if (state.isLeaving) {
 			announceEnd(request.socket);
 		}
--- a/packages/router/test/gateway/planned-stop.test.ts
+++ b/packages/router/test/gateway/planned-stop.test.ts
@@ -128,3 +128,26 @@
 	await waitUntil('the stop is complete', async () => testRouter.router.gateway.stopPhase === StopPhase.Done);
 	await delayed.stop();
 });
+
+// Guards against connections that are closed just as a caller uses them once more within the time that it was told.
+test('a kept connection stays open beyond the idle timeout that its caller was told', async () => {
+	const connection = openConnection();
+	send(connection, 'first', 12_000);
+	await waitUntil('the stream has ended', async () => connection.text.endsWith('0\r\n\r\n'));
+	expect(/keep-alive: timeout=(?<seconds>\d+)/iv.exec(connection.text)?.groups!.seconds).toBe('5');
+	await sleep(5200);
+	send(connection, 'second', 12_000);
+	await waitUntil('the second stream has ended', async () => connection.text.split('0\r\n\r\n').length === 3);
+}, 15_000);
+
+test('a new configuration with a shorter idle timeout doesn\'t close a connection before the time that its caller was told', async () => {
+	const connection = openConnection();
+	send(connection, 'first', 12_000);
+	await waitUntil('the stream has begun', async () => connection.text.includes('data: a'));
+	const catalogue = testRouter.router.gateway.catalogue!;
+	testRouter.router.push({kind: 'catalogue', catalogue: {...catalogue, version: 2, limits: {...catalogue.limits, idleTimeoutMs: 500}}});
+	await waitUntil('the stream has ended', async () => connection.text.endsWith('0\r\n\r\n'));
+	await sleep(2500);
+	send(connection, 'second', 12_000);
+	await waitUntil('the second stream has ended', async () => connection.text.split('0\r\n\r\n').length === 3);
+}, 15_000);
