--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -37,7 +37,8 @@
 	to requests that it reads announce the end of their connections.
 	*/
 	close(): Promise<void>;
-	closeAllConnections(): void;
+	/** Closes the connections that are left; returns their number. */
+	closeAllConnections(): number;
 };
 
 /** Limits that apply until the first catalogue arrives. */
@@ -66,6 +67,8 @@
 /** Most polls for connections and requests that have arrived before the listener closes. */
 const maxPollsBeforeClose = 50;
 
+const msPerSecond = 1000;
+
 function createNotRunRefusal(kind: RefusalKind, detail = ''): Refusal {
 	return {kind, outcome: Outcome.NotRun, detail};
 }
@@ -79,9 +82,13 @@
 	[headersTimeoutCode]: RefusalKind.RequestTimeout,
 };
 
+function createParserRefusal({code, message}: NodeJS.ErrnoException): Refusal {
+	return createNotRunRefusal(parserRefusalKinds[code ?? ''] ?? RefusalKind.MalformedBody, message);
+}
+
 /** Refuses bytes that can't be parsed as a request, and closes the connection. */
 function refuseUnparsable(error: NodeJS.ErrnoException, socket: Socket) {
-	const refusal = createNotRunRefusal(parserRefusalKinds[error.code ?? ''] ?? RefusalKind.MalformedBody, error.message);
+	const refusal = createParserRefusal(error);
 	const {status} = refusals[refusal.kind];
 	const body = JSON.stringify(createRefusalBody(refusal));
 	socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`);
@@ -106,6 +113,14 @@
 	/** Number of connections and requests so far. */
 	let arrivals = 0;
 
+	/** Says how long the connection stays open after a response; node:http would say the time at which it closes the connection. */
+	function announceIdleTimeout(response: ServerResponse) {
+		const seconds = Math.floor(limits.idleTimeoutMs / msPerSecond);
+		if (seconds > 0 && response.shouldKeepAlive) {
+			response.setHeader('keep-alive', `timeout=${seconds}`);
+		}
+	}
+
 	/** Connections with bytes that are no request. */
 	const unparsable = new WeakSet<Socket>();
 
@@ -135,6 +150,7 @@
 	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
 		// The rest of the request stays unread, so the connection can't be reused.
 		response.setHeader('connection', 'close');
+		response.removeHeader('keep-alive');
 		writeRefusal(response, refusal);
 	}
 
@@ -145,9 +161,17 @@
 			return;
 		}
 
+		announceIdleTimeout(response);
+		const {idleTimeoutMs} = limits;
 		connections.addResponse(request, response, hasNextRequest => {
-			// The head of the response was sent before the stop, and so announced no end.
-			if (state.isClosing && !hasNextRequest) {
+			if (hasNextRequest) {
+				return;
+			}
+
+			// node:http would apply the limits that are in force by now.
+			request.socket.setTimeout(idleTimeoutMs + keepAliveMarginMs);
+			if (state.isClosing) {
+				// The head of the response was sent before the stop, and so announced no end.
 				request.socket.destroySoon();
 			}
 		});
@@ -251,7 +275,7 @@
 			clearInterval(idleCheck);
 		},
 		closeAllConnections() {
-			connections.closeAll();
+			return connections.closeAll();
 		},
 	};
 }
