Exceptions end neither the process nor a call without an answer

What callers would see: nothing contained an exception in a handler of the core's outbox, in a message or a system of the core's step, or in the listener of requests, so that one call could end the process with all running calls (FAULT). An answer counted as delivered before its head was accepted, so that a head that node:http refuses left its call without an answer (LOST).

Now each part that throws is left out, logged with its stack, request and target, and counted (shallotloom_internal_errors_total{part}): - an action of a call: the core is told (callFailed), frees the target and refuses it ("internal", 500; "not-run" only when no byte was written); a call that the core has closed is refused by the adapter, or cut when its answer has begun; - an answer that can't be passed on: broken, sent again or refused as its kind allows; the exchange is finished once its head is accepted; - a message of a step: dropped, its call refused; - a system, or an exception that nothing owns (`GatewayRouter.fail`, for process.on('uncaughtException')): a planned stop, whose end is reported even if the core can't complete it; - a subscription of the timer: the others run, and the exception reaches the process as uncaught; - on /v1, an action: its request is refused and freed. Models and tests of the core still see each exception: containing is asked for by the router only.

--- a/packages/core/src/gateway/calls.ts
+++ b/packages/core/src/gateway/calls.ts
@@ -366,6 +366,25 @@
 	}
 }
 
+/** Ends a call whose handling failed, and frees what it held. */
+export function onCallFailed(gateway: Gateway, {call: id, isUnsent}: GatewayInboundOf<'callFailed'>) {
+	const call = gateway.calls.get(id);
+	if (!call) {
+		return;
+	}
+
+	call.mayHaveRun ||= call.state === CallState.Sent && !isUnsent;
+	const refusal = {kind: RefusalKind.InternalError, outcome: call.mayHaveRun ? Outcome.Unknown : Outcome.NotRun, detail: ''};
+	try {
+		detachCall(gateway, call);
+		refuse(gateway, call, refusal);
+	} catch {
+		// What made its handling fail may be in the row of the call itself.
+		gateway.calls.delete(id);
+		gateway.outbox.push({kind: 'cancel', call: id}, {kind: 'refuse', call: id, refusal}, {kind: 'closed', call: id});
+	}
+}
+
 /** Sends the queued calls for which a slot is free now. */
 export function callsSystem(gateway: Gateway) {
 	for (const pool of gateway.queues.keys()) {
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -43,6 +43,8 @@
 		/** The first byte of the answer was sent to the caller. */
 		| {kind: 'answerDelivered'; call: string}
 		| {kind: 'sendEnded'; call: string; send: number; end: SendEnd; load: LoadReport | undefined; detail: string}
+		/** An adapter failed while it carried out an action of a call. `isUnsent`: whether no byte of the call's latest send was written. */
+		| {kind: 'callFailed'; call: string; isUnsent: boolean}
 		| {kind: 'catalogue'; catalogue: Catalogue}
 		/** All targets that the platform lists. */
 		| {kind: 'targets'; targets: ListedTarget[]}
--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -34,6 +34,7 @@
 	RunOutcomeUnknown = 'run-outcome-unknown',
 	AnswerNotKept = 'answer-not-kept',
 	StoreUnavailable = 'store-unavailable',
+	InternalError = 'internal',
 }
 
 export type Refusal = {
@@ -174,4 +175,9 @@
 		message: () => 'the Object API is unreachable, so a request that may run only once is not started',
 		hint: 'Retry after the time in the Retry-After header.',
 	},
+	[RefusalKind.InternalError]: {
+		status: 500,
+		message: () => 'the router failed while it handled the request',
+		hint: 'Report it to an operator: the log of the router has the cause under the id of the request.',
+	},
 };
--- a/packages/router/src/core-loop.ts
+++ b/packages/router/src/core-loop.ts
@@ -31,10 +31,12 @@
 	handlers: HandlersByKind<Item>;
 	/** Called after each step with its duration. */
 	onStep: (ms: number) => void;
+	/** Called when the handler of an item throws; the other items are handled all the same. */
+	onHandlerError: (item: Item, error: unknown) => void;
 };
 
 export function createCoreLoop<Inbound, Item extends Tagged>({
-	step, timer, tickMs, handlers, onStep,
+	step, timer, tickMs, handlers, onStep, onHandlerError,
 }: CoreLoopOptions<Inbound, Item>): CoreLoop<Inbound> {
 	let inbox: Inbound[] = [];
 	let isScheduled = false;
@@ -49,7 +51,11 @@
 		onStep(timer.now() - startedAt);
 		for (const item of outbox) {
 			const handler = handlers[item.kind as Item['kind']] as (item: Item) => void;
-			handler(item);
+			try {
+				handler(item);
+			} catch (error) {
+				onHandlerError(item, error);
+			}
 		}
 	}
 
--- a/packages/router/src/exchanges.ts
+++ b/packages/router/src/exchanges.ts
@@ -2,7 +2,7 @@
 Table of the open exchanges. Executes the core's decisions about them: attempts at targets, refusals, and replays of run records.
 */
 import type {CallerRequest, Inbound} from '@shallotloom/core/ports.ts';
-import type {Refusal} from '@shallotloom/core/refusal.ts';
+import {Outcome, RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 import type {World} from '@shallotloom/core/world.ts';
 import type {OutboxHandlers} from './core-loop.ts';
 import {endWithRefusal, type Exchange} from './exchange.ts';
@@ -23,6 +23,8 @@
 
 export type Exchanges = {
 	handlers: Pick<OutboxHandlers, 'startAnswer' | 'resumeAnswer' | 'abortAnswer' | 'refuse' | 'closed' | 'replay'>;
+	/** Ends an exchange when the handler of an action for it threw, and frees what its request holds in the core. */
+	fail(request: string): void;
 	/** Adds an exchange and passes its request to the core. */
 	open(exchange: Exchange, request: CallerRequest): void;
 };
@@ -65,6 +67,19 @@
 	});
 
 	return {
+		fail(request) {
+			const exchange = removeExchange(request);
+			if (!exchange) {
+				return;
+			}
+
+			push({kind: 'callerGone', request});
+			try {
+				endWithRefusal(exchange, {kind: RefusalKind.InternalError, outcome: Outcome.Unknown, detail: ''});
+			} catch {
+				exchange.response.destroy();
+			}
+		},
 		open(exchange, request) {
 			exchanges.set(request.id, exchange);
 			exchange.response.once('close', () => {
@@ -106,9 +121,11 @@
 				exchanges.delete(request);
 			},
 			replay({request, answer}) {
-				const exchange = removeExchange(request);
+				const bufferedAnswer = JSON.parse(answer) as Parameters<typeof sendBufferedAnswer>[1];
+				const exchange = exchanges.get(request);
 				if (exchange) {
-					sendBufferedAnswer(exchange, JSON.parse(answer) as Parameters<typeof sendBufferedAnswer>[1]);
+					sendBufferedAnswer(exchange, bufferedAnswer);
+					exchanges.delete(request);
 				}
 			},
 		},
--- a/packages/router/src/gateway/call-exchange.ts
+++ b/packages/router/src/gateway/call-exchange.ts
@@ -45,8 +45,9 @@
 
 /** Sends a complete answer to the caller and finishes the exchange. */
 export function sendBufferedAnswer(exchange: CallExchange, {status, headers, body}: BufferedAnswer) {
-	exchange.isFinished = true;
+	// Until the head is accepted, the caller can still get another answer.
 	exchange.response.writeHead(status, {...headers, 'content-length': String(body.length)});
+	exchange.isFinished = true;
 	exchange.response.end(body);
 }
 
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -174,6 +174,9 @@
 				onRequest(request, response, size === 0 ? undefined : buffered.take());
 			}
 		});
+		response.on('error', () => {
+			response.destroy();
+		});
 		request.on('error', () => {
 			// The caller disconnected before its request was complete, so nobody is left to receive a response.
 			response.destroy();
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -1,5 +1,5 @@
 /*
-Metrics of routed calls. Label values come from fixed sets (refusal kinds, outcomes, ends of sends, standings) or are pool
+Metrics of routed calls. Label values come from fixed sets (refusal kinds, outcomes, ends of sends, standings, parts) or are pool
 names, never ids or workspaces, so that the number of time series stays bounded.
 */
 import {
@@ -20,6 +20,8 @@
 	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
 	/** Counts a send that resumes a stream. */
 	countSend(send: GatewayOutboundOf<'send'>): void;
+	/** Counts an exception that was contained, by the part that threw. */
+	countInternalError(part: string): void;
 	/** Counts the call events that an inbound message reports. */
 	countInbound(inbound: GatewayInbound, now: number): void;
 	/** Returns the metrics of the current state in the text format of a scrape. */
@@ -49,6 +51,9 @@
 	const refusedStreams = new Counter({
 		name: 'shallotloom_streams_not_resumed_total', help: 'Streams that could not be resumed at the software version that began them, by pool and cause.', labelNames: ['pool', 'cause'], registers,
 	});
+	const internalErrors = new Counter({
+		name: 'shallotloom_internal_errors_total', help: 'Exceptions that were contained, by the part that threw.', labelNames: ['part'], registers,
+	});
 	const disconnectedCallers = new Counter({name: 'shallotloom_callers_left_total', help: 'Calls whose caller left before the answer.', registers});
 	const firstByteSeconds = new Histogram({
 		name: 'shallotloom_first_byte_seconds', help: 'Time from a call\'s arrival to its first byte.', buckets: firstByteBucketsSeconds, registers,
@@ -148,6 +153,9 @@
 				resumedStreams.inc({pool, by: isResumed ? 'router' : 'caller'});
 			}
 		},
+		countInternalError(part) {
+			internalErrors.inc({part});
+		},
 		countInbound(inbound, now) {
 			const handler = countHandlers[inbound.kind] as ((inbound: GatewayInbound, now: number) => void) | undefined;
 			handler?.(inbound, now);
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -8,9 +8,11 @@
 import type {DataKind} from '@shallotloom/core/gateway/data-sources.ts';
 import {createGateway, type Gateway, type GatewaySelf} from '@shallotloom/core/gateway/gateway.ts';
 import type {GatewayLimits} from '@shallotloom/core/gateway/limits.ts';
-import type {GatewayInbound, GatewayOutbound, Registration} from '@shallotloom/core/gateway/ports.ts';
+import type {
+	GatewayInbound, GatewayOutbound, GatewayOutboundOf, Registration,
+} from '@shallotloom/core/gateway/ports.ts';
 import {isRateLimited} from '@shallotloom/core/gateway/rate-limits.ts';
-import {runGatewayStep} from '@shallotloom/core/gateway/step.ts';
+import {runGatewayStep, type StepFailure} from '@shallotloom/core/gateway/step.ts';
 import {
 	MemberState, type PeerMessage, type PeerMessageOf, type QuarantineEntry, type StoredVersions, type StreamGroup,
 } from '@shallotloom/core/messages.ts';
@@ -81,6 +83,11 @@
 	push(inbound: GatewayInbound): void;
 	/** Starts a planned stop; `onStopped` is called when it is complete. */
 	stop(): void;
+	/**
+	Handles an exception that nothing else has caught: logs it and starts a planned stop, so that the running calls end. `onStopped` is
+	called in any case, even if the core can't complete the stop.
+	*/
+	fail(error: unknown): void;
 	/** Closes listeners, connections and timers; call it after the planned stop is complete. */
 	close(): Promise<void>;
 };
@@ -88,6 +95,9 @@
 /** Interval of the core's steps while no messages arrive, in milliseconds; it bounds the precision of timeouts. */
 export const tickMs = 20;
 
+/** How much later than planned a stop after an exception may be complete, in milliseconds. */
+const failedStopMarginMs = 500;
+
 /** Maximum number of malformed headers that are logged, each once a target. */
 const maxLoggedHeaders = 1000;
 
@@ -107,6 +117,7 @@
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
+	let isFailing = false;
 	let listenerClosed: Promise<void> | undefined;
 	let withdrawal: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
@@ -132,6 +143,73 @@
 		return row?.startId === startId && isRateLimited(row);
 	}
 
+	function reportInternalError(part: string, error: unknown, {request, target}: {request?: string | undefined; target?: string} = {}) {
+		metrics.countInternalError(part);
+		log.write({
+			part: AdapterPart.Internal, level: 'error', text: `internal error: ${error instanceof Error ? error.stack : String(error)}`, request, fields: {in: part, target},
+		});
+	}
+
+	function stop() {
+		push({kind: 'stopRequested'});
+		listener.leave();
+	}
+
+	function stopAfterFailure() {
+		if (!isFailing) {
+			isFailing = true;
+			stop();
+			setTimeout(options.onStopped, gateway.limits.maxStopMs + failedStopMarginMs).unref();
+		}
+	}
+
+	function handleStepFailure({part, isSystem, call, error}: StepFailure) {
+		reportInternalError(part, error, {request: call === undefined ? undefined : (exchanges.get(call)?.requestId ?? call)});
+		if (isSystem) {
+			stopAfterFailure();
+		}
+	}
+
+	/** Ends an exchange of which the core has no call any more: with a final answer, or by cutting the one that has begun. */
+	function endFailedExchange(id: string, outcome: Outcome) {
+		const exchange = exchanges.get(id);
+		if (!exchange) {
+			return;
+		}
+
+		try {
+			endWithRefusal(exchange, createInternalRefusal(outcome));
+		} finally {
+			if (!exchange.response.writableEnded) {
+				exchange.response.destroy();
+			}
+		}
+	}
+
+	/** What becomes of a call when the handler of an action throws; the other actions owe no caller anything. */
+	const failedActionHandlers: {[Kind in GatewayOutbound['kind']]?: (action: GatewayOutboundOf<Kind>) => void} = {
+		send({call}) {
+			push({kind: 'callFailed', call, isUnsent: exchanges.get(call)?.controller === undefined});
+		},
+		releaseEvents({call}) {
+			push({kind: 'callFailed', call, isUnsent: false});
+		},
+		deliverFailure({call}) {
+			endFailedExchange(call, Outcome.Unknown);
+		},
+		refuse({call}) {
+			endFailedExchange(call, Outcome.Unknown);
+		},
+	};
+
+	function handleActionError(action: GatewayOutbound, error: unknown) {
+		reportInternalError(action.kind, error, {
+			...('call' in action && {request: exchanges.get(action.call)?.requestId}), ...('target' in action && {target: action.target}),
+		});
+		const handler = failedActionHandlers[action.kind] as ((action: GatewayOutbound) => void) | undefined;
+		handler?.(action);
+	}
+
 	/** Reports to the core how a write to the store of quarantines ended. */
 	async function reportWrite(suspect: string, isRemoval: boolean, write: Promise<boolean>) {
 		push({
@@ -171,19 +249,27 @@
 	});
 
 	const loop: CoreLoop<GatewayInbound> = createCoreLoop<GatewayInbound, GatewayOutbound>({
-		step: (now, inbox) => runGatewayStep(gateway, now, inbox),
+		step: (now, inbox) => runGatewayStep(gateway, now, inbox, handleStepFailure),
 		timer,
 		tickMs,
 		onStep() {
 			// Step durations are measured by the benchmark of the core, not here.
 		},
+		onHandlerError: handleActionError,
 		handlers: {
 			send(command) {
 				const exchange = exchanges.get(command.call);
 				if (exchange) {
 					metrics.countSend(command);
 					sendToTarget(exchange, command, {
-						connectionPools, format, push, onMalformedHeader, isRateLimited: isTargetRateLimited,
+						connectionPools,
+						format,
+						push,
+						onMalformedHeader,
+						onInternalError(error) {
+							reportInternalError('answer', error, {request: exchange.requestId, target: command.target});
+						},
+						isRateLimited: isTargetRateLimited,
 					});
 				}
 			},
@@ -309,16 +395,24 @@
 		};
 
 		const arrive = () => {
-			if (!exchange.isFinished) {
-				hasArrived = true;
+			if (exchange.isFinished) {
+				return;
+			}
+
+			try {
 				const fingerprint = computeFingerprint({
 					method: exchange.method, host: parsed.call.host, url: exchange.url, body,
 				});
+				hasArrived = true;
 				push({
 					kind: 'callArrived', call: {
 						...parsed.call, id, requestId: exchange.requestId, fingerprint,
 					},
 				});
+			} catch (error) {
+				reportInternalError('arrival', error, {request: exchange.requestId});
+				endFailedExchange(id, Outcome.NotRun);
+				exchanges.delete(id);
 			}
 		};
 
@@ -340,7 +434,16 @@
 
 	const listener = await listenForCallers({
 		address: parseAddress(options.callerListenAddress),
-		onRequest: handleCall,
+		onRequest(request, response, body) {
+			try {
+				handleCall(request, response, body);
+			} catch (error) {
+				reportInternalError('request', error);
+				const refusal = createInternalRefusal(Outcome.NotRun);
+				metrics.countRefusal(refusal);
+				writeRefusal(response, refusal);
+			}
+		},
 	});
 	/** Handlers of the messages between instances that routed calls need; other kinds are ignored. */
 	const messageHandlers: {[Kind in PeerMessage['kind']]?: (from: string, incarnation: string, message: PeerMessageOf<Kind>) => void} = {
@@ -372,9 +475,10 @@
 	return {
 		gateway,
 		push,
-		stop() {
-			push({kind: 'stopRequested'});
-			listener.leave();
+		stop,
+		fail(error) {
+			reportInternalError('uncaught', error);
+			stopAfterFailure();
 		},
 		async close() {
 			const {stopRequestedAt, limits} = gateway;
@@ -392,6 +496,10 @@
 	};
 }
 
+function createInternalRefusal(outcome: Outcome): Refusal {
+	return {kind: RefusalKind.InternalError, outcome, detail: ''};
+}
+
 /** How long the last answers may take at least to reach their callers before all connections are closed, in milliseconds. */
 const listenerCloseTimeoutMs = 200;
 
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -23,6 +23,8 @@
 	push: (inbound: GatewayInbound) => void;
 	/** Called with the name of each header of an answer whose value is malformed. */
 	onMalformedHeader: (target: string, header: string) => void;
+	/** Called with an exception of this module, after which the answer counts as broken. */
+	onInternalError: (error: unknown) => void;
 	/** Whether a process of a target is known to have a rate limit, so that an answer without one ends it. */
 	isRateLimited: (target: string, startId: string) => boolean;
 };
@@ -88,6 +90,17 @@
 	});
 	const answer = createAnswerHandler(exchange, command, options);
 	let wasSent = false;
+
+	/** Reports an exception before undici turns it into an error of the answer. */
+	function reportThrown(run: () => void) {
+		try {
+			run();
+		} catch (error) {
+			options.onInternalError(error);
+			throw error;
+		}
+	}
+
 	// undici checks a request before it looks for a connection.
 	let isChecking = true;
 
@@ -109,12 +122,16 @@
 		onResponseStart(controller, status, responseHeaders) {
 			if (status >= 200) {
 				connectionPools.recordProgress();
-				answer.onHead(controller, status, responseHeaders, connectionPools.countAnswer() > 1);
+				reportThrown(() => {
+					answer.onHead(controller, status, responseHeaders, connectionPools.countAnswer() > 1);
+				});
 			}
 		},
 		onResponseData(controller, chunk) {
 			connectionPools.recordProgress();
-			answer.onData(controller, chunk);
+			reportThrown(() => {
+				answer.onData(controller, chunk);
+			});
 		},
 		onResponseEnd() {
 			connectionPools.recordProgress();
@@ -123,7 +140,7 @@
 				return;
 			}
 
-			answer.onEnd();
+			reportThrown(answer.onEnd);
 		},
 		onResponseError(_controller, error) {
 			const {code} = error as {code?: string};
@@ -362,11 +379,9 @@
 	}
 
 	function deliver(controller: DispatchController, complete: Buffer[]) {
+		const lastEventId = complete.map(event => format.parseEventId(event)).findLast(id => id !== undefined);
 		writeHead();
-		for (const event of complete) {
-			exchange.lastEventId = format.parseEventId(event) ?? exchange.lastEventId;
-		}
-
+		exchange.lastEventId = lastEventId ?? exchange.lastEventId;
 		writeWithBackpressure(exchange, controller, complete.length === 1 ? complete[0]! : Buffer.concat(complete));
 	}
 
--- a/packages/router/src/log.ts
+++ b/packages/router/src/log.ts
@@ -14,6 +14,7 @@
 	Operators = 'operators',
 	Platform = 'platform',
 	Settings = 'settings',
+	Internal = 'internal',
 }
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -128,8 +128,15 @@
 		releaseAnswered: proposals.onAnswered,
 		stopped: onStopped,
 	};
+	const logError = createErrorLogger(log, AdapterPart.Internal);
 	const loop: CoreLoop<Inbound> = createCoreLoop<Inbound, Outbound>({
 		step: (now, inbox) => step(world, now, inbox), timer, tickMs: settings.control.tickMs, handlers, onStep: counts.countStep,
+		onHandlerError(item, error) {
+			logError(error instanceof Error ? error : new Error(String(error)));
+			if ('request' in item && item.request !== undefined) {
+				exchanges.fail(item.request);
+			}
+		},
 	});
 
 	startLoadPolling({
--- a/packages/router/src/targets/attempt.ts
+++ b/packages/router/src/targets/attempt.ts
@@ -243,8 +243,9 @@
 		return;
 	}
 
+	// Until the head is accepted, the caller can still get another answer.
+	exchange.response.writeHead(status, {'content-type': contentType, 'x-request-id': exchange.requestId});
 	exchange.isFinished = true;
 	exchange.hasDelivered = true;
-	exchange.response.writeHead(status, {'content-type': contentType, 'x-request-id': exchange.requestId});
 	exchange.response.end(body);
 }
--- a/packages/router/src/timer.ts
+++ b/packages/router/src/timer.ts
@@ -34,7 +34,14 @@
 			if (currentTime >= subscription.dueAt) {
 				// Missed runs are skipped, not made up for.
 				subscription.dueAt = currentTime + subscription.periodMs;
-				subscription.run(currentTime);
+				try {
+					subscription.run(currentTime);
+				} catch (error) {
+					// Nobody owns it here, and the other subscriptions are due all the same.
+					queueMicrotask(() => {
+						throw error;
+					});
+				}
 			}
 		}
 	}
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -10,7 +10,9 @@
 import {MemberState} from '@shallotloom/core/messages.ts';
 import {allocatePort} from '@shallotloom/standin/free-port.ts';
 import {AnsweredRequest, type CallFormat} from '../../src/gateway/call-format.ts';
-import {startGatewayRouter, type GatewayRouter, type StreamStore} from '../../src/gateway/gateway-router.ts';
+import {
+	startGatewayRouter, type GatewayRouter, type GatewayRouterOptions, type StreamStore,
+} from '../../src/gateway/gateway-router.ts';
 import {createGatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
 import {createLog} from '../../src/log.ts';
 import {createTimer} from '../../src/timer.ts';
@@ -26,7 +28,7 @@
 }
 
 /** Call format of the tests; targets report that a call was not run with the header X-Not-Run. */
-const testCallFormat: CallFormat = {
+export const testCallFormat: CallFormat = {
 	parseCall({url, headers}) {
 		return headers['x-request-id'] === ''
 			? {kind: 'malformed', detail: 'no id'}
@@ -76,7 +78,7 @@
 };
 
 /** Starts a router in front of targets at these addresses. */
-export async function startTestRouter(addresses: string[], timeoutMs = 2000, streamStore: Partial<StreamStore> = {}): Promise<TestRouter> {
+export async function startTestRouter(addresses: string[], timeoutMs = 2000, streamStore: Partial<StreamStore> = {}, options: Partial<GatewayRouterOptions> = {}): Promise<TestRouter> {
 	const [callers, peers] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const withdrawals: Array<Promise<unknown>> = [];
 	const router = await startGatewayRouter({
@@ -117,6 +119,7 @@
 		onStopped() {
 			// Tests close the router explicitly.
 		},
+		...options,
 	});
 	const {self} = router.gateway;
 	const registration: Registration = {...self, state: MemberState.Active};
