A row or message that can't be encoded or decoded is left out, not the stream

What operators would see: one number outside the range of its field (for example a count below 0 in a row of a target) made the encoding of the batch throw, which ended the stream to each peer; the next digest held the same row, so that no digest left the instance and the others took it for lost. A message that its receiver couldn't decode ended the stream in the same way, with all messages behind it.

Each is logged with its field, value and row and counted (shallotloom_internal_errors_total, parts encode and decode). The receiver leaves out what it can't decode.

--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -246,6 +246,12 @@
 				part: AdapterPart.Peers, level: 'warn', text: 'stream broke', fields: {member, reason},
 			});
 		},
+		onInvalid(kind, reason) {
+			metrics.countInternalError('encode');
+			log.write({
+				part: AdapterPart.Peers, level: 'error', text: 'message or row left out', fields: {message: kind, reason},
+			});
+		},
 	});
 
 	const loop: CoreLoop<GatewayInbound> = createCoreLoop<GatewayInbound, GatewayOutbound>({
@@ -469,6 +475,12 @@
 		onMessage(from, incarnation, message) {
 			messageHandlers[message.kind]?.(from, incarnation, message as never);
 		},
+		onInvalid(member, reason) {
+			metrics.countInternalError('decode');
+			log.write({
+				part: AdapterPart.Peers, level: 'error', text: 'message of a peer left out', fields: {member, reason},
+			});
+		},
 	});
 	loop.start();
 
--- a/packages/router/src/peers/peer-client.ts
+++ b/packages/router/src/peers/peer-client.ts
@@ -8,7 +8,7 @@
 import type {PeerMessage} from '@shallotloom/core/messages.ts';
 import {Peer, type Envelope} from '@shallotloom/protocol/gen/peer_pb.ts';
 import type {ControlTraffic} from '../control-traffic.ts';
-import {encodeEnvelope} from './codec.ts';
+import {encodeEnvelope, type OnInvalid} from './codec.ts';
 
 export type PeerClientOptions = {
 	sender: string;
@@ -20,6 +20,8 @@
 	onLost: (member: string) => void;
 	/** Called with the error of a failed stream, for the log; the core needs only `onLost`. */
 	onError: (member: string, reason: string) => void;
+	/** Called for each message, and each row of one, that can't be encoded and is left out. */
+	onInvalid: OnInvalid;
 };
 
 export type PeerClient = {
@@ -58,7 +60,7 @@
 			const messages = stream.queue;
 			stream.queue = [];
 			if (messages.length > 0) {
-				yield encodeEnvelope(options.sender, options.incarnation, messages);
+				yield encodeEnvelope(options.sender, options.incarnation, messages, options.onInvalid);
 			}
 		}
 	}
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -14,6 +14,8 @@
 	port: number;
 	traffic: ControlTraffic;
 	onMessage: (from: string, incarnation: string, message: PeerMessage) => void;
+	/** Called with the reason for which a message of a peer can't be decoded; it is left out. */
+	onInvalid: (from: string, reason: string) => void;
 };
 
 export type PeerServer = {
@@ -24,7 +26,7 @@
 const maxBatchBytes = 4 * 1024 * 1024;
 
 /** Starts the server; rejects when the address can't be bound. */
-export async function startPeerServer({host, port, traffic, onMessage}: PeerServerOptions): Promise<PeerServer> {
+export async function startPeerServer({host, port, traffic, onMessage, onInvalid}: PeerServerOptions): Promise<PeerServer> {
 	const server: Http2Server = createServer({}, connectNodeAdapter({
 		readMaxBytes: maxBatchBytes,
 		routes(router) {
@@ -32,9 +34,13 @@
 				async deliver(envelopes) {
 					for await (const {sender, incarnation, messages} of envelopes) {
 						for (const wire of messages) {
-							const message = decodeMessage(wire);
-							if (message) {
-								onMessage(sender, incarnation, message);
+							try {
+								const message = decodeMessage(wire);
+								if (message) {
+									onMessage(sender, incarnation, message);
+								}
+							} catch (error) {
+								onInvalid(sender, error instanceof Error ? error.message : String(error));
 							}
 						}
 					}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -151,6 +151,9 @@
 				kind: 'peerMessage', from, incarnation, message,
 			});
 		},
+		onInvalid(member, reason) {
+			log.write({part: AdapterPart.Peers, level: 'error', text: `left out a message of ${member}: ${reason}`});
+		},
 	});
 	// The lease announces the address for peers, so the loop starts only after that address is bound.
 	loop.start();
@@ -205,6 +208,9 @@
 		onError(member, reason) {
 			log.write({part: AdapterPart.Peers, level: 'warn', text: `stream to ${member} failed: ${reason}`});
 		},
+		onInvalid(kind, reason) {
+			log.write({part: AdapterPart.Peers, level: 'error', text: `left out of ${kind}: ${reason}`});
+		},
 	});
 }
 
