--- a/packages/router/src/peers/peer-client.ts
+++ b/packages/router/src/peers/peer-client.ts
@@ -65,16 +65,12 @@
 		}
 	}
 
-	function openSocket(to: string, stream: Stream, {hostname, port}: URL): Socket {
+	function openSocket(stream: Stream, {hostname, port}: URL): Socket {
 		const socket = connect({
 			host: hostname, port: Number(port), localAddress: options.bindAddress, noDelay: true,
 		});
 		options.traffic.trackSocket(socket);
 		stream.socket = socket;
-		// After some errors of its session, a stream is told of the end of its connection only by missing pings.
-		socket.once('close', () => {
-			closeStream(to, stream);
-		});
 		return socket;
 	}
 
@@ -97,7 +93,7 @@
 			httpVersion: '2',
 			pingIntervalMs,
 			pingTimeoutMs: pingIntervalMs,
-			nodeOptions: {createConnection: authority => openSocket(to, stream, authority)},
+			nodeOptions: {createConnection: authority => openSocket(stream, authority)},
 		});
 		try {
 			await createClient(Peer, transport).deliver(generateEnvelopes(stream));
