Errors of listeners end the process no more

What would happen: a listener reports a connection that can't be accepted (no buffers, no memory) as an error of the server. Its only handler was the one of the start, which the first such error used up; the second one ended the process with all running calls.

Now each listener of callers, peers, operators, readiness and directory has a handler for good; those of the router log the error and count it (shallotloom_internal_errors_total, part accept).

Not reproduced on a socket: at the limit of descriptors libuv closes the connection itself and reports nothing.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -21,6 +21,8 @@
 	address: Address;
 	/** Called with each request once its body has been read in full. */
 	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) => void;
+	/** Called with the error of a connection that can't be accepted. */
+	onError: (error: Error) => void;
 };
 
 export type CallerListener = {
@@ -94,7 +96,7 @@
 }
 
 /** Starts the listener; rejects when its address can't be bound. */
-export async function listenForCallers({address, onRequest}: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForCallers({address, onRequest, onError}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const openResponses = new Map<ServerResponse, Socket>();
@@ -191,6 +193,7 @@
 		requestTimeout: 0,
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
+	server.on('error', onError);
 	server.on('clientError', refuseAfterResponses);
 	server.on('connect', (_request, socket) => {
 		refuseAfterResponses(new Error('CONNECT is not supported'), socket as Socket);
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -150,6 +150,16 @@
 		});
 	}
 
+	/** Returns a function that reports the errors of a listener. */
+	function createListenerLogger(part: AdapterPart) {
+		return (error: Error) => {
+			metrics.countInternalError('accept');
+			log.write({
+				part, level: 'error', text: 'connection not accepted', fields: {reason: error.message},
+			});
+		};
+	}
+
 	function stop() {
 		push({kind: 'stopRequested'});
 		listener.leave();
@@ -440,6 +450,7 @@
 
 	const listener = await listenForCallers({
 		address: parseAddress(options.callerListenAddress),
+		onError: createListenerLogger(AdapterPart.Callers),
 		onRequest(request, response, body) {
 			try {
 				handleCall(request, response, body);
@@ -475,6 +486,7 @@
 		onMessage(from, incarnation, message) {
 			messageHandlers[message.kind]?.(from, incarnation, message as never);
 		},
+		onError: createListenerLogger(AdapterPart.Peers),
 		onInvalid(member, reason) {
 			metrics.countInternalError('decode');
 			log.write({
--- a/packages/router/src/listener.ts
+++ b/packages/router/src/listener.ts
@@ -20,10 +20,16 @@
 	limits: Pick<RouterSettings['limits'], 'headerBytes' | 'headersTimeoutMs' | 'requestTimeoutMs' | 'connections'>;
 	/** When it returns true, each answer closes its connection; false by default. */
 	isStopping?: () => boolean;
+	/** Called with the error of a connection that can't be accepted; ignored by default. */
+	onError?: (error: Error) => void;
 };
 
+function ignoreError() {
+	// The client sees that its connection ends.
+}
+
 /** Starts a listener; rejects when its address can't be bound. */
-export async function listen(app: App, {host, port}: Address, {limits, isStopping = () => false}: ListenerOptions): Promise<Server> {
+export async function listen(app: App, {host, port}: Address, {limits, isStopping = () => false, onError = ignoreError}: ListenerOptions): Promise<Server> {
 	const listener = getRequestListener(app.fetch);
 	const server = createServer({
 		maxHeaderSize: limits.headerBytes,
@@ -39,6 +45,7 @@
 		void listener(incoming, outgoing);
 	});
 	server.maxConnections = limits.connections;
+	server.on('error', onError);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(port, host, resolve);
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -16,6 +16,8 @@
 	onMessage: (from: string, incarnation: string, message: PeerMessage) => void;
 	/** Called with the reason for which a message of a peer can't be decoded; it is left out. */
 	onInvalid: (from: string, reason: string) => void;
+	/** Called with the error of a connection that can't be accepted. */
+	onError: (error: Error) => void;
 };
 
 export type PeerServer = {
@@ -26,7 +28,7 @@
 const maxBatchBytes = 4 * 1024 * 1024;
 
 /** Starts the server; rejects when the address can't be bound. */
-export async function startPeerServer({host, port, traffic, onMessage, onInvalid}: PeerServerOptions): Promise<PeerServer> {
+export async function startPeerServer({host, port, traffic, onMessage, onInvalid, onError}: PeerServerOptions): Promise<PeerServer> {
 	const server: Http2Server = createServer({}, connectNodeAdapter({
 		readMaxBytes: maxBatchBytes,
 		routes(router) {
@@ -51,6 +53,7 @@
 		},
 	}));
 	const sockets = new Set<Socket>();
+	server.on('error', onError);
 	server.on('connection', (socket: Socket) => {
 		sockets.add(socket);
 		traffic.trackSocket(socket);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -151,6 +151,7 @@
 				kind: 'peerMessage', from, incarnation, message,
 			});
 		},
+		onError: createErrorLogger(log, AdapterPart.Peers),
 		onInvalid(member, reason) {
 			log.write({part: AdapterPart.Peers, level: 'error', text: `left out a message of ${member}: ${reason}`});
 		},
@@ -220,7 +221,9 @@
 	const app = createCallerApp({
 		world, now: timer.now, open, onRefused: counts.countRefusal, onInternalError: createErrorLogger(log, AdapterPart.Callers), ...settings.limits,
 	});
-	return listen(app, parseAddress(settings.listen.callers), {limits: settings.limits, isStopping: () => world.stopRequestedAt !== undefined});
+	return listen(app, parseAddress(settings.listen.callers), {
+		limits: settings.limits, isStopping: () => world.stopRequestedAt !== undefined, onError: createErrorLogger(log, AdapterPart.Callers),
+	});
 }
 
 async function listenForOperators({
@@ -239,7 +242,7 @@
 			return metrics.scrape();
 		},
 	});
-	return listen(app, parseAddress(settings.listen.operators), {limits: settings.limits});
+	return listen(app, parseAddress(settings.listen.operators), {limits: settings.limits, onError: createErrorLogger(log, AdapterPart.Operators)});
 }
 
 /** Time for the last refusals to reach their callers after the stop is complete. */
--- a/packages/router/test/peers.test.ts
+++ b/packages/router/test/peers.test.ts
@@ -31,6 +31,9 @@
 		onInvalid(_from, reason) {
 			invalid.push(reason);
 		},
+		onError(error) {
+			throw error;
+		},
 	});
 }
 
