--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -25,6 +25,8 @@
 	onConnectionClosed: (reason: ConnectionEnd) => void;
 	/** Called with each request once its body has been read in full. */
 	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) => void;
+	/** Called with the error of a connection that can't be accepted. */
+	onError: (error: Error) => void;
 };
 
 export type CallerListener = {
@@ -106,7 +108,7 @@
 }
 
 /** Starts the listener; rejects when its address can't be bound. */
-export async function listenForCallers({address, bind, onRequest, onConnectionClosed}: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForCallers({address, bind, onRequest, onConnectionClosed, onError}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const connections = createCallerConnections({onClosed: onConnectionClosed});
@@ -201,6 +203,9 @@
 				onRequest(request, response, size === 0 ? undefined : buffered.take());
 			}
 		});
+		response.on('error', () => {
+			response.destroy();
+		});
 		request.on('error', () => {
 			// The caller disconnected before its request was complete, so nobody is left to receive a response.
 			response.destroy();
@@ -247,6 +252,7 @@
 	}
 
 	await bindServer(server, address, bind);
+	server.on('error', onError);
 	return {
 		setLimits(next) {
 			limits = next;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -1,5 +1,5 @@
 /*
-Metrics of routed calls. Label values come from fixed sets (refusal kinds, outcomes, ends of sends, standings) or are pool
+Metrics of routed calls. Label values come from fixed sets (refusal kinds, outcomes, ends of sends, standings, parts) or are pool
 names, never ids or workspaces, so that the number of time series stays bounded.
 */
 import {
@@ -25,6 +25,8 @@
 	countClosedConnection(reason: ConnectionEnd): void;
 	/** Counts a send that resumes a stream. */
 	countSend(send: GatewayOutboundOf<'send'>): void;
+	/** Counts an exception that was contained, by the part that threw. */
+	countInternalError(part: string): void;
 	/** Counts the call events that an inbound message reports. */
 	countInbound(inbound: GatewayInbound, now: number): void;
 	/** Returns the metrics of the current state in the text format of a scrape. */
@@ -60,6 +62,9 @@
 	const closedConnections = new Counter({
 		name: 'shallotloom_caller_connections_closed_total', help: 'Connections of callers that the router closed without the end of an answer, by reason.', labelNames: ['reason'], registers,
 	});
+	const internalErrors = new Counter({
+		name: 'shallotloom_internal_errors_total', help: 'Exceptions that were contained, by the part that threw.', labelNames: ['part'], registers,
+	});
 	const disconnectedCallers = new Counter({name: 'shallotloom_callers_left_total', help: 'Calls whose caller left before the answer.', registers});
 	const firstByteSeconds = new Histogram({
 		name: 'shallotloom_first_byte_seconds', help: 'Time from a call\'s arrival to its first byte.', buckets: firstByteBucketsSeconds, registers,
@@ -165,6 +170,9 @@
 				resumedStreams.inc({pool, by: isResumed ? 'router' : 'caller'});
 			}
 		},
+		countInternalError(part) {
+			internalErrors.inc({part});
+		},
 		countInbound(inbound, now) {
 			const handler = countHandlers[inbound.kind] as ((inbound: GatewayInbound, now: number) => void) | undefined;
 			handler?.(inbound, now);
--- a/packages/router/src/listener.ts
+++ b/packages/router/src/listener.ts
@@ -84,10 +84,16 @@
 	limits: Pick<RouterSettings['limits'], 'headerBytes' | 'headersTimeoutMs' | 'requestTimeoutMs' | 'connections'>;
 	/** When it returns true, each answer closes its connection; false by default. */
 	isStopping?: () => boolean;
+	/** Called with the error of a connection that can't be accepted; ignored by default. */
+	onError?: (error: Error) => void;
 };
 
+function ignoreError() {
+	// The client sees that its connection ends.
+}
+
 /** Starts a listener; rejects when its address can't be bound. */
-export async function listen(app: App, address: Address, {limits, bind, isStopping = () => false}: ListenerOptions): Promise<Server> {
+export async function listen(app: App, address: Address, {limits, bind, isStopping = () => false, onError = ignoreError}: ListenerOptions): Promise<Server> {
 	const listener = getRequestListener(app.fetch);
 	const server = createServer({
 		maxHeaderSize: limits.headerBytes,
@@ -104,6 +110,7 @@
 	});
 	server.maxConnections = limits.connections;
 	await bindServer(server, address, bind);
+	server.on('error', onError);
 	return server;
 }
 
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -15,6 +15,10 @@
 	bind?: BindOptions | undefined;
 	traffic: ControlTraffic;
 	onMessage: (from: string, incarnation: string, message: PeerMessage) => void;
+	/** Called with the reason for which a message of a peer can't be decoded; it is left out. */
+	onInvalid: (from: string, reason: string) => void;
+	/** Called with the error of a connection that can't be accepted. */
+	onError: (error: Error) => void;
 };
 
 export type PeerServer = {
@@ -25,7 +29,7 @@
 const maxBatchBytes = 4 * 1024 * 1024;
 
 /** Starts the server; rejects when the address can't be bound. */
-export async function startPeerServer({address, bind, traffic, onMessage}: PeerServerOptions): Promise<PeerServer> {
+export async function startPeerServer({address, bind, traffic, onMessage, onInvalid, onError}: PeerServerOptions): Promise<PeerServer> {
 	const server: Http2Server = createServer({}, connectNodeAdapter({
 		readMaxBytes: maxBatchBytes,
 		routes(router) {
@@ -33,9 +37,13 @@
 				async deliver(envelopes) {
 					for await (const {sender, incarnation, messages} of envelopes) {
 						for (const wire of messages) {
-							const message = decodeMessage(wire);
-							if (message) {
-								onMessage(sender, incarnation, message);
+							try {
+								const message = decodeMessage(wire);
+								if (message) {
+									onMessage(sender, incarnation, message);
+								}
+							} catch (error) {
+								onInvalid(sender, error instanceof Error ? error.message : String(error));
 							}
 						}
 					}
@@ -54,6 +62,7 @@
 		});
 	});
 	await bindServer(server, address, bind);
+	server.on('error', onError);
 	return {
 		async close() {
 			for (const socket of sockets) {
