Close the holes that a review of the lifecycle found

- the router of /v1 in dist/ was one file, so that signals were handled only once all of it had been parsed: the build splits it too;
- an exception while modules load ended with 1 and printed nothing: events that nobody has logged are written to standard error;
- the time for addresses counted per address; now one deadline holds for the start.

A test of exceptions expected no connection after the stop of its instance; since the listener stays open until the end of a stop, it now expects the true refusal and that the target gets nothing.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -75,7 +75,7 @@
 export type Gateway = {
 	readonly self: GatewaySelf;
 	readonly limits: GatewayLimits;
-	readonly startedAt: number;
+	startedAt: number;
 	/** Monotonic time of the current step. */
 	now: number;
 	state: MemberState;
@@ -183,6 +183,13 @@
 	isFirstStart?: boolean | undefined;
 };
 
+/** Lets the life of an instance begin now: the time that passed since it was created, before its first step, doesn't count. */
+export function beginGateway(gateway: Gateway, now: number) {
+	gateway.startedAt = now;
+	gateway.now = now;
+	Object.assign(gateway.platform, {since: now, connectedBefore: now, lastAnswerAt: now});
+}
+
 /** Creates the state of an instance that has just started and has received nothing yet. */
 export function createGateway({
 	self, seed, now, limits, isFirstStart = false,
--- a/packages/router/src/cli/program.ts
+++ b/packages/router/src/cli/program.ts
@@ -6,12 +6,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import sade from 'sade';
 import {LogPart} from '@shallotloom/core/ports.ts';
+import {awaitSettings} from '@shallotloom/settings/load.ts';
 import {checkRouterSettings, loadRouterSettings} from '@shallotloom/settings/router-settings.ts';
 import {describeProblems} from '@shallotloom/settings/problems.ts';
 import {ignoreOutputErrors, writeDiagnostic} from '../diagnostics.ts';
 import {AdapterPart, createLog} from '../log.ts';
 import {ExitCode, ProcessEvent, type ProcessLifecycle} from '../process-lifecycle.ts';
-import {createLoggedBind, logProcessEvent} from '../process-log.ts';
+import {createLoggedBind, logProcessEvent, logRejections} from '../process-log.ts';
 import {startRouter, type Router} from '../router.ts';
 
 declare const SHALLOTLOOM_VERSION: string | undefined;
@@ -35,7 +36,7 @@
 }
 
 async function serve(file: string, lifecycle: ProcessLifecycle) {
-	const result = await loadRouterSettings(file);
+	const result = await awaitSettings(async () => loadRouterSettings(file));
 	if (result.kind !== 'ok') {
 		writeDiagnostic(`${file}: ${result.kind}\n${describeProblems(result.problems)}`);
 		lifecycle.handle(ProcessEvent.StartFailed, file, ExitCode.InvalidSettings);
@@ -44,6 +45,7 @@
 
 	const {settings} = result;
 	const log = createLog(settings.log);
+	logRejections(log);
 	const program: {drain?: () => void} = {};
 	lifecycle.setHandlers({
 		reload() {
@@ -52,6 +54,9 @@
 		drain() {
 			program.drain?.();
 		},
+		fail() {
+			program.drain?.();
+		},
 		record(record) {
 			logProcessEvent(log, record);
 		},
@@ -67,11 +72,11 @@
 		},
 	});
 	program.drain = () => {
-		router.stop();
 		setTimeout(() => {
 			log.write({part: LogPart.Stop, level: 'error', text: `planned stop timed out after ${settings.stop.graceMs} ms with answers still running`});
 			lifecycle.handle(ProcessEvent.StopTimedOut);
 		}, settings.stop.graceMs);
+		router.stop();
 	};
 
 	lifecycle.handle(ProcessEvent.Started);
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -7,7 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {DataKind} from '@shallotloom/core/gateway/data-sources.ts';
 import {
-	createGateway, type Gateway, type GatewaySelf, type PlannedStop,
+	beginGateway, createGateway, type Gateway, type GatewaySelf, type PlannedStop,
 } from '@shallotloom/core/gateway/gateway.ts';
 import type {GatewayLimits} from '@shallotloom/core/gateway/limits.ts';
 import type {
@@ -131,6 +131,7 @@
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
 	let isFailing = false;
+	let isStarted = false;
 	let withdrawal: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
 		metrics.countInbound(inbound, timer.now());
@@ -484,7 +485,10 @@
 		bind,
 		traffic,
 		onMessage(from, incarnation, message) {
-			messageHandlers[message.kind]?.(from, incarnation, message as never);
+			// A message from before the start is out of date by the first step.
+			if (isStarted) {
+				messageHandlers[message.kind]?.(from, incarnation, message as never);
+			}
 		},
 		onError: createListenerLogger(AdapterPart.Peers),
 		onInvalid(member, reason) {
@@ -512,6 +516,8 @@
 			}
 		},
 	});
+	beginGateway(gateway, timer.now());
+	isStarted = true;
 	loop.start();
 
 	return {
--- a/packages/router/src/listener.ts
+++ b/packages/router/src/listener.ts
@@ -19,15 +19,15 @@
 }
 
 export type BindOptions = {
-	/** Longest time to wait for an address that another socket holds, in milliseconds. */
-	maxWaitMs: number;
+	/** Until when to wait for an address that another socket holds, in milliseconds on the clock of `performance.now()`. */
+	endsAt: number;
 	/** Called once when an address has to be waited for. */
 	onWait?: (address: Address, code: string) => void;
 	/** Called when an address that was waited for is bound, with the time that took in milliseconds. */
 	onBound?: (address: Address, waitedMs: number) => void;
 };
 
-export const bindDefaults = {maxWaitMs: 0} satisfies BindOptions;
+export const bindDefaults = {endsAt: Number.NEGATIVE_INFINITY} satisfies BindOptions;
 
 /** Interval between attempts to bind an address that is in use, in milliseconds. */
 const bindRetryMs = 100;
@@ -54,7 +54,7 @@
 }
 
 /** Binds a server to an address. While another socket holds the address, it tries again; it rejects when the wait is over. */
-export async function bindServer(server: NetServer, address: Address, {maxWaitMs, onWait, onBound}: BindOptions = bindDefaults) {
+export async function bindServer(server: NetServer, address: Address, {endsAt, onWait, onBound}: BindOptions = bindDefaults) {
 	const startedAt = performance.now();
 	for (let attempts = 1; ; attempts += 1) {
 		const error = await tryToBind(server, address);
@@ -67,7 +67,7 @@
 			return;
 		}
 
-		if (!passingBindErrors.has(error.code ?? '') || waitedMs >= maxWaitMs) {
+		if (!passingBindErrors.has(error.code ?? '') || performance.now() >= endsAt) {
 			throw new Error(`can't bind ${address.host}:${address.port} after ${waitedMs} ms: ${error.message}`, {cause: error});
 		}
 
--- a/packages/router/src/process-lifecycle.ts
+++ b/packages/router/src/process-lifecycle.ts
@@ -1,9 +1,10 @@
 /*
 Life of a process, from its first instruction to its exit: what each signal and each failure means in each state. Node.js ends a process
 at once on a signal that has no handler, so a program creates its lifecycle before it loads its other modules; this module therefore
-imports none of them.
+imports little.
 */
 import process from 'node:process';
+import {writeDiagnostic} from './diagnostics.ts';
 
 export enum ProcessState {
 	/** The modules of the program are being loaded. */
@@ -44,6 +45,8 @@
 	RunDeferredReload = 'run-deferred-reload',
 	Reload = 'reload',
 	Drain = 'drain',
+	Fail = 'fail',
+	FailAgain = 'fail-again',
 	Exit = 'exit',
 }
 
@@ -87,13 +90,13 @@
 		[ProcessEvent.Reload]: {action: ProcessAction.Reload},
 		[ProcessEvent.Stop]: {action: ProcessAction.Drain, next: ProcessState.Draining},
 		// What the exception left behind is unknown, so the process makes room for a new one, but lets running calls finish.
-		[ProcessEvent.Exception]: {action: ProcessAction.Drain, next: ProcessState.Draining, exitCode: ExitCode.Failed},
+		[ProcessEvent.Exception]: {action: ProcessAction.Fail, next: ProcessState.Draining, exitCode: ExitCode.Failed},
 	},
 	[ProcessState.Draining]: {
 		...ignoreAll,
 		[ProcessEvent.Stopped]: exit,
 		[ProcessEvent.StopTimedOut]: fail,
-		[ProcessEvent.Exception]: {action: ProcessAction.None, exitCode: ExitCode.Failed},
+		[ProcessEvent.Exception]: {action: ProcessAction.FailAgain, exitCode: ExitCode.Failed},
 	},
 	[ProcessState.Ended]: ignoreAll,
 };
@@ -113,11 +116,15 @@
 	reload(): void;
 	/** Starts the planned stop; the program reports `Stopped` once it is complete. */
 	drain(): void;
+	/** Starts the planned stop because of an exception. */
+	fail(cause: string): void;
 	record(record: ProcessEventRecord): void;
 };
 
 export type ProcessLifecycle = {
 	readonly state: ProcessState;
+	/** Whether an exception or a failed start will decide the exit code. */
+	readonly hasFailed: boolean;
 	/** Sets the handlers, and passes them the events recorded so far. */
 	setHandlers(handlers: ProcessHandlers): void;
 	/** Handles an event; the exit code counts if it ends the process. */
@@ -134,6 +141,9 @@
 /** Events that the signals stand for. */
 const signalEvents = {SIGHUP: ProcessEvent.Reload, SIGTERM: ProcessEvent.Stop, SIGINT: ProcessEvent.Stop} as const;
 
+/** Exceptions during a stop after which it can't be expected to complete. */
+const maxStopExceptions = 5;
+
 const processLifecycleDefaults = {
 	exit(code: ExitCode) {
 		process.exit(code); // eslint-disable-line unicorn/no-process-exit
@@ -146,10 +156,11 @@
 	let state = ProcessState.Loading;
 	let exitCode = ExitCode.Stopped;
 	let isReloadDue = false;
+	let stopExceptions = 0;
 	let handlers: ProcessHandlers | undefined;
 	const recorded: ProcessEventRecord[] = [];
 
-	const actions: Record<ProcessAction, () => void> = {
+	const actions: Record<ProcessAction, (cause: string) => void> = {
 		[ProcessAction.None]() {
 			// The state alone changes.
 		},
@@ -168,7 +179,20 @@
 		[ProcessAction.Drain]() {
 			handlers?.drain();
 		},
+		[ProcessAction.Fail](cause) {
+			handlers?.fail(cause);
+		},
+		[ProcessAction.FailAgain]() {
+			stopExceptions += 1;
+			if (stopExceptions >= maxStopExceptions) {
+				handle(ProcessEvent.StopTimedOut, `${stopExceptions} exceptions during the stop`);
+			}
+		},
 		[ProcessAction.Exit]() {
+			for (const {event, state: stateThen, cause} of exitCode === ExitCode.Stopped ? [] : recorded) {
+				writeDiagnostic(`${event} while ${stateThen}: ${cause}`);
+			}
+
 			endProcess(exitCode);
 		},
 	};
@@ -189,7 +213,7 @@
 		}
 
 		state = transition.next ?? state;
-		actions[transition.action]();
+		actions[transition.action](cause);
 	}
 
 	for (const [signal, event] of Object.entries(signalEvents)) {
@@ -206,6 +230,9 @@
 		get state() {
 			return state;
 		},
+		get hasFailed() {
+			return exitCode !== ExitCode.Stopped;
+		},
 		setHandlers(next) {
 			handlers = next;
 			for (const record of recorded.splice(0)) {
--- a/packages/router/src/process-log.ts
+++ b/packages/router/src/process-log.ts
@@ -1,6 +1,7 @@
 /*
 Log lines about the life of a process: its events, and the addresses that it waits for.
 */
+import process from 'node:process';
 import type {BindOptions} from './listener.ts';
 import {AdapterPart, type Log, type LogLevel} from './log.ts';
 import {ProcessEvent, type ProcessEventRecord} from './process-lifecycle.ts';
@@ -19,13 +20,13 @@
 	});
 }
 
-/** Options to wait for addresses that another process holds, with a line when a wait begins and when it ends. */
+/** Options to wait for addresses that another process holds, `maxWaitMs` for all of them, with a line when a wait begins and when it ends. */
 export function createLoggedBind(log: Log, maxWaitMs: number): BindOptions {
 	return {
-		maxWaitMs,
+		endsAt: performance.now() + maxWaitMs,
 		onWait({host, port}, code) {
 			log.write({
-				part: AdapterPart.Process, level: 'warn', text: `waiting for address ${host}:${port}`, fields: {code, maxWaitMs},
+				part: AdapterPart.Process, level: 'warn', text: `waiting for address ${host}:${port}`, fields: {code},
 			});
 		},
 		onBound({host, port}, waitedMs) {
@@ -35,3 +36,10 @@
 		},
 	};
 }
+
+/** Logs rejections that nothing handles: what they were about has a time limit of its own, so the process goes on. */
+export function logRejections(log: Log) {
+	process.on('unhandledRejection', error => {
+		log.write({part: AdapterPart.Process, level: 'error', text: `unhandled rejection: ${error instanceof Error ? error.stack : String(error)}`});
+	});
+}
--- a/packages/router/test/gateway/internal-errors.test.ts
+++ b/packages/router/test/gateway/internal-errors.test.ts
@@ -145,7 +145,9 @@
 	await waitUntil(() => stopCount > 0);
 	const {text} = await metrics.scrape(testRouter.router.gateway, 0);
 	expect(text).toContain('shallotloom_internal_errors_total{part="uncaught"} 1');
-	expect(await sendRequest(callerAddress, '/plan/x')).toMatchObject({status: 0});
+	// Until the listener closes, a late call gets a true answer and reaches no target.
+	expect(await sendRequest(callerAddress, '/plan/x')).toMatchObject({status: 503});
+	expect(target.requests).toHaveLength(1);
 });
 
 // Guards against a message whose handling throws and that takes the rest of its step along.
--- a/packages/router/test/process-lifecycle.test.ts
+++ b/packages/router/test/process-lifecycle.test.ts
@@ -28,6 +28,9 @@
 		drain() {
 			done.push('drain');
 		},
+		fail() {
+			done.push('fail');
+		},
 		record() {
 			// What is logged is tested with the program.
 		},
@@ -53,7 +56,7 @@
 	['uncaughtException', Starting, ['exit 1'], Ended],
 	['SIGHUP', Serving, ['reload'], Serving],
 	['SIGTERM', Serving, ['drain'], Draining],
-	['uncaughtException', Serving, ['drain'], Draining],
+	['uncaughtException', Serving, ['fail'], Draining],
 	['SIGHUP', Draining, [], Draining],
 	['SIGTERM', Draining, [], Draining],
 	['uncaughtException', Draining, [], Draining],
@@ -94,5 +97,14 @@
 	const broken = enter(Serving);
 	broken.source.emit('uncaughtException', new Error('broken'));
 	broken.lifecycle.handle(ProcessEvent.Stopped);
-	expect(broken.done).toEqual(['drain', 'exit 1']);
+	expect(broken.done).toEqual(['fail', 'exit 1']);
+});
+
+test('exceptions that go on during a stop end the process before the time of the stop is over', () => {
+	const {source, done} = enter(Draining);
+	for (let count = 0; count < 5; count += 1) {
+		source.emit('uncaughtException', new Error('broken'));
+	}
+
+	expect(done).toEqual(['exit 1']);
 });
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -2,6 +2,7 @@
 Loads a YAML file and validates it against a schema. Every fault in the file is returned as a tagged result; nothing throws.
 */
 import {readFile} from 'node:fs/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {isRecord} from '@shallotloom/core/entity-rules.ts';
 import {parseDocument} from 'yaml';
 import type {z} from 'zod';
@@ -30,6 +31,25 @@
 	return parseSettings(schema, text);
 }
 
+/** Interval between attempts to read a file that can't be used yet, in milliseconds. */
+const retryMs = 200;
+
+/** Time for which a file may be missing or incomplete at a start, since somebody may be writing it, in milliseconds. */
+const incompleteMs = 2000;
+
+/** Loads settings at a start: a file that can't be used is read again for a while. */
+export async function awaitSettings<Settings>(load: () => Promise<SettingsResult<Settings>>): Promise<SettingsResult<Settings>> {
+	const endsAt = performance.now() + incompleteMs;
+	for (;;) {
+		const result = await load();
+		if (result.kind === 'ok' || performance.now() >= endsAt) {
+			return result;
+		}
+
+		await sleep(retryMs);
+	}
+}
+
 /** Validates the text of a settings file against the schema. */
 export function parseSettings<Schema extends z.ZodType>(schema: Schema, text: string): SettingsResult<z.output<Schema>> {
 	const document = parseDocument(text);
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,11 +1,13 @@
 /*
-Bundles each program into one file under dist/ that runs as `node dist/NAME.js`. With --platform it bundles the programs for
-the users' platform instead, under target/, with the parts that they load later under target/chunks/. `--out FOLDER` names another folder.
+Bundles each program into a file under dist/ that runs as `node dist/NAME.js`, with the parts that it shares or loads later under
+dist/chunks/. With --platform it bundles the programs for the users' platform instead, under target/. `--out FOLDER` names another folder.
 */
 import path from 'node:path';
 import process from 'node:process';
 import {execFileSync} from 'node:child_process';
-import {existsSync, readFileSync, rmSync} from 'node:fs';
+import {
+	existsSync, readdirSync, readFileSync, rmSync,
+} from 'node:fs';
 import {build} from 'esbuild';
 
 const chunkFolder = 'chunks';
@@ -40,15 +42,13 @@
 const outdir = outIndex === -1 ? defaultOutdir : process.argv[outIndex + 1];
 const entryPoints = isPlatformBuild ? platformPrograms : Object.fromEntries(Object.entries(programs).filter(([, entry]) => existsSync(entry)));
 
-// Chunks of an earlier build have other names and would stay.
-rmSync(path.join(outdir, chunkFolder), {recursive: true, force: true});
-
-await build({
+const {metafile} = await build({
 	entryPoints,
 	outdir,
 	bundle: true,
 	// A part that an entry loads with `import()` is a file of its own, so that the entry runs before it is read.
-	splitting: isPlatformBuild,
+	splitting: true,
+	metafile: true,
 	chunkNames: `${chunkFolder}/[name]-[hash]`,
 	platform: 'node',
 	target: 'node20',
@@ -62,6 +62,15 @@
 	banner: {js: 'import {createRequire as __createRequire} from \'node:module\'; const require = __createRequire(import.meta.url);'},
 });
 
+// Chunks of earlier builds have other names and would stay.
+const built = new Set(Object.keys(metafile.outputs).map(file => path.resolve(file)));
+for (const name of existsSync(path.join(outdir, chunkFolder)) ? readdirSync(path.join(outdir, chunkFolder)) : []) {
+	const file = path.resolve(outdir, chunkFolder, name);
+	if (!built.has(file)) {
+		rmSync(file);
+	}
+}
+
 if (!quiet) {
 	console.log(`built ${Object.keys(entryPoints).length} programs under ${outdir}/`);
 }
