Bodies and answers are buffered within a budget derived from the memory of the settings

What callers saw: with many large bodies at once the process exceeded memory_mb and was killed, so all its calls were lost.

Cause: each body and each answer is bounded, their sum wasn't, and limits.memory_mb wasn't read. A body was read in full before its call was refused.

Fix: one budget of buffered bytes for the process, a quarter of memory_mb (64 MiB without). The core decides (buffer-budget.ts), the router accounts (buffered-bytes.ts): each exchange states what its request, its answer and what its caller hasn't read hold; all is given back when the response or its connection closes. A declared length that doesn't fit is refused before the body is read, chunked bytes when they arrive: buffers-full, 503, not run, Retry-After. Requests over 64 KiB get 0.8 of the budget, so that small ones still fit. Reading isn't paused, which could dead-lock between bodies that are half read. Answers that don't fit are relayed as they arrive and delivered. A body of known length is kept in a buffer of that size.

A refused body used to be left unread, so the close reset the connection and could discard the answer. The refusal is now written at once and the connection lingers: it reads and discards until the request ends, for 2 s without a byte or 5 s in all.

--- a/packages/core/src/gateway/limits.ts
+++ b/packages/core/src/gateway/limits.ts
@@ -1,7 +1,7 @@
 /*
 Limits, weights and periods of the gateway with their defaults. Times are in milliseconds unless the name says otherwise.
 */
-import {second} from '../units.ts';
+import {kibibyte, mebibyte, second} from '../units.ts';
 
 /** Period at which an instance checks how closely it has to watch data, in milliseconds. */
 export const watchRolePeriodMs = 100;
@@ -105,6 +105,14 @@
 	minRetryAfterMs: number;
 	/** Retry-after delay of a call for whose pool no target is known. */
 	noTargetRetryAfterMs: number;
+	/** Bytes of requests and answers that an instance buffers at once. */
+	maxBufferedBytes: number;
+	/** Size of a request from which it counts as large, in bytes. */
+	largeRequestBytes: number;
+	/** Fraction of the buffered bytes that large requests may take. */
+	largeRequestsFraction: number;
+	/** Retry-after delay of requests that don't fit. */
+	buffersFullRetryAfterMs: number;
 	/** Time after an outage of the platform within which targets whose entries expired meanwhile have to be listed again. */
 	relistTimeoutMs: number;
 	/** Shortest outage of the platform in which entries of running targets lapse. */
@@ -220,6 +228,10 @@
 	maxQueueTimeoutMs: second,
 	minRetryAfterMs: 200,
 	noTargetRetryAfterMs: second,
+	maxBufferedBytes: 64 * mebibyte,
+	largeRequestBytes: 64 * kibibyte,
+	largeRequestsFraction: 0.8,
+	buffersFullRetryAfterMs: second,
 	relistTimeoutMs: 2.2 * second,
 	minLapseMs: 2.4 * second,
 	rewriteTimeoutMs: 10 * second,
--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -19,6 +19,7 @@
 	MalformedBody = 'malformed-body',
 	DeadlinePassed = 'deadline-passed',
 	QueueFull = 'queue-full',
+	BuffersFull = 'buffers-full',
 	NoCapacity = 'no-capacity',
 	PromptQuarantined = 'prompt-quarantined',
 	RequestQuarantined = 'request-quarantined',
@@ -99,6 +100,11 @@
 		message: detail => `the queue of workspace "${detail}" is full`,
 		hint: 'Retry after the time in the Retry-After header.',
 	},
+	[RefusalKind.BuffersFull]: {
+		status: 503,
+		message: () => 'the router buffers as many bytes of other requests as its memory allows',
+		hint: 'Retry after the time in the Retry-After header, or at another router.',
+	},
 	[RefusalKind.NoCapacity]: {
 		status: 503,
 		message: detail => `no target serves "${detail}" at the moment`,
--- a/packages/core/src/units.ts
+++ b/packages/core/src/units.ts
@@ -10,3 +10,6 @@
 
 /** One kibibyte, in bytes. */
 export const kibibyte = 1024;
+
+/** One mebibyte, in bytes. */
+export const mebibyte = 1024 * kibibyte;
--- a/packages/router/src/byte-buffer.ts
+++ b/packages/router/src/byte-buffer.ts
@@ -14,15 +14,19 @@
 
 const minCapacityBytes = 1024;
 
-/** Creates an empty buffer. A single piece is returned without a copy. */
-export function createByteBuffer(): ByteBuffer {
+/**
+Creates an empty buffer. A single piece is returned without a copy.
+
+@param expectedBytes Number of bytes in all, if known: then no more than that is allocated.
+*/
+export function createByteBuffer(expectedBytes = 0): ByteBuffer {
 	/** The first piece itself, which is not written to, until a second one arrives. */
 	let storage: Buffer = Buffer.alloc(0);
 	let capacity = 0;
 	let length = 0;
 
 	function reserve(size: number) {
-		capacity = Math.max(minCapacityBytes, 2 * size);
+		capacity = size <= expectedBytes ? expectedBytes : Math.max(minCapacityBytes, 2 * size);
 		const grown = Buffer.allocUnsafeSlow(capacity);
 		storage.copy(grown, 0, 0, length);
 		storage = grown;
--- a/packages/router/src/gateway/call-exchange.ts
+++ b/packages/router/src/gateway/call-exchange.ts
@@ -5,6 +5,7 @@
 import type {ServerResponse} from 'node:http';
 import {refusals, type Refusal} from '@shallotloom/core/refusal.ts';
 import {createRefusalBody, createRefusalHeaders} from '../exchange.ts';
+import type {BufferHold} from './buffered-bytes.ts';
 import type {DispatchController} from './target-send.ts';
 
 /** Complete answer of a target, buffered until the core decides whether the caller gets it. */
@@ -28,6 +29,8 @@
 	headers: string[];
 	body: Buffer | undefined;
 	response: ServerResponse;
+	/** What the exchange holds of the budget of buffered bytes. */
+	hold: BufferHold;
 	/** Whether the caller has its final answer or has disconnected. */
 	isFinished: boolean;
 	/** Id of the last event sent to the caller. */
@@ -70,7 +73,13 @@
 
 /** Writes a refusal as the complete response. */
 export function writeRefusal(response: ServerResponse, refusal: Refusal) {
+	writeUnendedRefusal(response, refusal);
+	response.end();
+}
+
+/** Writes all bytes of a refusal without ending the response, so that its connection stays open. */
+export function writeUnendedRefusal(response: ServerResponse, refusal: Refusal) {
 	const body = Buffer.from(JSON.stringify(createRefusalBody(refusal)));
 	response.writeHead(refusals[refusal.kind].status, {...createRefusalHeaders(refusal, true), 'content-length': String(body.length)});
-	response.end(body);
+	response.write(body);
 }
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -12,15 +12,25 @@
 import {
 	Outcome, RefusalKind, refusals, type Refusal,
 } from '@shallotloom/core/refusal.ts';
-import {createByteBuffer} from '../byte-buffer.ts';
+import {createByteBuffer, type ByteBuffer} from '../byte-buffer.ts';
 import {createRefusalBody} from '../exchange.ts';
 import type {Address} from '../listener.ts';
-import {writeRefusal} from './call-exchange.ts';
+import type {Timer} from '../timer.ts';
+import type {BufferedBytes, BufferHold} from './buffered-bytes.ts';
+import {createLingeringCloses} from './lingering-closes.ts';
 
 export type CallerListenerOptions = {
 	address: Address;
-	/** Called with each request once its body has been read in full. */
-	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) => void;
+	timer: Timer;
+	bufferedBytes: BufferedBytes;
+	/** Called with each request once its body has been read in full. `hold` holds the body, and is released with the response. */
+	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined, hold: BufferHold) => void;
+	/**
+	Called with each request that the budget of buffered bytes refuses; returns the refusal.
+
+	@param bytes Declared length of the body; without one, the bytes that have arrived.
+	*/
+	onBuffersFull: (request: IncomingMessage, bytes: number) => Refusal;
 };
 
 export type CallerListener = {
@@ -91,7 +101,9 @@
 }
 
 /** Starts the listener; rejects when its address can't be bound. */
-export async function listenForCallers({address, onRequest}: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForCallers({
+	address, timer, bufferedBytes, onRequest, onBuffersFull,
+}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const openResponses = new Map<ServerResponse, Socket>();
@@ -112,10 +124,31 @@
 		});
 	}
 
-	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
-		// The rest of the request stays unread, so the connection can't be reused.
-		response.setHeader('connection', 'close');
-		writeRefusal(response, refusal);
+	/** Holds of the requests of each open connection. */
+	const holds = new Map<Socket, Set<BufferHold>>();
+	const lingeringCloses = createLingeringCloses(timer);
+
+	/** Creates a hold that is released when the response or its connection has closed. */
+	function createHold({socket}: IncomingMessage, response: ServerResponse): BufferHold {
+		const hold = bufferedBytes.createHold();
+		// A response whose turn on its connection never comes isn't closed with it.
+		holds.get(socket)?.add(hold);
+		response.once('close', () => {
+			holds.get(socket)?.delete(hold);
+			hold.release();
+		});
+		return hold;
+	}
+
+	function trackHolds(socket: Socket) {
+		holds.set(socket, new Set());
+		socket.once('close', () => {
+			for (const hold of holds.get(socket) ?? []) {
+				hold.release();
+			}
+
+			holds.delete(socket);
+		});
 	}
 
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
@@ -125,24 +158,47 @@
 		}
 
 		if (computeHeaderBytes(request) > limits.headerBytes) {
-			refuseAndClose(response, createNotRunRefusal(RefusalKind.HeadersTooLarge));
+			lingeringCloses.refuse(request, response, createNotRunRefusal(RefusalKind.HeadersTooLarge));
 			return;
 		}
 
-		const buffered = createByteBuffer();
+		const declaredBytes = Number(request.headers['content-length'] ?? 0);
 		const maxBodyBytes = limits.bodyBytes;
-		let size = 0;
+		const hold = createHold(request, response);
+
+		/** Whether a body of this size may be read; otherwise refuses the request. */
+		function admitBody(bytes: number): boolean {
+			if (bytes > maxBodyBytes) {
+				lingeringCloses.refuse(request, response, createNotRunRefusal(RefusalKind.BodyTooLarge, String(maxBodyBytes)));
+				return false;
+			}
+
+			if (!hold.tryHoldRequest(bytes)) {
+				lingeringCloses.refuse(request, response, onBuffersFull(request, bytes));
+				return false;
+			}
+
+			return true;
+		}
+
+		/** Undefined once the request has been refused. */
+		let buffered: ByteBuffer | undefined = admitBody(declaredBytes) ? createByteBuffer(declaredBytes) : undefined;
 		request.on('data', (chunk: Buffer) => {
-			size += chunk.length;
-			if (size <= maxBodyBytes) {
+			if (!buffered) {
+				return;
+			}
+
+			const bytes = buffered.length + chunk.length;
+			if (bytes <= declaredBytes || admitBody(bytes)) {
 				buffered.append(chunk);
-			} else if (!response.headersSent) {
-				refuseAndClose(response, createNotRunRefusal(RefusalKind.BodyTooLarge, String(maxBodyBytes)));
+			} else {
+				buffered = undefined;
+				hold.release();
 			}
 		});
 		request.on('end', () => {
-			if (size <= maxBodyBytes) {
-				onRequest(request, response, size === 0 ? undefined : buffered.take());
+			if (buffered) {
+				onRequest(request, response, buffered.length === 0 ? undefined : buffered.take(), hold);
 			}
 		});
 		request.on('error', () => {
@@ -160,6 +216,7 @@
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
 	server.on('clientError', refuseUnparsable);
+	server.on('connection', trackHolds);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -15,6 +15,7 @@
 import {getSuspectKind, SuspectKind} from '@shallotloom/core/gateway/suspects.ts';
 import {isPaused} from '@shallotloom/core/gateway/target-notices.ts';
 import {RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
+import type {BufferedBytes} from './buffered-bytes.ts';
 
 export type GatewayMetrics = {
 	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
@@ -22,6 +23,8 @@
 	countSend(send: GatewayOutboundOf<'send'>): void;
 	/** Counts the call events that an inbound message reports. */
 	countInbound(inbound: GatewayInbound, now: number): void;
+	/** Sets where the gauge of buffered bytes is read from. */
+	observeBuffers(bufferedBytes: Pick<BufferedBytes, 'total'>): void;
 	/** Returns the metrics of the current state in the text format of a scrape. */
 	scrape(gateway: Gateway, omittedLines: number): Promise<{text: string; contentType: string}>;
 };
@@ -77,8 +80,11 @@
 		engineLimit: new Gauge({
 			name: 'shallotloom_engine_limit', help: 'Most requests at once at an engine, by pool.', labelNames: ['pool'], registers,
 		}),
+		bufferedBytes: new Gauge({name: 'shallotloom_buffered_bytes', help: 'Bytes of requests and answers that are buffered.', registers}),
+		bufferBudget: new Gauge({name: 'shallotloom_buffer_budget_bytes', help: 'Most bytes of requests and answers that are buffered at once.', registers}),
 		omittedLines: new Gauge({name: 'shallotloom_log_lines_omitted', help: 'Log lines left out since the start.', registers}),
 	};
+	let observedBuffers: Pick<BufferedBytes, 'total'> | undefined;
 	/** Arrival times of the calls whose first byte is still awaited, in milliseconds, by call id. */
 	const arrivedAt = new Map<string, number>();
 
@@ -133,6 +139,8 @@
 			gauges.engineLimit.set({pool}, limit);
 		}
 
+		gauges.bufferedBytes.set(observedBuffers?.total ?? 0);
+		gauges.bufferBudget.set(gateway.limits.maxBufferedBytes);
 		gauges.omittedLines.set(omittedLines);
 	}
 
@@ -152,6 +160,9 @@
 			const handler = countHandlers[inbound.kind] as ((inbound: GatewayInbound, now: number) => void) | undefined;
 			handler?.(inbound, now);
 		},
+		observeBuffers(bufferedBytes) {
+			observedBuffers = bufferedBytes;
+		},
 		async scrape(gateway, omittedLines) {
 			setGauges(gateway, omittedLines);
 			return {text: await registers[0]!.metrics(), contentType: registers[0]!.contentType};
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -27,6 +27,7 @@
 import {
 	sendBufferedAnswer, endWithRefusal, writeRefusal, type CallExchange,
 } from './call-exchange.ts';
+import {createBufferedBytes, type BufferedBytes, type BufferHold} from './buffered-bytes.ts';
 import type {CallFormat} from './call-format.ts';
 import {listenForCallers} from './caller-listener.ts';
 import {filterRequestHeaders} from './hop-by-hop-headers.ts';
@@ -77,6 +78,7 @@
 
 export type GatewayRouter = {
 	gateway: Gateway;
+	bufferedBytes: Pick<BufferedBytes, 'total'>;
 	/** Passes a message to the core. */
 	push(inbound: GatewayInbound): void;
 	/** Starts a planned stop; `onStopped` is called when it is complete. */
@@ -104,6 +106,8 @@
 		isFirstStart: options.isFirstStart,
 	});
 	const exchanges = new Map<string, CallExchange>();
+	const bufferedBytes = createBufferedBytes(gateway.limits);
+	metrics.observeBuffers(bufferedBytes);
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
@@ -266,7 +270,26 @@
 		},
 	});
 
-	function handleCall(request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) {
+	function handleBuffersFull({url, headers}: IncomingMessage, bytes: number): Refusal {
+		const {maxBufferedBytes, buffersFullRetryAfterMs: retryAfterMs} = gateway.limits;
+		const parsed = format.parseCall({url: url ?? '/', headers});
+		const refusal: Refusal = {
+			kind: RefusalKind.BuffersFull, outcome: Outcome.NotRun, detail: '', retryAfterMs,
+		};
+		metrics.countRefusal(refusal);
+		log.write({
+			part: LogPart.Request,
+			level: 'warn',
+			text: 'refused',
+			request: parsed.kind === 'ok' ? parsed.requestId : undefined,
+			fields: {
+				reason: refusal.kind, outcome: refusal.outcome, retryAfterMs, bytes, bufferedBytes: bufferedBytes.total, maxBufferedBytes,
+			},
+		});
+		return refusal;
+	}
+
+	function handleCall(request: IncomingMessage, response: ServerResponse, body: Buffer | undefined, hold: BufferHold) {
 		const parsed = format.parseCall({url: request.url ?? '/', headers: request.headers});
 		if (parsed.kind === 'malformed') {
 			const refusal: Refusal = {kind: RefusalKind.MalformedBody, outcome: Outcome.NotRun, detail: parsed.detail};
@@ -285,6 +308,7 @@
 			headers: filterRequestHeaders(request.rawHeaders),
 			body,
 			response,
+			hold,
 			isFinished: false,
 			lastEventId: undefined,
 			streamHead: undefined,
@@ -340,7 +364,10 @@
 
 	const listener = await listenForCallers({
 		address: parseAddress(options.callerListenAddress),
+		timer,
+		bufferedBytes,
 		onRequest: handleCall,
+		onBuffersFull: handleBuffersFull,
 	});
 	/** Handlers of the messages between instances that routed calls need; other kinds are ignored. */
 	const messageHandlers: {[Kind in PeerMessage['kind']]?: (from: string, incarnation: string, message: PeerMessageOf<Kind>) => void} = {
@@ -371,6 +398,7 @@
 
 	return {
 		gateway,
+		bufferedBytes,
 		push,
 		stop() {
 			push({kind: 'stopRequested'});
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -8,6 +8,7 @@
 import {SendEnd, type GatewayInbound, type GatewayOutboundOf} from '@shallotloom/core/gateway/ports.ts';
 import type {LoadReport} from '@shallotloom/core/gateway/rows.ts';
 import {createByteBuffer} from '../byte-buffer.ts';
+import {BufferedPart} from './buffered-bytes.ts';
 import {sendBufferedAnswer, type CallExchange, type StreamHead} from './call-exchange.ts';
 import {AnsweredRequest, type CallFormat, type ParsedAnswerHead} from './call-format.ts';
 import {filterAnswerHeaders} from './hop-by-hop-headers.ts';
@@ -67,6 +68,7 @@
 	exchange.currentSend = command.send;
 	exchange.failedAnswer = undefined;
 	exchange.releaseEvents = undefined;
+	exchange.hold.set(BufferedPart.Answer, 0);
 	const headers = format.createTargetHeaders(exchange.headers, {
 		target: command.target,
 		workspace: command.workspace,
@@ -301,10 +303,12 @@
 type AnswerHead = {status: number; headers: Record<string, string | string[]>};
 
 /** Writes bytes to the caller; reading from the target is paused while the caller's connection is congested. */
-function writeWithBackpressure({response}: CallExchange, controller: DispatchController, bytes: Buffer) {
+function writeWithBackpressure({response, hold}: CallExchange, controller: DispatchController, bytes: Buffer) {
 	if (!response.write(bytes)) {
+		hold.set(BufferedPart.Unsent, response.writableLength);
 		controller.pause();
 		response.once('drain', () => {
+			hold.set(BufferedPart.Unsent, 0);
 			controller.resume();
 		});
 	}
@@ -332,6 +336,11 @@
 	/** Complete events that are held back; undefined once they aren't any more. */
 	let held: Buffer[] | undefined = isHeld ? [] : undefined;
 	let hasEnded = false;
+	let heldBytes = 0;
+
+	function accountEvents() {
+		exchange.hold.set(BufferedPart.Answer, events.partialEventBytes + heldBytes);
+	}
 
 	function writeHead() {
 		if (!exchange.response.headersSent) {
@@ -368,6 +377,8 @@
 			exchange.releaseEvents = undefined;
 			const complete = held ?? [];
 			held = undefined;
+			heldBytes = 0;
+			accountEvents();
 			deliver(controller, complete);
 			if (hasEnded) {
 				finish();
@@ -379,6 +390,7 @@
 	return {
 		onData(controller, chunk) {
 			const complete = events.push(chunk);
+			accountEvents();
 			if (events.partialEventBytes > maxEventBytes) {
 				return {end: SendEnd.Broken, detail: `event without end after ${events.partialEventBytes} bytes`};
 			}
@@ -394,6 +406,8 @@
 			isRest = false;
 			if (held) {
 				held.push(...complete);
+				heldBytes += complete.reduce((sum, {length}) => sum + length, 0);
+				accountEvents();
 				awaitRelease(controller);
 			}
 
@@ -426,11 +440,14 @@
 	let size = 0;
 	/** Whether the answer exceeded the buffer and is relayed as it arrives. */
 	let isPassthrough = false;
+	/** Whether it may be relayed before it is complete: a failure may be followed by another send. */
+	const mayPassEarly = head.status < minServerErrorStatus && !notRunStatuses.has(head.status) && !exchange.response.headersSent;
 
 	function startPassthrough(controller: DispatchController) {
 		isPassthrough = true;
 		exchange.response.writeHead(head.status, head.headers);
 		reportDelivered();
+		exchange.hold.set(BufferedPart.Answer, 0);
 		writeWithBackpressure(exchange, controller, buffered.take());
 	}
 
@@ -447,7 +464,8 @@
 			}
 
 			buffered.append(chunk);
-			if (size > maxBufferedAnswerBytes) {
+			exchange.hold.set(BufferedPart.Answer, buffered.length);
+			if (size > maxBufferedAnswerBytes || (mayPassEarly && !exchange.hold.fitsAnswer())) {
 				startPassthrough(controller);
 			}
 
