Requests in flight at a target are counted anew for each of its rows

What was seen: a target whose entry was gone for 1.5 s came back with 0 requests in flight; when those before ended, the count became negative.

Cause: the count belongs to the row, and calls find the row by the id of the target: the end of a call is subtracted from a row that never counted it. Same cause: the tokens to be prefilled, when a process is replaced.

Fix: a new row counts the calls that are in flight at its target, so each end subtracts what was counted.

--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -14,7 +14,17 @@
 } from './rows.ts';
 import {findFormerTarget, recordFormerTarget} from './target-notices.ts';
 
-function createTarget({now}: Gateway, listed: ListedTarget): PoolTarget {
+/**
+Counts the calls of this instance that are in flight at a target. They are counted down one by one as they end, whichever row the target
+has then, so each new row begins with all of them.
+*/
+function countInFlight({calls}: Gateway, id: string): Pick<PoolTarget, 'running' | 'prefillBacklogTokens'> {
+	const inFlight = [...calls.rows()].filter(({state, target}) => state === CallState.Sent && target === id);
+	return {running: inFlight.length, prefillBacklogTokens: inFlight.reduce((sum, {uncachedTokens}) => sum + uncachedTokens, 0)};
+}
+
+function createTarget(gateway: Gateway, listed: ListedTarget): PoolTarget {
+	const {now} = gateway;
 	return {
 		...listed,
 		coldUntil: now + listed.coldForMs,
@@ -23,9 +33,8 @@
 		connectionFailedAt: Number.NEGATIVE_INFINITY,
 		lastAnswerAt: Number.NEGATIVE_INFINITY,
 		coldSendTimes: [],
-		running: 0,
+		...countInFlight(gateway, listed.id),
 		remoteRunning: 0,
-		prefillBacklogTokens: 0,
 		reportedLoad: 0,
 		loadReportedAt: Number.NEGATIVE_INFINITY,
 		sentSinceReport: 0,
@@ -119,12 +128,12 @@
 	if (listed.startId !== target.startId || listed.pool !== target.pool || listed.address !== target.address) {
 		// Another process: what is known of the previous one no longer holds, but recent sends may have reached the new one
 		// already.
-		const {running, coldSendTimes, coldUntil} = target;
+		const {coldSendTimes, coldUntil} = target;
 		updateOrigins(gateway, target, listed);
 		recordFormerVersion(gateway, target);
 		recordFormerTarget(gateway, target);
 		confirmCrash(gateway, target);
-		const next = {...createListedTarget(gateway, listed), running, coldSendTimes};
+		const next = {...createListedTarget(gateway, listed), coldSendTimes};
 		// An older copy of the platform's data may list the process before the one that is known, which may be cold still.
 		gateway.targets.set({...next, coldUntil: listed.isRestored ? Math.max(coldUntil, next.coldUntil) : next.coldUntil});
 		logTarget(gateway, 'listed again after a start', listed);
--- a/packages/core/test/gateway/targets.test.ts
+++ b/packages/core/test/gateway/targets.test.ts
@@ -1,6 +1,7 @@
+import {SendEnd} from '../../src/gateway/ports.ts';
 import {TargetStanding} from '../../src/gateway/rows.ts';
 import {
-	createBench, createDigestFrom, filterByKind, createListedTarget,
+	createBench, createDigestFrom, createListedTarget, createPrompt, endSend, filterByKind,
 } from '../support/gateways.ts';
 
 const twoTargets = [createListedTarget('t1'), createListedTarget('t2')];
@@ -113,3 +114,24 @@
 	bench.step({kind: 'targets', targets: [cold]});
 	expect(bench.gateway.targets.get('t1')!.coldUntil).toBe(coldUntil);
 });
+
+test.each([
+	['removed and listed again', [[], [createListedTarget('t1', {pool: 'engines', coldForMs: 6000, revision: 2})]]],
+	['replaced by another process', [[createListedTarget('t1', {
+		pool: 'engines', coldForMs: 6000, startId: '2', revision: 2,
+	})]]],
+])('the requests in flight at a target that is %s are counted, and none are once they have ended', (_case, lists) => {
+	const bench = createBench({targets: [createListedTarget('t1', {pool: 'engines'})], instances: ['self', 'other']});
+	const [sent] = filterByKind(bench.call({path: '/chat/x', prompt: createPrompt('p', 1000)}), 'send');
+	const {prefillBacklogTokens} = bench.gateway.targets.get('t1')!;
+	expect(prefillBacklogTokens).toBeGreaterThan(0);
+	for (const targets of lists) {
+		bench.step({kind: 'targets', targets});
+	}
+
+	expect(bench.gateway.targets.get('t1')).toMatchObject({running: 1, prefillBacklogTokens});
+	endSend(bench, sent!, SendEnd.Complete);
+	expect(bench.gateway.targets.get('t1')).toMatchObject({running: 0, prefillBacklogTokens: 0});
+	const [digest] = filterByKind(bench.wait(1000), 'sendDigest');
+	expect(digest!.digest.targets).toMatchObject([{target: 't1', running: 0}]);
+});
