The metrics keep nothing of a call that has ended

Cause: the arrival time of a call was deleted only by its first byte, the end of a send, or the leaving of its caller; not when it was refused unsent or at its deadline.

Fix: it is deleted when the core closes the call, which every call comes to.

--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -18,11 +18,15 @@
 import type {BufferedBytes} from './buffered-bytes.ts';
 
 export type GatewayMetrics = {
+	/** Number of calls whose first byte is awaited. */
+	readonly awaitedCalls: number;
 	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
 	/** Counts a send that resumes a stream. */
 	countSend(send: GatewayOutboundOf<'send'>): void;
 	/** Counts the call events that an inbound message reports. */
 	countInbound(inbound: GatewayInbound, now: number): void;
+	/** Forgets a call that has ended in whatever way. */
+	forgetCall(call: string): void;
 	/** Sets where the gauge of buffered bytes is read from. */
 	observeBuffers(bufferedBytes: Pick<BufferedBytes, 'total'>): void;
 	/** Returns the metrics of the current state in the text format of a scrape. */
@@ -94,9 +98,8 @@
 			arrivedCalls.inc();
 			arrivedAt.set(call.id, now);
 		},
-		callerGone({call}) {
+		callerGone() {
 			disconnectedCallers.inc();
-			arrivedAt.delete(call);
 		},
 		answerStarted({call}, now) {
 			const at = arrivedAt.get(call);
@@ -145,6 +148,9 @@
 	}
 
 	return {
+		get awaitedCalls() {
+			return arrivedAt.size;
+		},
 		countRefusal({kind, outcome}, {pool, cause} = {}) {
 			refusedCalls.inc({reason: kind, outcome});
 			if (cause !== undefined && streamCauses.has(cause)) {
@@ -160,6 +166,9 @@
 			const handler = countHandlers[inbound.kind] as ((inbound: GatewayInbound, now: number) => void) | undefined;
 			handler?.(inbound, now);
 		},
+		forgetCall(call) {
+			arrivedAt.delete(call);
+		},
 		observeBuffers(bufferedBytes) {
 			observedBuffers = bufferedBytes;
 		},
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -219,6 +219,7 @@
 			},
 			closed({call}) {
 				exchanges.delete(call);
+				metrics.forgetCall(call);
 			},
 			targetGone({address}) {
 				connectionPools.closePool(address);
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -11,7 +11,7 @@
 import {allocatePort} from '@shallotloom/standin/free-port.ts';
 import {AnsweredRequest, type CallFormat} from '../../src/gateway/call-format.ts';
 import {startGatewayRouter, type GatewayRouter, type StreamStore} from '../../src/gateway/gateway-router.ts';
-import {createGatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
+import {createGatewayMetrics, type GatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
 import {createLog} from '../../src/log.ts';
 import {createTimer} from '../../src/timer.ts';
 
@@ -68,6 +68,7 @@
 ];
 
 export type TestRouter = {
+	metrics: GatewayMetrics;
 	/** Withdrawals of the registration wait for these. */
 	withdrawals: Array<Promise<unknown>>;
 	router: GatewayRouter;
@@ -79,6 +80,7 @@
 export async function startTestRouter(addresses: string[], timeoutMs = 2000, streamStore: Partial<StreamStore> = {}): Promise<TestRouter> {
 	const [callers, peers] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const withdrawals: Array<Promise<unknown>> = [];
+	const metrics = createGatewayMetrics();
 	const router = await startGatewayRouter({
 		self: {
 			id: 'self', failureDomain: 'suva', callerAddress: callers, peerUrl: `http://${peers}`, capacity: 1,
@@ -109,7 +111,7 @@
 			},
 		},
 		log: createLog({level: 'error'}),
-		metrics: createGatewayMetrics(),
+		metrics,
 		timer: createTimer(),
 		onRefreshData() {
 			// The tests push all data themselves.
@@ -147,6 +149,7 @@
 		}),
 	});
 	return {
+		metrics,
 		withdrawals,
 		router,
 		callerAddress: callers,
