Connections to targets read ahead little while a slow caller makes them pause

Cause: when an answer is paused, undici puts back what it hasn't parsed and takes it out again later. Each byte was counted anew. Besides, undici takes out all that a socket has: the emptied socket reads 64 KiB more, and what is put back comes on top, at each pause. The check hit this growth by chance; it has no other bound.

Fix: what is put back isn't counted, and at most 64 KiB are taken out at once.

--- a/packages/router/src/gateway/connection-pools.ts
+++ b/packages/router/src/gateway/connection-pools.ts
@@ -40,6 +40,12 @@
 */
 const maxBytesWithoutProgress = 256 * 1024;
 
+/**
+Most bytes that are parsed at once, as many as a socket reads ahead. What is parsed beyond a pause is put back; if everything were taken out
+each time, the socket would read more beside it each time, without bound.
+*/
+const maxReadBytes = 64 * 1024;
+
 /** Message of the error with which undici destroys the connection of an aborted request. */
 const abortMessage = 'aborted';
 
@@ -70,13 +76,14 @@
 
 	/**
 	Closes a connection from which too many bytes are read without progress. undici parses each chunk before it reads the next one, so what
-	it reports between two reads belongs to the connection that was read last.
+	it reports between two reads belongs to the connection that was read last. What it puts back when it pauses is read once more.
 	*/
 	function limitBytesWithoutProgress(socket: Socket) {
 		const state = {bytesWithoutProgress: 0, answers: 0};
 		const read = socket.read.bind(socket);
+		const unshift = socket.unshift.bind(socket);
 		socket.read = (size?: number) => {
-			const chunk = read(size) as Buffer | null;
+			const chunk = read(size ?? (Math.min(socket.readableLength, maxReadBytes) || undefined)) as Buffer | null;
 			lastRead = state;
 			state.bytesWithoutProgress += chunk?.length ?? 0;
 			if (state.bytesWithoutProgress > maxBytesWithoutProgress) {
@@ -86,6 +93,11 @@
 
 			return chunk;
 		};
+
+		socket.unshift = (chunk: Buffer) => {
+			state.bytesWithoutProgress -= chunk.length;
+			unshift(chunk);
+		};
 	}
 
 	/**
