A status that says not run is never relayed from a target that may have run the call

What callers saw: a target's 503 with a body of over 1 MB was passed on, though the target had run the call. 408, 421, 429 and 503 tell callers that a call has not run.

Cause: the status was judged at the end of the answer, and an answer beyond the buffer is relayed before its end. Found while the buffers of answers were put under the budget.

Fix: it is judged by the head, and the body is discarded: none of it is of use.

Test before: 503 instead of 502, with and without a length; after: 502 in both.

--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -44,7 +44,7 @@
 /** Longest event of a stream, in bytes. */
 const maxEventBytes = 1024 * 1024;
 
-/** Bytes of the body of a refusal that are read so that its connection can be used again. */
+/** Bytes of the body of an answer that isn't relayed that are read so that its connection can be used again. */
 const maxDiscardedBytes = 64 * 1024;
 
 /** Longest answer without a content length, in bytes: one with a length ends by itself. */
@@ -249,6 +249,9 @@
 			const head = {status, headers: filterAnswerHeaders(headers)};
 			if (parsed.isWrongTarget || parsed.isNotRun) {
 				body = createDiscardingRelay(parsed.isWrongTarget ? SendEnd.WrongTarget : SendEnd.Refused, `status ${status}`);
+			} else if (notRunStatuses.has(status)) {
+				reportStarted();
+				body = createDiscardingRelay(SendEnd.Broken, `status ${status} of a target that may have run it`);
 			} else if (command.isStreamed && status < 300) {
 				body = createStreamRelay({
 					exchange,
@@ -288,7 +291,7 @@
 	};
 }
 
-/** Discards the body of a target that did not run the request: only the status counts. */
+/** Discards the body of an answer that isn't relayed: only the status counts. */
 function createDiscardingRelay(end: SendEnd, detail: string): BodyRelay {
 	let size = 0;
 	return {
@@ -441,7 +444,7 @@
 	/** Whether the answer exceeded the buffer and is relayed as it arrives. */
 	let isPassthrough = false;
 	/** Whether it may be relayed before it is complete: a failure may be followed by another send. */
-	const mayPassEarly = head.status < minServerErrorStatus && !notRunStatuses.has(head.status) && !exchange.response.headersSent;
+	const mayPassEarly = head.status < minServerErrorStatus && !exchange.response.headersSent;
 
 	function startPassthrough(controller: DispatchController) {
 		isPassthrough = true;
@@ -478,10 +481,6 @@
 				return {end: SendEnd.Complete, detail: ''};
 			}
 
-			if (notRunStatuses.has(head.status)) {
-				return {end: SendEnd.Broken, detail: `status ${head.status} of a target that may have run it`};
-			}
-
 			if (exchange.response.headersSent) {
 				return {end: SendEnd.Broken, detail: `status ${head.status} in place of the rest of a stream`};
 			}
--- a/packages/router/test/gateway/answers.test.ts
+++ b/packages/router/test/gateway/answers.test.ts
@@ -474,3 +474,13 @@
 
 	expect(await requestStatus(callerAddress, '/book/x')).toBe(0);
 });
+
+const lengthHeaders = [['with a length', 'Content-Length: 1200000\r\n'], ['without a length', 'Connection: close\r\n']];
+
+test.each(lengthHeaders)('a target\'s 503 that may have run isn\'t relayed, also if its body %s exceeds the buffer', async (_form, header) => {
+	const callerAddress = await start(({socket, id}) => {
+		socket.write(`HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: ${id}\r\n${header}\r\n`);
+		socket.end('x'.repeat(1_200_000));
+	});
+	expect(await sendRequest(callerAddress, '/book/x', {method: 'POST'})).toMatchObject({status: 502, isComplete: true});
+});
