--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -16,8 +16,11 @@
 import {isPaused} from '@shallotloom/core/gateway/target-notices.ts';
 import {RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 import type {ConnectionEnd} from './caller-connections.ts';
+import type {BufferedBytes} from './buffered-bytes.ts';
 
 export type GatewayMetrics = {
+	/** Number of calls whose first byte is awaited. */
+	readonly awaitedCalls: number;
 	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
 	/** Counts an answer that was cut after it had begun. */
 	countCutAnswer(cause: RefusalKind): void;
@@ -29,6 +32,10 @@
 	countInternalError(part: string): void;
 	/** Counts the call events that an inbound message reports. */
 	countInbound(inbound: GatewayInbound, now: number): void;
+	/** Forgets a call that has ended in whatever way. */
+	forgetCall(call: string): void;
+	/** Sets where the gauge of buffered bytes is read from. */
+	observeBuffers(bufferedBytes: Pick<BufferedBytes, 'total'>): void;
 	/** Returns the metrics of the current state in the text format of a scrape. */
 	scrape(gateway: Gateway, omittedLines: number): Promise<{text: string; contentType: string}>;
 };
@@ -93,8 +100,11 @@
 		engineLimit: new Gauge({
 			name: 'shallotloom_engine_limit', help: 'Most requests at once at an engine, by pool.', labelNames: ['pool'], registers,
 		}),
+		bufferedBytes: new Gauge({name: 'shallotloom_buffered_bytes', help: 'Bytes of requests and answers that are buffered.', registers}),
+		bufferBudget: new Gauge({name: 'shallotloom_buffer_budget_bytes', help: 'Most bytes of requests and answers that are buffered at once.', registers}),
 		omittedLines: new Gauge({name: 'shallotloom_log_lines_omitted', help: 'Log lines left out since the start.', registers}),
 	};
+	let observedBuffers: Pick<BufferedBytes, 'total'> | undefined;
 	/** Arrival times of the calls whose first byte is still awaited, in milliseconds, by call id. */
 	const arrivedAt = new Map<string, number>();
 
@@ -104,9 +114,8 @@
 			arrivedCalls.inc();
 			arrivedAt.set(call.id, now);
 		},
-		callerGone({call}) {
+		callerGone() {
 			disconnectedCallers.inc();
-			arrivedAt.delete(call);
 		},
 		answerStarted({call}, now) {
 			const at = arrivedAt.get(call);
@@ -149,10 +158,15 @@
 			gauges.engineLimit.set({pool}, limit);
 		}
 
+		gauges.bufferedBytes.set(observedBuffers?.total ?? 0);
+		gauges.bufferBudget.set(gateway.limits.maxBufferedBytes);
 		gauges.omittedLines.set(omittedLines);
 	}
 
 	return {
+		get awaitedCalls() {
+			return arrivedAt.size;
+		},
 		countRefusal({kind, outcome}, {pool, cause} = {}) {
 			refusedCalls.inc({reason: kind, outcome});
 			if (cause !== undefined && streamCauses.has(cause)) {
@@ -177,6 +191,12 @@
 			const handler = countHandlers[inbound.kind] as ((inbound: GatewayInbound, now: number) => void) | undefined;
 			handler?.(inbound, now);
 		},
+		forgetCall(call) {
+			arrivedAt.delete(call);
+		},
+		observeBuffers(bufferedBytes) {
+			observedBuffers = bufferedBytes;
+		},
 		async scrape(gateway, omittedLines) {
 			setGauges(gateway, omittedLines);
 			return {text: await registers[0]!.metrics(), contentType: registers[0]!.contentType};
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -31,6 +31,7 @@
 import {
 	sendBufferedAnswer, endWithRefusal, writeRefusal, type CallExchange,
 } from './call-exchange.ts';
+import {createBufferedBytes, type BufferedBytes, type BufferHold} from './buffered-bytes.ts';
 import type {CallFormat} from './call-format.ts';
 import {listenForCallers} from './caller-listener.ts';
 import {filterRequestHeaders} from './hop-by-hop-headers.ts';
@@ -85,6 +86,7 @@
 
 export type GatewayRouter = {
 	gateway: Gateway;
+	bufferedBytes: Pick<BufferedBytes, 'total'>;
 	/** Passes a message to the core. */
 	push(inbound: GatewayInbound): void;
 	/** Starts a planned stop; `onStopped` is called when it is complete. */
@@ -127,6 +129,8 @@
 		isFirstStart: options.isFirstStart,
 	});
 	const exchanges = new Map<string, CallExchange>();
+	const bufferedBytes = createBufferedBytes(gateway.limits);
+	metrics.observeBuffers(bufferedBytes);
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
@@ -334,6 +338,7 @@
 			},
 			closed({call}) {
 				exchanges.delete(call);
+				metrics.forgetCall(call);
 			},
 			targetGone({address}) {
 				connectionPools.closePool(address);
@@ -382,7 +387,26 @@
 		},
 	});
 
-	function handleCall(request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) {
+	function handleBuffersFull({url, headers}: IncomingMessage, bytes: number): Refusal {
+		const {maxBufferedBytes, buffersFullRetryAfterMs: retryAfterMs} = gateway.limits;
+		const parsed = format.parseCall({url: url ?? '/', headers});
+		const refusal: Refusal = {
+			kind: RefusalKind.BuffersFull, outcome: Outcome.NotRun, detail: '', retryAfterMs,
+		};
+		metrics.countRefusal(refusal);
+		log.write({
+			part: LogPart.Request,
+			level: 'warn',
+			text: 'refused',
+			request: parsed.kind === 'ok' ? parsed.requestId : undefined,
+			fields: {
+				reason: refusal.kind, outcome: refusal.outcome, retryAfterMs, bytes, bufferedBytes: bufferedBytes.total, maxBufferedBytes,
+			},
+		});
+		return refusal;
+	}
+
+	function handleCall(request: IncomingMessage, response: ServerResponse, body: Buffer | undefined, hold: BufferHold) {
 		const parsed = format.parseCall({url: request.url ?? '/', headers: request.headers});
 		if (parsed.kind === 'malformed') {
 			const refusal: Refusal = {kind: RefusalKind.MalformedBody, outcome: Outcome.NotRun, detail: parsed.detail};
@@ -401,6 +425,7 @@
 			headers: filterRequestHeaders(request.rawHeaders),
 			body,
 			response,
+			hold,
 			isFinished: false,
 			lastEventId: undefined,
 			streamHead: undefined,
@@ -505,9 +530,12 @@
 		bind,
 		onConnectionClosed: metrics.countClosedConnection,
 		onError: createListenerLogger(AdapterPart.Callers),
-		onRequest(request, response, body) {
+		timer,
+		bufferedBytes,
+		onBuffersFull: handleBuffersFull,
+		onRequest(request, response, body, hold) {
 			try {
-				handleCall(request, response, body);
+				handleCall(request, response, body, hold);
 			} catch (error) {
 				reportInternalError('request', error);
 				const refusal = createInternalRefusal(Outcome.NotRun);
@@ -522,6 +550,7 @@
 
 	return {
 		gateway,
+		bufferedBytes,
 		push,
 		stop,
 		fail(error) {
--- a/packages/router/src/gateway/target-send.ts
+++ b/packages/router/src/gateway/target-send.ts
@@ -8,6 +8,7 @@
 import {SendEnd, type GatewayInbound, type GatewayOutboundOf} from '@shallotloom/core/gateway/ports.ts';
 import type {LoadReport} from '@shallotloom/core/gateway/rows.ts';
 import {createByteBuffer} from '../byte-buffer.ts';
+import {BufferedPart} from './buffered-bytes.ts';
 import {sendBufferedAnswer, type CallExchange, type StreamHead} from './call-exchange.ts';
 import {AnsweredRequest, type CallFormat, type ParsedAnswerHead} from './call-format.ts';
 import {filterAnswerHeaders} from './hop-by-hop-headers.ts';
@@ -57,7 +58,7 @@
 /** Longest event of a stream, in bytes. */
 const maxEventBytes = 1024 * 1024;
 
-/** Bytes of the body of a refusal that are read so that its connection can be used again. */
+/** Bytes of the body of an answer that isn't relayed that are read so that its connection can be used again. */
 const maxDiscardedBytes = 64 * 1024;
 
 /** Longest answer without a content length, in bytes: one with a length ends by itself. */
@@ -81,6 +82,7 @@
 	exchange.currentSend = command.send;
 	exchange.failedAnswer = undefined;
 	exchange.releaseEvents = undefined;
+	exchange.hold.set(BufferedPart.Answer, 0);
 	const headers = format.createTargetHeaders(exchange.headers, {
 		target: command.target,
 		workspace: command.workspace,
@@ -278,6 +280,9 @@
 			const head = {status, headers: filterAnswerHeaders(headers)};
 			if (parsed.isWrongTarget || parsed.isNotRun) {
 				body = createDiscardingRelay(parsed.isWrongTarget ? SendEnd.WrongTarget : SendEnd.Refused, `status ${status}`);
+			} else if (notRunStatuses.has(status)) {
+				reportStarted();
+				body = createDiscardingRelay(SendEnd.Broken, `status ${status} of a target that may have run it`);
 			} else if (command.isStreamed && status < 300) {
 				body = createStreamRelay({
 					exchange,
@@ -317,7 +322,7 @@
 	};
 }
 
-/** Discards the body of a target that did not run the request: only the status counts. */
+/** Discards the body of an answer that isn't relayed: only the status counts. */
 function createDiscardingRelay(end: SendEnd, detail: string): BodyRelay {
 	let size = 0;
 	return {
@@ -332,10 +337,12 @@
 type AnswerHead = {status: number; headers: Record<string, string | string[]>};
 
 /** Writes bytes to the caller; reading from the target is paused while the caller's connection is congested. */
-function writeWithBackpressure({response}: CallExchange, controller: DispatchController, bytes: Buffer) {
+function writeWithBackpressure({response, hold}: CallExchange, controller: DispatchController, bytes: Buffer) {
 	if (!response.write(bytes)) {
+		hold.set(BufferedPart.Unsent, response.writableLength);
 		controller.pause();
 		response.once('drain', () => {
+			hold.set(BufferedPart.Unsent, 0);
 			controller.resume();
 		});
 	}
@@ -363,6 +370,11 @@
 	/** Complete events that are held back; undefined once they aren't any more. */
 	let held: Buffer[] | undefined = isHeld ? [] : undefined;
 	let hasEnded = false;
+	let heldBytes = 0;
+
+	function accountEvents() {
+		exchange.hold.set(BufferedPart.Answer, events.partialEventBytes + heldBytes);
+	}
 
 	function writeHead() {
 		if (!exchange.response.headersSent) {
@@ -397,6 +409,8 @@
 			exchange.releaseEvents = undefined;
 			const complete = held ?? [];
 			held = undefined;
+			heldBytes = 0;
+			accountEvents();
 			deliver(controller, complete);
 			if (hasEnded) {
 				finish();
@@ -408,6 +422,7 @@
 	return {
 		onData(controller, chunk) {
 			const complete = events.push(chunk);
+			accountEvents();
 			if (events.partialEventBytes > maxEventBytes) {
 				return {end: SendEnd.Broken, detail: `event without end after ${events.partialEventBytes} bytes`};
 			}
@@ -423,6 +438,8 @@
 			isRest = false;
 			if (held) {
 				held.push(...complete);
+				heldBytes += complete.reduce((sum, {length}) => sum + length, 0);
+				accountEvents();
 				awaitRelease(controller);
 			}
 
@@ -455,11 +472,14 @@
 	let size = 0;
 	/** Whether the answer exceeded the buffer and is relayed as it arrives. */
 	let isPassthrough = false;
+	/** Whether it may be relayed before it is complete: a failure may be followed by another send. */
+	const mayPassEarly = head.status < minServerErrorStatus && !exchange.response.headersSent;
 
 	function startPassthrough(controller: DispatchController) {
 		isPassthrough = true;
 		exchange.response.writeHead(head.status, head.headers);
 		reportDelivered();
+		exchange.hold.set(BufferedPart.Answer, 0);
 		writeWithBackpressure(exchange, controller, buffered.take());
 	}
 
@@ -476,7 +496,8 @@
 			}
 
 			buffered.append(chunk);
-			if (size > maxBufferedAnswerBytes) {
+			exchange.hold.set(BufferedPart.Answer, buffered.length);
+			if (size > maxBufferedAnswerBytes || (mayPassEarly && !exchange.hold.fitsAnswer())) {
 				startPassthrough(controller);
 			}
 
@@ -489,10 +510,6 @@
 				return {end: SendEnd.Complete, detail: ''};
 			}
 
-			if (notRunStatuses.has(head.status)) {
-				return {end: SendEnd.Broken, detail: `status ${head.status} of a target that may have run it`};
-			}
-
 			if (exchange.response.headersSent) {
 				return {end: SendEnd.Broken, detail: `status ${head.status} in place of the rest of a stream`};
 			}
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -13,7 +13,7 @@
 import {
 	startGatewayRouter, type GatewayRouter, type GatewayRouterOptions, type StreamStore,
 } from '../../src/gateway/gateway-router.ts';
-import {createGatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
+import {createGatewayMetrics, type GatewayMetrics} from '../../src/gateway/gateway-metrics.ts';
 import {createLog} from '../../src/log.ts';
 import {createTimer} from '../../src/timer.ts';
 
@@ -70,6 +70,7 @@
 ];
 
 export type TestRouter = {
+	metrics: GatewayMetrics;
 	/** Withdrawals of the registration wait for these. */
 	withdrawals: Array<Promise<unknown>>;
 	router: GatewayRouter;
@@ -81,6 +82,7 @@
 export async function startTestRouter(addresses: string[], timeoutMs = 2000, streamStore: Partial<StreamStore> = {}, options: Partial<GatewayRouterOptions> = {}): Promise<TestRouter> {
 	const [callers, peers] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const withdrawals: Array<Promise<unknown>> = [];
+	const metrics = createGatewayMetrics();
 	const router = await startGatewayRouter({
 		self: {
 			id: 'self', failureDomain: 'suva', callerAddress: callers, peerUrl: `http://${peers}`, capacity: 1,
@@ -111,7 +113,7 @@
 			},
 		},
 		log: createLog({level: 'error'}),
-		metrics: createGatewayMetrics(),
+		metrics,
 		timer: createTimer(),
 		onRefreshData() {
 			// The tests push all data themselves.
@@ -150,6 +152,7 @@
 		}),
 	});
 	return {
+		metrics,
 		withdrawals,
 		router,
 		callerAddress: callers,
