Test the counters of cut answers and closed connections

A connection that is being closed after its answer is no longer counted as idle. planned-stop.test.ts and stalled-stop.test.ts pass (11 of 11).

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -268,7 +268,7 @@
 	function closeIdleConnections() {
 		const busy = new Set(openResponses.values());
 		for (const [socket, requestBytes] of connections) {
-			if (!socket.destroyed && !busy.has(socket) && socket.bytesRead === requestBytes) {
+			if (socket.writable && !busy.has(socket) && socket.bytesRead === requestBytes) {
 				onConnectionClosed(ConnectionEnd.Idle);
 				socket.destroy();
 			}
--- a/packages/router/test/gateway/planned-stop.test.ts
+++ b/packages/router/test/gateway/planned-stop.test.ts
@@ -111,6 +111,27 @@
 	await stopped;
 });
 
+test('answers that are cut and connections that are closed at the end of a stop are counted', async () => {
+	await target.stop();
+	target = await startRawTarget(request => {
+		answerStream(request, request.id === 'short' ? 0 : 12_000);
+	});
+	await testRouter.stop();
+	testRouter = await startTestRouter([target.address], 12_000);
+	const [cut, kept] = [openConnection(), openConnection()];
+	send(cut, 'long', 12_000);
+	send(kept, 'short', 12_000);
+	await waitUntil('one stream has ended', async () => kept.text.endsWith('0\r\n\r\n') && cut.text.includes('data: a'));
+	testRouter.router.stop();
+	await waitUntil('the stop is complete', async () => testRouter.router.gateway.stopPhase === StopPhase.Done);
+	await testRouter.stop();
+	await waitUntil('the connections are closed', async () => cut.isClosed && kept.isClosed);
+	const metrics = await testRouter.scrape();
+	expect(metrics).toContain('shallotloom_answers_cut_total{cause="stopping"} 1');
+	expect(metrics).toContain('shallotloom_caller_connections_closed_total{reason="idle"} 1');
+	expect(cut.text.endsWith('0\r\n\r\n')).toBe(false);
+});
+
 test('a response whose head is sent after the begin of a stop announces the end of its connection', async () => {
 	const delayed = await startRawTarget(({socket, id}) => {
 		setTimeout(() => {
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -71,6 +71,8 @@
 	/** Withdrawals of the registration wait for these. */
 	withdrawals: Array<Promise<unknown>>;
 	router: GatewayRouter;
+	/** Metrics in the text format of a scrape. */
+	scrape: () => Promise<string>;
 	callerAddress: string;
 	stop: () => Promise<void>;
 };
@@ -79,6 +81,7 @@
 export async function startTestRouter(addresses: string[], timeoutMs = 2000, streamStore: Partial<StreamStore> = {}): Promise<TestRouter> {
 	const [callers, peers] = [`${host}:${await allocatePort(host)}`, `${host}:${await allocatePort(host)}`];
 	const withdrawals: Array<Promise<unknown>> = [];
+	const metrics = createGatewayMetrics();
 	const router = await startGatewayRouter({
 		self: {
 			id: 'self', failureDomain: 'suva', callerAddress: callers, peerUrl: `http://${peers}`, capacity: 1,
@@ -109,7 +112,7 @@
 			},
 		},
 		log: createLog({level: 'error'}),
-		metrics: createGatewayMetrics(),
+		metrics,
 		timer: createTimer(),
 		onRefreshData() {
 			// The tests push all data themselves.
@@ -149,6 +152,10 @@
 	return {
 		withdrawals,
 		router,
+		async scrape() {
+			const {text} = await metrics.scrape(router.gateway, 0);
+			return text;
+		},
 		callerAddress: callers,
 		async stop() {
 			await router.close();
