--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -107,7 +107,7 @@
 		findLastOwedResponse: socket => getOpenResponses(socket).findLast(({req}) => req.complete),
 		closeIdle() {
 			for (const [socket, {responses, requestBytes}] of connections) {
-				if (!socket.destroyed && responses.size === 0 && socket.bytesRead === requestBytes) {
+				if (socket.writable && responses.size === 0 && socket.bytesRead === requestBytes) {
 					close(socket, ConnectionEnd.Idle);
 				}
 			}
--- a/packages/router/test/support/gateway-router.ts
+++ b/packages/router/test/support/gateway-router.ts
@@ -74,6 +74,8 @@
 	/** Withdrawals of the registration wait for these. */
 	withdrawals: Array<Promise<unknown>>;
 	router: GatewayRouter;
+	/** Metrics in the text format of a scrape. */
+	scrape: () => Promise<string>;
 	callerAddress: string;
 	stop: () => Promise<void>;
 };
@@ -155,6 +157,10 @@
 		metrics,
 		withdrawals,
 		router,
+		async scrape() {
+			const {text} = await metrics.scrape(router.gateway, 0);
+			return text;
+		},
 		callerAddress: callers,
 		async stop() {
 			await router.close();
