--- a/packages/standin/src/relay.ts
+++ b/packages/standin/src/relay.ts
@@ -23,6 +23,8 @@
 	stop(): Promise<void>;
 	/** Must be called after the cuts changed: pauses or resumes each direction accordingly. */
 	applyCuts(): void;
+	/** Resets all connections; bytes on their way are lost. */
+	reset(): void;
 	getStats(): {listen: string; to: string; connections: number; bytes: number};
 };
 
@@ -154,6 +156,12 @@
 				queue.setPaused(isCut(from, destination));
 			}
 		},
+		reset() {
+			for (const {source, queue} of directions) {
+				queue.clear();
+				source.resetAndDestroy();
+			}
+		},
 		getStats: () => ({
 			listen, to, connections: directions.size / 2, bytes,
 		}),
