--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -17,7 +17,7 @@
 import {LogPart} from '@shallotloom/core/ports.ts';
 import {Outcome, RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 import {createCoreLoop, type CoreLoop} from '../core-loop.ts';
-import {parseAddress} from '../listener.ts';
+import {bindDefaults, parseAddress, type BindOptions} from '../listener.ts';
 import {AdapterPart, type Log} from '../log.ts';
 import {createPeerClient} from '../peers/peer-client.ts';
 import {startPeerServer} from '../peers/peer-server.ts';
@@ -60,6 +60,10 @@
 	callerListenAddress: string;
 	/** IP number and port for peers. */
 	peerListenAddress: string;
+	/** How to wait for addresses that other sockets hold. */
+	bind?: BindOptions;
+	/** Called before callers can connect; the start fails when it rejects. */
+	beforeCallers?: (gateway: Gateway) => Promise<void>;
 	limits: Partial<GatewayLimits>;
 	/** Whether the whole fleet starts for the first time. */
 	isFirstStart: boolean;
@@ -85,6 +89,13 @@
 	close(): Promise<void>;
 };
 
+export const gatewayRouterDefaults = {
+	bind: bindDefaults,
+	async beforeCallers() {
+		// Nothing has to be bound before callers can connect.
+	},
+} satisfies Partial<GatewayRouterOptions>;
+
 /** Interval of the core's steps while no messages arrive, in milliseconds; it bounds the precision of timeouts. */
 export const tickMs = 20;
 
@@ -94,8 +105,8 @@
 /** Starts a router; rejects when one of its addresses can't be bound. */
 export async function startGatewayRouter(options: GatewayRouterOptions): Promise<GatewayRouter> {
 	const {
-		format, registry, quarantineStore, streamStore, log, metrics, timer,
-	} = options;
+		format, registry, quarantineStore, streamStore, log, metrics, timer, bind, beforeCallers,
+	} = {...gatewayRouterDefaults, ...options};
 	const gateway = createGateway({
 		self: {...options.self, incarnation: randomBytes(4).toString('hex')},
 		seed: randomBytes(4).readInt32LE(),
@@ -107,7 +118,6 @@
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
-	let listenerClosed: Promise<void> | undefined;
 	let withdrawal: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
 		metrics.countInbound(inbound, timer.now());
@@ -209,6 +219,10 @@
 				const exchange = exchanges.get(call);
 				metrics.countRefusal(refusal, {pool, cause});
 				if (exchange) {
+					if (!exchange.isFinished && exchange.response.headersSent) {
+						metrics.countCutAnswer(cause ?? refusal.kind);
+					}
+
 					cancelSend(exchange);
 					endWithRefusal(exchange, refusal);
 				}
@@ -228,9 +242,6 @@
 			register({registration}) {
 				registry.register(registration);
 			},
-			closeListener() {
-				listenerClosed = listener.close();
-			},
 			withdraw() {
 				withdrawal = registry.withdraw();
 			},
@@ -338,10 +349,6 @@
 		}
 	}
 
-	const listener = await listenForCallers({
-		address: parseAddress(options.callerListenAddress),
-		onRequest: handleCall,
-	});
 	/** Handlers of the messages between instances that routed calls need; other kinds are ignored. */
 	const messageHandlers: {[Kind in PeerMessage['kind']]?: (from: string, incarnation: string, message: PeerMessageOf<Kind>) => void} = {
 		digest(from, incarnation, digest) {
@@ -361,12 +368,21 @@
 	};
 
 	const peerServer = await startPeerServer({
-		...parseAddress(options.peerListenAddress),
+		address: parseAddress(options.peerListenAddress),
+		bind,
 		traffic,
 		onMessage(from, incarnation, message) {
 			messageHandlers[message.kind]?.(from, incarnation, message as never);
 		},
 	});
+	await beforeCallers(gateway);
+	// Calls are answered from the first one on, so callers can connect only once nothing else has to be waited for.
+	const listener = await listenForCallers({
+		address: parseAddress(options.callerListenAddress),
+		bind,
+		onRequest: handleCall,
+		onConnectionClosed: metrics.countClosedConnection,
+	});
 	loop.start();
 
 	return {
@@ -377,11 +393,11 @@
 			listener.leave();
 		},
 		async close() {
-			const {stopRequestedAt, limits} = gateway;
-			const untilStopEndsMs = stopRequestedAt === undefined ? 0 : stopRequestedAt + limits.maxStopMs - timer.now();
-			await Promise.race([listenerClosed ?? listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilStopEndsMs))]);
+			const {stop} = gateway;
+			const untilFlushedMs = stop ? stop.requestedAt + stop.times.maxStopMs + stop.times.stopFlushMs - timer.now() : 0;
+			await Promise.race([listener.close(), sleep(Math.max(listenerCloseTimeoutMs, untilFlushedMs))]);
 			listener.closeAllConnections();
-			await Promise.race([withdrawal, sleep(withdrawalTimeoutMs)]);
+			await Promise.race([withdrawal, sleep(stop?.times.stopExitMs ?? 0)]);
 			loop.stop();
 			stopWatchingStalls();
 			stopWatchingUse();
@@ -393,10 +409,7 @@
 }
 
 /** How long the last answers may take at least to reach their callers before all connections are closed, in milliseconds. */
-const listenerCloseTimeoutMs = 200;
-
-/** How long the withdrawal of the registration may take, in milliseconds; other instances remove what is left of it. */
-const withdrawalTimeoutMs = 500;
+const listenerCloseTimeoutMs = 100;
 
 async function sleep(ms: number) {
 	return new Promise(resolve => {
