--- a/packages/standin/src/relay.ts
+++ b/packages/standin/src/relay.ts
@@ -16,6 +16,8 @@
 	/** One-way delay between two IP addresses, in milliseconds. */
 	getDelayMs: (from: string, to: string) => number;
 	isCut: (from: string, to: string) => boolean;
+	/** Reports that a connection to the destination failed. */
+	logFailure?: (text: string) => void;
 };
 
 export type Relay = {
@@ -40,7 +42,9 @@
 const defaultSourceAddress = '127.0.0.1';
 
 /** Creates a relay; it listens after `start`. */
-export function createRelay({listen, to, getDelayMs, isCut}: RelayOptions): Relay {
+export function createRelay({
+	listen, to, getDelayMs, isCut, logFailure = console.error,
+}: RelayOptions): Relay {
 	const destinationAddress = parseAddress(to);
 	const directions = new Set<Direction>();
 	let bytes = 0;
@@ -53,7 +57,7 @@
 		// without an address of their own are not bound.
 		const outbound = connect(from === defaultSourceAddress ? destinationAddress : {...destinationAddress, localAddress: from});
 		const onConnectError = (error: Error) => {
-			console.error(`relay ${listen} failed to connect ${from} to ${to}: ${error.message}`);
+			logFailure(`relay ${listen} failed to connect ${from} to ${to}: ${error.message}`);
 			inbound.resetAndDestroy();
 		};
 
