--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -17,16 +17,7 @@
 import {bindServer, type Address, type BindOptions} from '../listener.ts';
 import {runAfterNextPoll} from '../loop-stalls.ts';
 import {writeRefusal} from './call-exchange.ts';
-
-/** Why the router closed a connection without the end of an answer. */
-export enum ConnectionEnd {
-	/** Its bytes were no request. */
-	Unparsable = 'unparsable',
-	/** It was idle when the listener closed. */
-	Idle = 'idle',
-	/** It was still open when all connections were closed. */
-	Left = 'left',
-}
+import {ConnectionEnd, createCallerConnections} from './caller-connections.ts';
 
 export type CallerListenerOptions = {
 	address: Address;
@@ -79,10 +70,13 @@
 	return {kind, outcome: Outcome.NotRun, detail};
 }
 
+/** Error code of a request whose head arrives too slowly; it may still arrive after that. */
+const headersTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Refusal kinds by error code of the HTTP parser; any other code is a malformed request. */
 const parserRefusalKinds: Record<string, RefusalKind> = {
 	HPE_HEADER_OVERFLOW: RefusalKind.HeadersTooLarge,
-	ERR_HTTP_REQUEST_TIMEOUT: RefusalKind.RequestTimeout,
+	[headersTimeoutCode]: RefusalKind.RequestTimeout,
 };
 
 /** Refuses bytes that can't be parsed as a request, and closes the connection. */
@@ -108,47 +102,34 @@
 export async function listenForCallers({address, bind, onRequest, onConnectionClosed}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
-	const openResponses = new Map<ServerResponse, Socket>();
-	/** Open connections, each with the bytes that it had received at the end of its last request. */
-	const connections = new Map<Socket, number>();
+	const connections = createCallerConnections({onClosed: onConnectionClosed});
 	/** Number of connections and requests so far. */
 	let arrivals = 0;
 
-	/** While the listener closes, closes the connection after a response whose head was sent before and so announced no close. */
-	function closeWhenFinished({socket}: IncomingMessage, response: ServerResponse) {
-		openResponses.set(response, socket);
-		response.once('close', () => {
-			openResponses.delete(response);
-		});
-		response.once('finish', () => {
-			openResponses.delete(response);
-			// A caller may have sent the next request before this response was complete.
-			const hasNextRequest = [...openResponses.values()].includes(socket);
-			if (state.isClosing && !hasNextRequest) {
-				socket.destroySoon();
-			}
-		});
-	}
-
-	function getOpenResponses(socket: Socket): ServerResponse[] {
-		return [...openResponses].filter(([, other]) => other === socket).map(([response]) => response);
-	}
+	/** Connections with bytes that are no request. */
+	const unparsable = new WeakSet<Socket>();
 
-	/** Announces the end of a connection with the last of the responses that are open on it: an earlier one would cut off the others. */
-	function announceEnd(socket: Socket) {
-		const open = getOpenResponses(socket);
-		for (const response of open.filter(({headersSent}) => !headersSent)) {
-			if (response === open.at(-1)) {
-				response.setHeader('connection', 'close');
-			} else {
-				response.removeHeader('connection');
-			}
+	/**
+	Refuses bytes that can't be parsed as a request after the responses to the requests before them, since callers take responses in the
+	order of their requests. A request whose body is malformed has no other response.
+	*/
+	function refuseAfterResponses(error: NodeJS.ErrnoException, socket: Socket) {
+		const last = connections.findLastOwedResponse(socket);
+		if (!last) {
+			refuseUnparsable(error, socket);
+			return;
 		}
-	}
 
-	/** Whether a response that is open on a connection has already announced its end, so that no response can follow. */
-	function isEndAnnounced(socket: Socket): boolean {
-		return getOpenResponses(socket).some(response => response.headersSent && response.getHeader('connection') === 'close');
+		if (!unparsable.has(socket)) {
+			unparsable.add(socket);
+			last.once('finish', () => {
+				unparsable.delete(socket);
+				const hasArrived = error.code === headersTimeoutCode && connections.hasOpenResponse(socket);
+				if (!hasArrived) {
+					refuseAfterResponses(error, socket);
+				}
+			});
+		}
 	}
 
 	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
@@ -159,14 +140,19 @@
 
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
 		arrivals += 1;
-		if (isEndAnnounced(request.socket)) {
+		if (connections.isEndAnnounced(request.socket)) {
 			request.resume();
 			return;
 		}
 
-		closeWhenFinished(request, response);
+		connections.addResponse(request, response, hasNextRequest => {
+			// The head of the response was sent before the stop, and so announced no end.
+			if (state.isClosing && !hasNextRequest) {
+				request.socket.destroySoon();
+			}
+		});
 		if (state.isLeaving) {
-			announceEnd(request.socket);
+			connections.announceEnd(request.socket);
 		}
 
 		if (computeHeaderBytes(request) > limits.headerBytes) {
@@ -186,7 +172,7 @@
 			}
 		});
 		request.on('end', () => {
-			connections.set(request.socket, request.socket.bytesRead);
+			connections.recordRequestEnd(request.socket);
 			if (size <= maxBodyBytes) {
 				onRequest(request, response, size === 0 ? undefined : buffered.take());
 			}
@@ -207,10 +193,7 @@
 	}, readRequest);
 	server.on('connection', socket => {
 		arrivals += 1;
-		connections.set(socket, 0);
-		socket.once('close', () => {
-			connections.delete(socket);
-		});
+		connections.add(socket);
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		if (!socket.writable || error.code === 'ECONNRESET') {
@@ -219,19 +202,11 @@
 		}
 
 		onConnectionClosed(ConnectionEnd.Unparsable);
-		refuseUnparsable(error, socket);
+		refuseAfterResponses(error, socket);
+	});
+	server.on('connect', (_request, socket) => {
+		refuseAfterResponses(new Error('CONNECT is not supported'), socket as Socket);
 	});
-
-	/** Closes the connections on which no response is open and no request has begun. */
-	function closeIdleConnections() {
-		const busy = new Set(openResponses.values());
-		for (const [socket, requestBytes] of connections) {
-			if (!socket.destroyed && !busy.has(socket) && socket.bytesRead === requestBytes) {
-				onConnectionClosed(ConnectionEnd.Idle);
-				socket.destroy();
-			}
-		}
-	}
 
 	/**
 	Resolves once the event loop has polled without finding a new connection or request. Closing a connection earlier would reset it with
@@ -256,18 +231,16 @@
 		},
 		leave() {
 			state.isLeaving = true;
-			for (const socket of new Set(openResponses.values())) {
-				announceEnd(socket);
-			}
+			connections.announceEnds();
 		},
 		async close() {
 			state.isLeaving = true;
 			await readArrived();
 			state.isClosing = true;
-			closeIdleConnections();
+			connections.closeIdle();
 			// A connection on which a request has begun may become idle without the end of a response.
 			const idleCheck = setInterval(() => {
-				runAfterNextPoll(closeIdleConnections);
+				runAfterNextPoll(connections.closeIdle);
 			}, idleConnectionCheckMs);
 			await new Promise<void>(resolve => {
 				// That of node:http also closes connections whose last response has been written, but not sent.
@@ -278,10 +251,7 @@
 			clearInterval(idleCheck);
 		},
 		closeAllConnections() {
-			for (const socket of connections.keys()) {
-				onConnectionClosed(ConnectionEnd.Left);
-				socket.destroy();
-			}
+			connections.closeAll();
 		},
 	};
 }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -15,7 +15,7 @@
 import {getSuspectKind, SuspectKind} from '@shallotloom/core/gateway/suspects.ts';
 import {isPaused} from '@shallotloom/core/gateway/target-notices.ts';
 import {RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
-import type {ConnectionEnd} from './caller-listener.ts';
+import type {ConnectionEnd} from './caller-connections.ts';
 
 export type GatewayMetrics = {
 	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
