--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -39,7 +39,8 @@
 	findLastOwedResponse(socket: Socket): ServerResponse | undefined;
 	/** Closes the connections on which no response is open and no request has begun. */
 	closeIdle(): void;
-	closeAll(): void;
+	/** Closes the connections that are left; returns their number. */
+	closeAll(): number;
 };
 
 export type CallerConnectionsOptions = {
@@ -58,6 +59,7 @@
 		for (const response of open.filter(({headersSent}) => !headersSent)) {
 			if (response === open.at(-1)) {
 				response.setHeader('connection', 'close');
+				response.removeHeader('keep-alive');
 			} else {
 				response.removeHeader('connection');
 			}
@@ -111,9 +113,12 @@
 			}
 		},
 		closeAll() {
-			for (const socket of connections.keys()) {
+			const left = [...connections.keys()].filter(({destroyed}) => !destroyed);
+			for (const socket of left) {
 				close(socket, ConnectionEnd.Left);
 			}
+
+			return left.length;
 		},
 	};
 }
