Requests that wait for their turn on a connection end with it

What callers saw: three requests in a row on one connection, then its reset: targets went on with the second and the third until their deadlines, though nobody waited for the answers; their responses were kept by the listener for good, with all that refers to them.

Cause: node:http closes the response whose turn it is, not those that wait for that. Found while the bytes of such requests were to be given back.

Fix: the listener closes the waiting responses with their connection. The holds of buffered bytes, which had a way of their own for this, follow the response.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -124,34 +124,42 @@
 		});
 	}
 
-	/** Holds of the requests of each open connection. */
-	const holds = new Map<Socket, Set<BufferHold>>();
+	/** Responses of each open connection that haven't closed. */
+	const pendingResponses = new Map<Socket, Set<ServerResponse>>();
 	const lingeringCloses = createLingeringCloses(timer);
 
-	/** Creates a hold that is released when the response or its connection has closed. */
-	function createHold({socket}: IncomingMessage, response: ServerResponse): BufferHold {
-		const hold = bufferedBytes.createHold();
-		// A response whose turn on its connection never comes isn't closed with it.
-		holds.get(socket)?.add(hold);
+	function trackResponse({socket}: IncomingMessage, response: ServerResponse) {
+		const responses = pendingResponses.get(socket);
+		responses?.add(response);
 		response.once('close', () => {
-			holds.get(socket)?.delete(hold);
-			hold.release();
+			responses?.delete(response);
 		});
-		return hold;
 	}
 
-	function trackHolds(socket: Socket) {
-		holds.set(socket, new Set());
+	/** Closes all responses of a connection with it. node:http closes only the one whose turn it is, not those that wait for that. */
+	function trackConnection(socket: Socket) {
+		const responses = new Set<ServerResponse>();
+		pendingResponses.set(socket, responses);
 		socket.once('close', () => {
-			for (const hold of holds.get(socket) ?? []) {
-				hold.release();
+			pendingResponses.delete(socket);
+			for (const response of responses) {
+				if (!response.socket) {
+					response.destroy();
+					response.emit('close');
+				}
 			}
-
-			holds.delete(socket);
 		});
 	}
 
+	/** Creates a hold that is released when the response has closed. */
+	function createHold(response: ServerResponse): BufferHold {
+		const hold = bufferedBytes.createHold();
+		response.once('close', hold.release);
+		return hold;
+	}
+
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
+		trackResponse(request, response);
 		closeWhenFinished(request, response);
 		if (state.isLeaving) {
 			response.setHeader('connection', 'close');
@@ -164,7 +172,7 @@
 
 		const declaredBytes = Number(request.headers['content-length'] ?? 0);
 		const maxBodyBytes = limits.bodyBytes;
-		const hold = createHold(request, response);
+		const hold = createHold(response);
 
 		/** Whether a body of this size may be read; otherwise refuses the request. */
 		function admitBody(bytes: number): boolean {
@@ -216,7 +224,7 @@
 		headersTimeout: limits.headersTimeoutMs,
 	}, readRequest);
 	server.on('clientError', refuseUnparsable);
-	server.on('connection', trackHolds);
+	server.on('connection', trackConnection);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
