The pool of connections to a target's old address is closed when it is listed at another one

What was seen: the router keeps a pool for each address to which it has sent, and the core names an address as gone only when a target is removed. A target that starts again under its id at another address left the pool of the old one behind for good, so over a long run the pools grow with the starts of targets.

Test before: nothing named; after: the old address, and nothing when the address stays.

--- a/packages/core/src/gateway/targets.ts
+++ b/packages/core/src/gateway/targets.ts
@@ -136,6 +136,10 @@
 		const next = {...createListedTarget(gateway, listed), coldSendTimes};
 		// An older copy of the platform's data may list the process before the one that is known, which may be cold still.
 		gateway.targets.set({...next, coldUntil: listed.isRestored ? Math.max(coldUntil, next.coldUntil) : next.coldUntil});
+		if (listed.address !== target.address) {
+			gateway.outbox.push({kind: 'targetGone', address: target.address});
+		}
+
 		logTarget(gateway, 'listed again after a start', listed);
 		return;
 	}
--- a/packages/core/test/gateway/targets.test.ts
+++ b/packages/core/test/gateway/targets.test.ts
@@ -135,3 +135,10 @@
 	const [digest] = filterByKind(bench.wait(1000), 'sendDigest');
 	expect(digest!.digest.targets).toMatchObject([{target: 't1', running: 0}]);
 });
+
+test('connections to a target that is listed at another address are closed', () => {
+	const bench = createBench({targets: [createListedTarget('t1', {address: '10.0.0.1:1'})]});
+	const outbox = bench.step({kind: 'targets', targets: [createListedTarget('t1', {address: '10.0.0.2:1', startId: '2', revision: 2})]});
+	expect(filterByKind(outbox, 'targetGone')).toEqual([{kind: 'targetGone', address: '10.0.0.1:1'}]);
+	expect(filterByKind(bench.step({kind: 'targets', targets: [createListedTarget('t1', {address: '10.0.0.2:1', startId: '3', revision: 3})]}), 'targetGone')).toEqual([]);
+});
