Prompt segments are forgotten once they have left the cache of their target

What was seen: an instance keeps up to 4096 segments for each target, also those that no longer count as cached, so in a long run the sum grows with the number of targets times 4096 ids that callers chose.

Fix: with each send those beyond cachedSegmentMs are removed, oldest first; they weren't used any more, so placement is the same.

Remaining: a target that gets no more calls keeps its segments, and the ids are as long as the headers allow.

--- a/packages/core/src/gateway/prompt-segments.ts
+++ b/packages/core/src/gateway/prompt-segments.ts
@@ -101,8 +101,9 @@
 		target.cachedSegments.set(id, now);
 	}
 
-	for (const id of target.cachedSegments.keys()) {
-		if (target.cachedSegments.size <= limits.maxCachedSegments) {
+	// Oldest first.
+	for (const [id, cachedAt] of target.cachedSegments) {
+		if (target.cachedSegments.size <= limits.maxCachedSegments && now - cachedAt <= limits.cachedSegmentMs) {
 			break;
 		}
 
--- a/packages/core/test/gateway/targets.test.ts
+++ b/packages/core/test/gateway/targets.test.ts
@@ -142,3 +142,19 @@
 	expect(filterByKind(outbox, 'targetGone')).toEqual([{kind: 'targetGone', address: '10.0.0.1:1'}]);
 	expect(filterByKind(bench.step({kind: 'targets', targets: [createListedTarget('t1', {address: '10.0.0.2:1', startId: '3', revision: 3})]}), 'targetGone')).toEqual([]);
 });
+
+test('prompt segments that have left the cache of their target are forgotten', () => {
+	const bench = createBench({targets: [createListedTarget('t1', {pool: 'engines'})]});
+	const callWith = (segment: string) => {
+		const [sent] = filterByKind(bench.call({path: '/chat/x', prompt: createPrompt(segment, 1000)}), 'send');
+		endSend(bench, sent!, SendEnd.Complete);
+	};
+
+	for (let calls = 0; calls < 5; calls += 1) {
+		callWith(`p${calls}`);
+	}
+
+	bench.wait(31_000);
+	callWith('last');
+	expect([...bench.gateway.targets.get('t1')!.cachedSegments.keys()]).toEqual(['last', 'last-own']);
+});
