--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -73,9 +73,17 @@
 
 	return {
 		add(socket) {
-			connections.set(socket, {responses: new Set(), requestBytes: 0});
+			const responses = new Set<ServerResponse>();
+			connections.set(socket, {responses, requestBytes: 0});
 			socket.once('close', () => {
 				connections.delete(socket);
+				// node:http closes the response whose turn it is, not those that wait for that.
+				for (const response of responses) {
+					if (!response.socket) {
+						response.destroy();
+						response.emit('close');
+					}
+				}
 			});
 		},
 		addResponse({socket}, response, onFinish) {
