The router of /v1 contains exceptions in its step and its actions

Now an event that throws is dropped and its request refused ("internal"; "not-run" only on its arrival), a system that throws leads to a planned stop while the others run on, and a request whose action throws is refused and freed. `Router.fail` is the hook for an exception that nothing owns.

--- a/packages/core/src/step.ts
+++ b/packages/core/src/step.ts
@@ -9,6 +9,7 @@
 import {
 	onAnswerEnded, onAnswerProgress, onAnswerStarted, progressSystem,
 } from './systems/requests/answers.ts';
+import {Outcome, RefusalKind} from './refusal.ts';
 import {abandonedPermitsSystem} from './systems/targets/abandoned.ts';
 import {onPermitAnnounce} from './systems/targets/announcements.ts';
 import {budgetsSystem} from './systems/targets/budgets.ts';
@@ -144,28 +145,78 @@
 	stopRequested: onStopRequested,
 };
 
-function runSystems(world: World) {
+/** Part of a step that threw. */
+export type StepFailure = {
+	/** Kind of the message, or name of the system. */
+	part: string;
+	error: unknown;
+};
+
+type OnFailure = (failure: StepFailure) => void;
+
+function runSystems(world: World, onFailure: OnFailure) {
 	for (const system of systems) {
-		system(world);
+		try {
+			system(world);
+		} catch (error) {
+			onFailure({part: system.name, error});
+			onStopRequested(world);
+		}
 	}
 }
 
-function processLoopback(world: World): boolean {
+function processLoopback(world: World, onFailure: OnFailure): boolean {
 	const messages = world.loopback;
 	world.loopback = [];
 	for (const message of messages) {
-		onPeerMessage(world, world.self.id, message, world.self.incarnation);
+		try {
+			onPeerMessage(world, world.self.id, message, world.self.incarnation);
+		} catch (error) {
+			onFailure({part: message.kind, error});
+		}
 	}
 
 	return messages.length > 0;
 }
 
+function findRequestId(inbound: Inbound): string | undefined {
+	if (!('request' in inbound)) {
+		return undefined;
+	}
+
+	return typeof inbound.request === 'string' ? inbound.request : inbound.request.id;
+}
+
+/** Drops an event that can't be handled, and gives its request a final answer. */
+function dropInbound(world: World, inbound: Inbound) {
+	const id = findRequestId(inbound);
+	if (id === undefined) {
+		return;
+	}
+
+	const request = world.requests.get(id);
+	const outcome = inbound.kind === 'callerRequest' && !request?.mayHaveRun ? Outcome.NotRun : Outcome.Unknown;
+	world.outbox.push({kind: 'refuse', request: id, refusal: {kind: RefusalKind.InternalError, outcome, detail: ''}});
+	try {
+		onCallerGone(world, {kind: 'callerGone', request: id});
+	} catch {
+		// What made its handling fail may be in the row of the request itself.
+		world.requests.delete(id);
+	}
+}
+
+function rethrow({error}: StepFailure) {
+	throw error;
+}
+
 /**
 Handles the inbox, runs the systems, and returns the outbox.
 
+@param onFailure Called for each part of the step that throws, which is then left out: an event is dropped, and its request, if it is
+about one, refused. A system belongs to no request, so the router stops as planned while the other systems run on. By default it throws.
 @param now Monotonic time in milliseconds; a time earlier than the last step's is replaced by it.
 */
-export function step(world: World, now: number, inbox: Iterable<Inbound>): Outbound[] {
+export function step(world: World, now: number, inbox: Iterable<Inbound>, onFailure: OnFailure = rethrow): Outbound[] {
 	if (now - world.now > world.limits.startWithinMs) {
 		world.resumedAt = now;
 	}
@@ -173,12 +224,17 @@
 	world.now = Math.max(world.now, now);
 	for (const inbound of inbox) {
 		const handler = inboundHandlers[inbound.kind] as (world: World, inbound: Inbound) => void;
-		handler(world, inbound);
+		try {
+			handler(world, inbound);
+		} catch (error) {
+			onFailure({part: inbound.kind, error});
+			dropInbound(world, inbound);
+		}
 	}
 
-	runSystems(world);
-	for (let round = 0; round < maxLoopbackRounds && processLoopback(world); round += 1) {
-		runSystems(world);
+	runSystems(world, onFailure);
+	for (let round = 0; round < maxLoopbackRounds && processLoopback(world, onFailure); round += 1) {
+		runSystems(world, onFailure);
 	}
 
 	const {outbox} = world;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -40,6 +40,8 @@
 	world: World;
 	/** Starts a planned stop; `onStopped` is called when it is complete. */
 	stop(): void;
+	/** Handles an exception that nothing else has caught: logs it and starts a planned stop, so that the running requests end. */
+	fail(error: unknown): void;
 	/** Closes listeners and connections without handing over targets. */
 	close(): Promise<void>;
 };
@@ -130,9 +132,12 @@
 	};
 	const logError = createErrorLogger(log, AdapterPart.Internal);
 	const loop: CoreLoop<Inbound> = createCoreLoop<Inbound, Outbound>({
-		step: (now, inbox) => step(world, now, inbox), timer, tickMs: settings.control.tickMs, handlers, onStep: counts.countStep,
+		step: (now, inbox) => step(world, now, inbox, ({error}) => {
+			logError(error);
+		}),
+		timer, tickMs: settings.control.tickMs, handlers, onStep: counts.countStep,
 		onHandlerError(item, error) {
-			logError(error instanceof Error ? error : new Error(String(error)));
+			logError(error);
 			if ('request' in item && item.request !== undefined) {
 				exchanges.fail(item.request);
 			}
@@ -165,10 +170,16 @@
 		settings, world, log, counts, traffic, proposals, store: platform.store,
 	});
 
+	function stop() {
+		push({kind: 'stopRequested'});
+	}
+
 	return {
 		world,
-		stop() {
-			push({kind: 'stopRequested'});
+		stop,
+		fail(error) {
+			logError(error);
+			stop();
 		},
 		async close() {
 			// The core keeps running meanwhile, so that requests that have just arrived are refused rather than cut off.
@@ -250,7 +261,7 @@
 
 /** Returns a function that logs internal errors of the router. */
 function createErrorLogger(log: Log, part: AdapterPart) {
-	return (error: Error) => {
-		log.write({part, level: 'error', text: `internal error: ${error.stack ?? error.message}`});
+	return (error: unknown) => {
+		log.write({part, level: 'error', text: `internal error: ${error instanceof Error ? error.stack : String(error)}`});
 	};
 }
