--- a/packages/router/test/gateway/odd-heads.test.ts
+++ b/packages/router/test/gateway/odd-heads.test.ts
@@ -7,12 +7,35 @@
 
 const byte = fc.integer({min: 0, max: 255}).map(code => String.fromCodePoint(code));
 const knownNames = [
-	'Content-Length', 'Transfer-Encoding', 'Connection', 'Keep-Alive', 'Upgrade', 'Trailer', 'TE', 'Date',
-	'Set-Cookie', 'Content-Type', 'X-Request-Id', '__proto__', 'constructor', 'X-Not-Run',
+	'Content-Length',
+	'Transfer-Encoding',
+	'Connection',
+	'Keep-Alive',
+	'Upgrade',
+	'Trailer',
+	'TE',
+	'Date',
+	'Set-Cookie',
+	'Content-Type',
+	'X-Request-Id',
+	'__proto__',
+	'constructor',
+	'X-Not-Run',
 ];
 const knownValues = [
-	'chunked', 'gzip', '0', '2', '-1', '99999999999999999999', 'close', 'x-a, close', 'upgrade', 'timeout=0',
-	'text/event-stream', 'r1', '',
+	'chunked',
+	'gzip',
+	'0',
+	'2',
+	'-1',
+	'99999999999999999999',
+	'close',
+	'x-a, close',
+	'upgrade',
+	'timeout=0',
+	'text/event-stream',
+	'r1',
+	'',
 ];
 const names = fc.oneof(fc.string({unit: byte, maxLength: 4}), fc.constantFrom(...knownNames));
 const values = fc.oneof(fc.string({unit: byte, maxLength: 6}), fc.constantFrom(...knownValues));
