--- a/packages/router/test/gateway/odd-requests.test.ts
+++ b/packages/router/test/gateway/odd-requests.test.ts
@@ -51,9 +51,21 @@
 	const callerAddress = await start(answerLatin1);
 	const token = fc.string({unit: fc.constantFrom(...'abcXYZ09-_!~'), minLength: 1, maxLength: 8});
 	const bytes = fc.string({unit: fc.integer({min: 0, max: 255}).map(byte => String.fromCodePoint(byte)), maxLength: 6});
-	const names = fc.oneof(token, fc.constantFrom(
-		'Host', 'Expect', 'Upgrade', 'TE', 'Trailer', 'Connection', 'Keep-Alive', 'Content-Length', 'Transfer-Encoding', '__proto__', 'constructor', 'X-Request-Id',
-	));
+	const knownNames = [
+		'Host',
+		'Expect',
+		'Upgrade',
+		'TE',
+		'Trailer',
+		'Connection',
+		'Keep-Alive',
+		'Content-Length',
+		'Transfer-Encoding',
+		'__proto__',
+		'constructor',
+		'X-Request-Id',
+	];
+	const names = fc.oneof(token, fc.constantFrom(...knownNames));
 	const values = fc.oneof(bytes, fc.constantFrom('100-continue', 'close', 'keep-alive, x-request-id', 'upgrade', 'h2c', 'chunked', 'gzip, chunked', '2', '-1', '[::1', 'a:b:c', ''));
 	const requests = fc.record({
 		method: fc.constantFrom('GET', 'POST', 'HEAD', 'OPTIONS', 'TRACE', 'CONNECT', 'PROPFIND', 'PRI', 'get'),
