--- a/packages/router/src/cli/program.ts
+++ b/packages/router/src/cli/program.ts
@@ -46,7 +46,7 @@
 	const {settings} = result;
 	const log = createLog(settings.log);
 	logRejections(log);
-	const program: {drain?: () => void} = {};
+	const program: {drain?: () => void; fail?: (cause: string) => void} = {};
 	lifecycle.setHandlers({
 		reload() {
 			log.write({part: AdapterPart.Process, level: 'warn', text: 'settings kept: they are read at the start only'});
@@ -54,8 +54,8 @@
 		drain() {
 			program.drain?.();
 		},
-		fail() {
-			program.drain?.();
+		fail(cause) {
+			program.fail?.(cause);
 		},
 		record(record) {
 			logProcessEvent(log, record);
@@ -71,14 +71,23 @@
 			void closeAndReport(router, lifecycle);
 		},
 	});
-	program.drain = () => {
+	const limitStop = () => {
 		setTimeout(() => {
 			log.write({part: LogPart.Stop, level: 'error', text: `planned stop timed out after ${settings.stop.graceMs} ms with answers still running`});
 			lifecycle.handle(ProcessEvent.StopTimedOut);
 		}, settings.stop.graceMs);
+	};
+
+	program.drain = () => {
+		limitStop();
 		router.stop();
 	};
 
+	program.fail = cause => {
+		limitStop();
+		router.fail(cause);
+	};
+
 	lifecycle.handle(ProcessEvent.Started);
 	console.log(`listening callers=${settings.advertise.callers} peers=${settings.advertise.peers} operators=http://${settings.listen.operators}`);
 }
