--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -19,6 +19,7 @@
 	MalformedBody = 'malformed-body',
 	DeadlinePassed = 'deadline-passed',
 	QueueFull = 'queue-full',
+	BuffersFull = 'buffers-full',
 	NoCapacity = 'no-capacity',
 	PromptQuarantined = 'prompt-quarantined',
 	RequestQuarantined = 'request-quarantined',
@@ -34,6 +35,7 @@
 	RunOutcomeUnknown = 'run-outcome-unknown',
 	AnswerNotKept = 'answer-not-kept',
 	StoreUnavailable = 'store-unavailable',
+	InternalError = 'internal',
 }
 
 export type Refusal = {
@@ -99,6 +101,11 @@
 		message: detail => `the queue of workspace "${detail}" is full`,
 		hint: 'Retry after the time in the Retry-After header.',
 	},
+	[RefusalKind.BuffersFull]: {
+		status: 503,
+		message: () => 'the router buffers as many bytes of other requests as its memory allows',
+		hint: 'Retry after the time in the Retry-After header, or at another router.',
+	},
 	[RefusalKind.NoCapacity]: {
 		status: 503,
 		message: detail => `no target serves "${detail}" at the moment`,
@@ -174,4 +181,9 @@
 		message: () => 'the Object API is unreachable, so a request that may run only once is not started',
 		hint: 'Retry after the time in the Retry-After header.',
 	},
+	[RefusalKind.InternalError]: {
+		status: 500,
+		message: () => 'the router failed while it handled the request',
+		hint: 'Report it to an operator: the log of the router has the cause under the id of the request.',
+	},
 };
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -12,19 +12,31 @@
 import {
 	Outcome, RefusalKind, refusals, type Refusal,
 } from '@shallotloom/core/refusal.ts';
-import {createByteBuffer} from '../byte-buffer.ts';
+import {createByteBuffer, type ByteBuffer} from '../byte-buffer.ts';
 import {createRefusalBody} from '../exchange.ts';
 import {bindServer, type Address, type BindOptions} from '../listener.ts';
 import {runAfterNextPoll} from '../loop-stalls.ts';
-import {writeRefusal} from './call-exchange.ts';
+import type {Timer} from '../timer.ts';
+import type {BufferedBytes, BufferHold} from './buffered-bytes.ts';
 import {ConnectionEnd, createCallerConnections} from './caller-connections.ts';
+import {createLingeringCloses} from './lingering-closes.ts';
 
 export type CallerListenerOptions = {
 	address: Address;
 	bind?: BindOptions | undefined;
+	timer: Timer;
+	bufferedBytes: BufferedBytes;
 	onConnectionClosed: (reason: ConnectionEnd) => void;
-	/** Called with each request once its body has been read in full. */
-	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) => void;
+	/** Called with the error of a connection that can't be accepted. */
+	onError: (error: Error) => void;
+	/** Called with each request once its body has been read in full. `hold` holds the body, and is released with the response. */
+	onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined, hold: BufferHold) => void;
+	/**
+	Called with each request that the budget of buffered bytes refuses; returns the refusal.
+
+	@param bytes Declared length of the body; without one, the bytes that have arrived.
+	*/
+	onBuffersFull: (request: IncomingMessage, bytes: number) => Refusal;
 };
 
 export type CallerListener = {
@@ -106,7 +118,9 @@
 }
 
 /** Starts the listener; rejects when its address can't be bound. */
-export async function listenForCallers({address, bind, onRequest, onConnectionClosed}: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForCallers({
+	address, bind, timer, bufferedBytes, onRequest, onBuffersFull, onConnectionClosed, onError,
+}: CallerListenerOptions): Promise<CallerListener> {
 	let limits = defaultCallerLimits;
 	const state = {isLeaving: false, isClosing: false};
 	const connections = createCallerConnections({onClosed: onConnectionClosed});
@@ -147,11 +161,31 @@
 		}
 	}
 
-	function refuseAndClose(response: ServerResponse, refusal: Refusal) {
-		// The rest of the request stays unread, so the connection can't be reused.
-		response.setHeader('connection', 'close');
-		response.removeHeader('keep-alive');
-		writeRefusal(response, refusal);
+	/** Holds of the requests of each open connection. */
+	const holds = new Map<Socket, Set<BufferHold>>();
+	const lingeringCloses = createLingeringCloses(timer);
+
+	/** Creates a hold that is released when the response or its connection has closed. */
+	function createHold({socket}: IncomingMessage, response: ServerResponse): BufferHold {
+		const hold = bufferedBytes.createHold();
+		// A response whose turn on its connection never comes isn't closed with it.
+		holds.get(socket)?.add(hold);
+		response.once('close', () => {
+			holds.get(socket)?.delete(hold);
+			hold.release();
+		});
+		return hold;
+	}
+
+	function trackHolds(socket: Socket) {
+		holds.set(socket, new Set());
+		socket.once('close', () => {
+			for (const hold of holds.get(socket) ?? []) {
+				hold.release();
+			}
+
+			holds.delete(socket);
+		});
 	}
 
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
@@ -180,27 +214,53 @@
 		}
 
 		if (computeHeaderBytes(request) > limits.headerBytes) {
-			refuseAndClose(response, createNotRunRefusal(RefusalKind.HeadersTooLarge));
+			lingeringCloses.refuse(request, response, createNotRunRefusal(RefusalKind.HeadersTooLarge));
 			return;
 		}
 
-		const buffered = createByteBuffer();
+		const declaredBytes = Number(request.headers['content-length'] ?? 0);
 		const maxBodyBytes = limits.bodyBytes;
-		let size = 0;
+		const hold = createHold(request, response);
+
+		/** Whether a body of this size may be read; otherwise refuses the request. */
+		function admitBody(bytes: number): boolean {
+			if (bytes > maxBodyBytes) {
+				lingeringCloses.refuse(request, response, createNotRunRefusal(RefusalKind.BodyTooLarge, String(maxBodyBytes)));
+				return false;
+			}
+
+			if (!hold.tryHoldRequest(bytes)) {
+				lingeringCloses.refuse(request, response, onBuffersFull(request, bytes));
+				return false;
+			}
+
+			return true;
+		}
+
+		/** Undefined once the request has been refused. */
+		let buffered: ByteBuffer | undefined = admitBody(declaredBytes) ? createByteBuffer(declaredBytes) : undefined;
 		request.on('data', (chunk: Buffer) => {
-			size += chunk.length;
-			if (size <= maxBodyBytes) {
+			if (!buffered) {
+				return;
+			}
+
+			const bytes = buffered.length + chunk.length;
+			if (bytes <= declaredBytes || admitBody(bytes)) {
 				buffered.append(chunk);
-			} else if (!response.headersSent) {
-				refuseAndClose(response, createNotRunRefusal(RefusalKind.BodyTooLarge, String(maxBodyBytes)));
+			} else {
+				buffered = undefined;
+				hold.release();
 			}
 		});
 		request.on('end', () => {
 			connections.recordRequestEnd(request.socket);
-			if (size <= maxBodyBytes) {
-				onRequest(request, response, size === 0 ? undefined : buffered.take());
+			if (buffered) {
+				onRequest(request, response, buffered.length === 0 ? undefined : buffered.take(), hold);
 			}
 		});
+		response.on('error', () => {
+			response.destroy();
+		});
 		request.on('error', () => {
 			// The caller disconnected before its request was complete, so nobody is left to receive a response.
 			response.destroy();
@@ -217,6 +277,7 @@
 	}, readRequest);
 	server.on('connection', socket => {
 		arrivals += 1;
+		trackHolds(socket);
 		connections.add(socket);
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -247,6 +308,7 @@
 	}
 
 	await bindServer(server, address, bind);
+	server.on('error', onError);
 	return {
 		setLimits(next) {
 			limits = next;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -1,5 +1,5 @@
 /*
-Metrics of routed calls. Label values come from fixed sets (refusal kinds, outcomes, ends of sends, standings) or are pool
+Metrics of routed calls. Label values come from fixed sets (refusal kinds, outcomes, ends of sends, standings, parts) or are pool
 names, never ids or workspaces, so that the number of time series stays bounded.
 */
 import {
@@ -16,8 +16,11 @@
 import {isPaused} from '@shallotloom/core/gateway/target-notices.ts';
 import {RefusalKind, type Refusal} from '@shallotloom/core/refusal.ts';
 import type {ConnectionEnd} from './caller-connections.ts';
+import type {BufferedBytes} from './buffered-bytes.ts';
 
 export type GatewayMetrics = {
+	/** Number of calls whose first byte is awaited. */
+	readonly awaitedCalls: number;
 	countRefusal(refusal: Refusal, call?: Pick<GatewayOutboundOf<'refuse'>, 'pool' | 'cause'>): void;
 	/** Counts an answer that was cut after it had begun. */
 	countCutAnswer(cause: RefusalKind): void;
@@ -25,8 +28,14 @@
 	countClosedConnection(reason: ConnectionEnd): void;
 	/** Counts a send that resumes a stream. */
 	countSend(send: GatewayOutboundOf<'send'>): void;
+	/** Counts an exception that was contained, by the part that threw. */
+	countInternalError(part: string): void;
 	/** Counts the call events that an inbound message reports. */
 	countInbound(inbound: GatewayInbound, now: number): void;
+	/** Forgets a call that has ended in whatever way. */
+	forgetCall(call: string): void;
+	/** Sets where the gauge of buffered bytes is read from. */
+	observeBuffers(bufferedBytes: Pick<BufferedBytes, 'total'>): void;
 	/** Returns the metrics of the current state in the text format of a scrape. */
 	scrape(gateway: Gateway, omittedLines: number): Promise<{text: string; contentType: string}>;
 };
@@ -60,6 +69,9 @@
 	const closedConnections = new Counter({
 		name: 'shallotloom_caller_connections_closed_total', help: 'Connections of callers that the router closed without the end of an answer, by reason.', labelNames: ['reason'], registers,
 	});
+	const internalErrors = new Counter({
+		name: 'shallotloom_internal_errors_total', help: 'Exceptions that were contained, by the part that threw.', labelNames: ['part'], registers,
+	});
 	const disconnectedCallers = new Counter({name: 'shallotloom_callers_left_total', help: 'Calls whose caller left before the answer.', registers});
 	const firstByteSeconds = new Histogram({
 		name: 'shallotloom_first_byte_seconds', help: 'Time from a call\'s arrival to its first byte.', buckets: firstByteBucketsSeconds, registers,
@@ -88,8 +100,11 @@
 		engineLimit: new Gauge({
 			name: 'shallotloom_engine_limit', help: 'Most requests at once at an engine, by pool.', labelNames: ['pool'], registers,
 		}),
+		bufferedBytes: new Gauge({name: 'shallotloom_buffered_bytes', help: 'Bytes of requests and answers that are buffered.', registers}),
+		bufferBudget: new Gauge({name: 'shallotloom_buffer_budget_bytes', help: 'Most bytes of requests and answers that are buffered at once.', registers}),
 		omittedLines: new Gauge({name: 'shallotloom_log_lines_omitted', help: 'Log lines left out since the start.', registers}),
 	};
+	let observedBuffers: Pick<BufferedBytes, 'total'> | undefined;
 	/** Arrival times of the calls whose first byte is still awaited, in milliseconds, by call id. */
 	const arrivedAt = new Map<string, number>();
 
@@ -99,9 +114,8 @@
 			arrivedCalls.inc();
 			arrivedAt.set(call.id, now);
 		},
-		callerGone({call}) {
+		callerGone() {
 			disconnectedCallers.inc();
-			arrivedAt.delete(call);
 		},
 		answerStarted({call}, now) {
 			const at = arrivedAt.get(call);
@@ -144,10 +158,15 @@
 			gauges.engineLimit.set({pool}, limit);
 		}
 
+		gauges.bufferedBytes.set(observedBuffers?.total ?? 0);
+		gauges.bufferBudget.set(gateway.limits.maxBufferedBytes);
 		gauges.omittedLines.set(omittedLines);
 	}
 
 	return {
+		get awaitedCalls() {
+			return arrivedAt.size;
+		},
 		countRefusal({kind, outcome}, {pool, cause} = {}) {
 			refusedCalls.inc({reason: kind, outcome});
 			if (cause !== undefined && streamCauses.has(cause)) {
@@ -165,10 +184,19 @@
 				resumedStreams.inc({pool, by: isResumed ? 'router' : 'caller'});
 			}
 		},
+		countInternalError(part) {
+			internalErrors.inc({part});
+		},
 		countInbound(inbound, now) {
 			const handler = countHandlers[inbound.kind] as ((inbound: GatewayInbound, now: number) => void) | undefined;
 			handler?.(inbound, now);
 		},
+		forgetCall(call) {
+			arrivedAt.delete(call);
+		},
+		observeBuffers(bufferedBytes) {
+			observedBuffers = bufferedBytes;
+		},
 		async scrape(gateway, omittedLines) {
 			setGauges(gateway, omittedLines);
 			return {text: await registers[0]!.metrics(), contentType: registers[0]!.contentType};
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -7,12 +7,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {DataKind} from '@shallotloom/core/gateway/data-sources.ts';
 import {
-	createGateway, type Gateway, type GatewaySelf, type PlannedStop,
+	beginGateway, createGateway, type Gateway, type GatewaySelf, type PlannedStop,
 } from '@shallotloom/core/gateway/gateway.ts';
 import type {GatewayLimits} from '@shallotloom/core/gateway/limits.ts';
-import type {GatewayInbound, GatewayOutbound, Registration} from '@shallotloom/core/gateway/ports.ts';
+import type {
+	GatewayInbound, GatewayOutbound, GatewayOutboundOf, Registration,
+} from '@shallotloom/core/gateway/ports.ts';
 import {isRateLimited} from '@shallotloom/core/gateway/rate-limits.ts';
-import {runGatewayStep} from '@shallotloom/core/gateway/step.ts';
+import {runGatewayStep, type StepFailure} from '@shallotloom/core/gateway/step.ts';
 import {
 	MemberState, type PeerMessage, type PeerMessageOf, type QuarantineEntry, type StoredVersions, type StreamGroup,
 } from '@shallotloom/core/messages.ts';
@@ -29,6 +31,7 @@
 import {
 	sendBufferedAnswer, endWithRefusal, writeRefusal, type CallExchange,
 } from './call-exchange.ts';
+import {createBufferedBytes, type BufferedBytes, type BufferHold} from './buffered-bytes.ts';
 import type {CallFormat} from './call-format.ts';
 import {listenForCallers} from './caller-listener.ts';
 import {filterRequestHeaders} from './hop-by-hop-headers.ts';
@@ -83,10 +86,16 @@
 
 export type GatewayRouter = {
 	gateway: Gateway;
+	bufferedBytes: Pick<BufferedBytes, 'total'>;
 	/** Passes a message to the core. */
 	push(inbound: GatewayInbound): void;
 	/** Starts a planned stop; `onStopped` is called when it is complete. */
 	stop(): void;
+	/**
+	Handles an exception that nothing else has caught: logs it and starts a planned stop, so that the running calls end. `onStopped` is
+	called in any case, even if the core can't complete the stop.
+	*/
+	fail(error: unknown): void;
 	/** Closes listeners, connections and timers; call it after the planned stop is complete. */
 	close(): Promise<void>;
 };
@@ -101,6 +110,9 @@
 /** Interval of the core's steps while no messages arrive, in milliseconds; it bounds the precision of timeouts. */
 export const tickMs = 20;
 
+/** How much later than planned a stop after an exception may be complete, in milliseconds. */
+const failedStopMarginMs = 500;
+
 /** Maximum number of malformed headers that are logged, each once a target. */
 const maxLoggedHeaders = 1000;
 
@@ -117,9 +129,13 @@
 		isFirstStart: options.isFirstStart,
 	});
 	const exchanges = new Map<string, CallExchange>();
+	const bufferedBytes = createBufferedBytes(gateway.limits);
+	metrics.observeBuffers(bufferedBytes);
 	const connectionPools = createConnectionPools();
 	const traffic = createControlTraffic();
 	let nextCallId = 1;
+	let isFailing = false;
+	let isStarted = false;
 	let withdrawal: Promise<void> | undefined;
 	const push = (inbound: GatewayInbound) => {
 		metrics.countInbound(inbound, timer.now());
@@ -144,6 +160,83 @@
 		return row?.startId === startId && isRateLimited(row);
 	}
 
+	function reportInternalError(part: string, error: unknown, {request, target}: {request?: string | undefined; target?: string} = {}) {
+		metrics.countInternalError(part);
+		log.write({
+			part: AdapterPart.Internal, level: 'error', text: `internal error: ${error instanceof Error ? error.stack : String(error)}`, request, fields: {in: part, target},
+		});
+	}
+
+	/** Returns a function that reports the errors of a listener. */
+	function createListenerLogger(part: AdapterPart) {
+		return (error: Error) => {
+			metrics.countInternalError('accept');
+			log.write({
+				part, level: 'error', text: 'connection not accepted', fields: {reason: error.message},
+			});
+		};
+	}
+
+	function stop() {
+		push({kind: 'stopRequested'});
+		listener.leave();
+	}
+
+	function stopAfterFailure() {
+		if (!isFailing) {
+			isFailing = true;
+			stop();
+			setTimeout(options.onStopped, gateway.limits.maxStopMs + failedStopMarginMs).unref();
+		}
+	}
+
+	function handleStepFailure({part, isSystem, call, error}: StepFailure) {
+		reportInternalError(part, error, {request: call === undefined ? undefined : (exchanges.get(call)?.requestId ?? call)});
+		if (isSystem) {
+			stopAfterFailure();
+		}
+	}
+
+	/** Ends an exchange of which the core has no call any more: with a final answer, or by cutting the one that has begun. */
+	function endFailedExchange(id: string, outcome: Outcome) {
+		const exchange = exchanges.get(id);
+		if (!exchange) {
+			return;
+		}
+
+		try {
+			endWithRefusal(exchange, createInternalRefusal(outcome));
+		} finally {
+			if (!exchange.response.writableEnded) {
+				exchange.response.destroy();
+			}
+		}
+	}
+
+	/** What becomes of a call when the handler of an action throws; the other actions owe no caller anything. */
+	const failedActionHandlers: {[Kind in GatewayOutbound['kind']]?: (action: GatewayOutboundOf<Kind>) => void} = {
+		send({call}) {
+			push({kind: 'callFailed', call, isUnsent: exchanges.get(call)?.controller === undefined});
+		},
+		releaseEvents({call}) {
+			push({kind: 'callFailed', call, isUnsent: false});
+		},
+		deliverFailure({call}) {
+			endFailedExchange(call, Outcome.Unknown);
+		},
+		refuse({call}) {
+			endFailedExchange(call, Outcome.Unknown);
+		},
+	};
+
+	function handleActionError(action: GatewayOutbound, error: unknown) {
+		reportInternalError(action.kind, error, {
+			...('call' in action && {request: exchanges.get(action.call)?.requestId}), ...('target' in action && {target: action.target}),
+		});
+		const handler = failedActionHandlers[action.kind] as ((action: GatewayOutbound) => void) | undefined;
+		handler?.(action);
+	}
+
 	/** Reports to the core how a write to the store of quarantines ended. */
 	async function reportWrite(suspect: string, isRemoval: boolean, write: Promise<boolean>) {
 		push({
@@ -180,22 +273,36 @@
 				part: AdapterPart.Peers, level: 'warn', text: 'stream broke', fields: {member, reason},
 			});
 		},
+		onInvalid(kind, reason) {
+			metrics.countInternalError('encode');
+			log.write({
+				part: AdapterPart.Peers, level: 'error', text: 'message or row left out', fields: {message: kind, reason},
+			});
+		},
 	});
 
 	const loop: CoreLoop<GatewayInbound> = createCoreLoop<GatewayInbound, GatewayOutbound>({
-		step: (now, inbox) => runGatewayStep(gateway, now, inbox),
+		step: (now, inbox) => runGatewayStep(gateway, now, inbox, handleStepFailure),
 		timer,
 		tickMs,
 		onStep() {
 			// Step durations are measured by the benchmark of the core, not here.
 		},
+		onHandlerError: handleActionError,
 		handlers: {
 			send(command) {
 				const exchange = exchanges.get(command.call);
 				if (exchange) {
 					metrics.countSend(command);
 					sendToTarget(exchange, command, {
-						connectionPools, format, push, onMalformedHeader, isRateLimited: isTargetRateLimited,
+						connectionPools,
+						format,
+						push,
+						onMalformedHeader,
+						onInternalError(error) {
+							reportInternalError('answer', error, {request: exchange.requestId, target: command.target});
+						},
+						isRateLimited: isTargetRateLimited,
 					});
 				}
 			},
@@ -231,6 +338,7 @@
 			},
 			closed({call}) {
 				exchanges.delete(call);
+				metrics.forgetCall(call);
 			},
 			targetGone({address}) {
 				connectionPools.closePool(address);
@@ -279,7 +387,26 @@
 		},
 	});
 
-	function handleCall(request: IncomingMessage, response: ServerResponse, body: Buffer | undefined) {
+	function handleBuffersFull({url, headers}: IncomingMessage, bytes: number): Refusal {
+		const {maxBufferedBytes, buffersFullRetryAfterMs: retryAfterMs} = gateway.limits;
+		const parsed = format.parseCall({url: url ?? '/', headers});
+		const refusal: Refusal = {
+			kind: RefusalKind.BuffersFull, outcome: Outcome.NotRun, detail: '', retryAfterMs,
+		};
+		metrics.countRefusal(refusal);
+		log.write({
+			part: LogPart.Request,
+			level: 'warn',
+			text: 'refused',
+			request: parsed.kind === 'ok' ? parsed.requestId : undefined,
+			fields: {
+				reason: refusal.kind, outcome: refusal.outcome, retryAfterMs, bytes, bufferedBytes: bufferedBytes.total, maxBufferedBytes,
+			},
+		});
+		return refusal;
+	}
+
+	function handleCall(request: IncomingMessage, response: ServerResponse, body: Buffer | undefined, hold: BufferHold) {
 		const parsed = format.parseCall({url: request.url ?? '/', headers: request.headers});
 		if (parsed.kind === 'malformed') {
 			const refusal: Refusal = {kind: RefusalKind.MalformedBody, outcome: Outcome.NotRun, detail: parsed.detail};
@@ -298,6 +425,7 @@
 			headers: filterRequestHeaders(request.rawHeaders),
 			body,
 			response,
+			hold,
 			isFinished: false,
 			lastEventId: undefined,
 			streamHead: undefined,
@@ -322,16 +450,24 @@
 		};
 
 		const arrive = () => {
-			if (!exchange.isFinished) {
-				hasArrived = true;
+			if (exchange.isFinished) {
+				return;
+			}
+
+			try {
 				const fingerprint = computeFingerprint({
 					method: exchange.method, host: parsed.call.host, url: exchange.url, body,
 				});
+				hasArrived = true;
 				push({
 					kind: 'callArrived', call: {
 						...parsed.call, id, requestId: exchange.requestId, fingerprint,
 					},
 				});
+			} catch (error) {
+				reportInternalError('arrival', error, {request: exchange.requestId});
+				endFailedExchange(id, Outcome.NotRun);
+				exchanges.delete(id);
 			}
 		};
 
@@ -374,7 +510,17 @@
 		bind,
 		traffic,
 		onMessage(from, incarnation, message) {
-			messageHandlers[message.kind]?.(from, incarnation, message as never);
+			// A message from before the start is out of date by the first step.
+			if (isStarted) {
+				messageHandlers[message.kind]?.(from, incarnation, message as never);
+			}
+		},
+		onError: createListenerLogger(AdapterPart.Peers),
+		onInvalid(member, reason) {
+			metrics.countInternalError('decode');
+			log.write({
+				part: AdapterPart.Peers, level: 'error', text: 'message of a peer left out', fields: {member, reason},
+			});
 		},
 	});
 	await beforeCallers(gateway);
@@ -382,17 +528,34 @@
 	const listener = await listenForCallers({
 		address: parseAddress(options.callerListenAddress),
 		bind,
-		onRequest: handleCall,
 		onConnectionClosed: metrics.countClosedConnection,
+		onError: createListenerLogger(AdapterPart.Callers),
+		timer,
+		bufferedBytes,
+		onBuffersFull: handleBuffersFull,
+		onRequest(request, response, body, hold) {
+			try {
+				handleCall(request, response, body, hold);
+			} catch (error) {
+				reportInternalError('request', error);
+				const refusal = createInternalRefusal(Outcome.NotRun);
+				metrics.countRefusal(refusal);
+				writeRefusal(response, refusal);
+			}
+		},
 	});
+	beginGateway(gateway, timer.now());
+	isStarted = true;
 	loop.start();
 
 	return {
 		gateway,
+		bufferedBytes,
 		push,
-		stop() {
-			push({kind: 'stopRequested'});
-			listener.leave();
+		stop,
+		fail(error) {
+			reportInternalError('uncaught', error);
+			stopAfterFailure();
 		},
 		async close() {
 			const {flushMs, exitMs} = computeCloseTimes(gateway.stop);
@@ -414,6 +577,10 @@
 	};
 }
 
+function createInternalRefusal(outcome: Outcome): Refusal {
+	return {kind: RefusalKind.InternalError, outcome, detail: ''};
+}
+
 /** How long the last answers may take at least to reach their callers before all connections are closed, in milliseconds. */
 const minFlushMs = 100;
 
--- a/packages/router/src/log.ts
+++ b/packages/router/src/log.ts
@@ -15,6 +15,7 @@
 	Platform = 'platform',
 	Settings = 'settings',
 	Process = 'process',
+	Internal = 'internal',
 }
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -130,8 +130,15 @@
 		releaseAnswered: proposals.onAnswered,
 		stopped: onStopped,
 	};
+	const logError = createErrorLogger(log, AdapterPart.Internal);
 	const loop: CoreLoop<Inbound> = createCoreLoop<Inbound, Outbound>({
 		step: (now, inbox) => step(world, now, inbox), timer, tickMs: settings.control.tickMs, handlers, onStep: counts.countStep,
+		onHandlerError(item, error) {
+			logError(error instanceof Error ? error : new Error(String(error)));
+			if ('request' in item && item.request !== undefined) {
+				exchanges.fail(item.request);
+			}
+		},
 	});
 
 	startLoadPolling({
@@ -147,6 +154,10 @@
 				kind: 'peerMessage', from, incarnation, message,
 			});
 		},
+		onError: createErrorLogger(log, AdapterPart.Peers),
+		onInvalid(member, reason) {
+			log.write({part: AdapterPart.Peers, level: 'error', text: `left out a message of ${member}: ${reason}`});
+		},
 	});
 	const operatorServer = await listenForOperators({
 		settings, world, log, counts, traffic, bind, proposals, store: platform.store,
@@ -202,6 +213,9 @@
 		onError(member, reason) {
 			log.write({part: AdapterPart.Peers, level: 'warn', text: `stream to ${member} failed: ${reason}`});
 		},
+		onInvalid(kind, reason) {
+			log.write({part: AdapterPart.Peers, level: 'error', text: `left out of ${kind}: ${reason}`});
+		},
 	});
 }
 
@@ -211,7 +225,9 @@
 	const app = createCallerApp({
 		world, now: timer.now, open, onRefused: counts.countRefusal, onInternalError: createErrorLogger(log, AdapterPart.Callers), ...settings.limits,
 	});
-	return listen(app, parseAddress(settings.listen.callers), {limits: settings.limits, bind, isStopping: () => world.stopRequestedAt !== undefined});
+	return listen(app, parseAddress(settings.listen.callers), {
+		limits: settings.limits, bind, isStopping: () => world.stopRequestedAt !== undefined, onError: createErrorLogger(log, AdapterPart.Callers),
+	});
 }
 
 async function listenForOperators({
@@ -230,7 +246,7 @@
 			return metrics.scrape();
 		},
 	});
-	return listen(app, parseAddress(settings.listen.operators), {limits: settings.limits, bind});
+	return listen(app, parseAddress(settings.listen.operators), {limits: settings.limits, bind, onError: createErrorLogger(log, AdapterPart.Operators)});
 }
 
 /** Time for the last refusals to reach their callers after the stop is complete. */
