--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -161,33 +161,15 @@
 		}
 	}
 
-	/** Holds of the requests of each open connection. */
-	const holds = new Map<Socket, Set<BufferHold>>();
 	const lingeringCloses = createLingeringCloses(timer);
 
-	/** Creates a hold that is released when the response or its connection has closed. */
-	function createHold({socket}: IncomingMessage, response: ServerResponse): BufferHold {
+	/** Creates a hold that is released when the response has closed. */
+	function createHold(response: ServerResponse): BufferHold {
 		const hold = bufferedBytes.createHold();
-		// A response whose turn on its connection never comes isn't closed with it.
-		holds.get(socket)?.add(hold);
-		response.once('close', () => {
-			holds.get(socket)?.delete(hold);
-			hold.release();
-		});
+		response.once('close', hold.release);
 		return hold;
 	}
 
-	function trackHolds(socket: Socket) {
-		holds.set(socket, new Set());
-		socket.once('close', () => {
-			for (const hold of holds.get(socket) ?? []) {
-				hold.release();
-			}
-
-			holds.delete(socket);
-		});
-	}
-
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
 		arrivals += 1;
 		if (connections.isEndAnnounced(request.socket)) {
@@ -220,7 +202,7 @@
 
 		const declaredBytes = Number(request.headers['content-length'] ?? 0);
 		const maxBodyBytes = limits.bodyBytes;
-		const hold = createHold(request, response);
+		const hold = createHold(response);
 
 		/** Whether a body of this size may be read; otherwise refuses the request. */
 		function admitBody(bytes: number): boolean {
@@ -277,7 +259,6 @@
 	}, readRequest);
 	server.on('connection', socket => {
 		arrivals += 1;
-		trackHolds(socket);
 		connections.add(socket);
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
