Heads that wait unread during a stall are read before they count as late

Cause: after a stall the timer of node:http finds the head of a request late before the loop has read the bytes that wait in the socket. The listener wrote 408 and went on reading, so the request was parsed and passed on.

Change: a head that counts as late is refused only after the loop has polled once more without completing it; a request behind a refusal of its connection isn't handled.

--- a/packages/core/src/gateway/planned-stops.ts
+++ b/packages/core/src/gateway/planned-stops.ts
@@ -13,7 +13,7 @@
 } from './gateway.ts';
 import {CallState, type Call} from './rows.ts';
 
-export function onStopRequested(gateway: Gateway) {
+export function onStopRequested(gateway: Gateway, {at = gateway.now}: {at?: number} = {}) {
 	if (gateway.stop) {
 		return;
 	}
@@ -22,7 +22,7 @@
 		lingerMs, maxStopMs, stopFlushMs, stopExitMs,
 	} = gateway.limits;
 	gateway.stop = {
-		requestedAt: gateway.now,
+		requestedAt: Math.min(at, gateway.now),
 		times: {
 			lingerMs, maxStopMs, stopFlushMs, stopExitMs,
 		},
--- a/packages/core/src/gateway/ports.ts
+++ b/packages/core/src/gateway/ports.ts
@@ -93,7 +93,8 @@
 		| {kind: 'processorUse'; fraction: number}
 		/** This process stood still for some time, and is about to read what arrived meanwhile. */
 		| {kind: 'stalled'; ms: number}
-		| {kind: 'stopRequested'};
+		/** `at`: earliest time at which the stop may have been requested, if that isn't now. */
+		| {kind: 'stopRequested'; at?: number};
 
 export type GatewayInboundOf<Kind extends GatewayInbound['kind']> = Extract<GatewayInbound, {kind: Kind}>;
 
--- a/packages/core/test/gateway/planned-stops.test.ts
+++ b/packages/core/test/gateway/planned-stops.test.ts
@@ -117,3 +117,15 @@
 	expect(filterByKind(outbox, 'send')).toHaveLength(isTaken ? 1 : 0);
 	expect(filterByKind(outbox, 'refuse').map(({refusal: {kind: refusalKind, outcome}}) => [refusalKind, outcome])).toEqual(isTaken ? [] : [[RefusalKind.Stopping, Outcome.NotRun]]);
 });
+
+// Guards against a process that stands still when it is told to stop, and is killed before its stop ends.
+test('a stop whose request may be older than its handling ends by the age of the request', () => {
+	const bench = createBench({
+		catalogue: createTestCatalogue({routes: [createRoute({pathPrefix: '/look/', timeoutMs: streamMs})]}), targets: [createListedTarget('t1', {slots})], limits: {maxStopMs},
+	});
+	bench.wait(5000);
+	bench.call({remainingMs: streamMs});
+	bench.step({kind: 'stopRequested', at: bench.gateway.now - 4000});
+	expect(bench.gateway.stopPhase).toBe(StopPhase.Draining);
+	expect(filterByKind(bench.wait(maxStopMs - 4000), 'stopped')).toHaveLength(1);
+});
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -20,6 +20,8 @@
 	responses: Set<ServerResponse>;
 	/** Bytes received when its last request was complete. */
 	requestBytes: number;
+	/** Requests so far whose head was complete. */
+	requests: number;
 };
 
 export type CallerConnections = {
@@ -35,6 +37,8 @@
 	/** Announces the ends of all connections on which a response is open. */
 	announceEnds(): void;
 	hasOpenResponse(socket: Socket): boolean;
+	/** Number of requests so far whose head was complete. */
+	countRequests(socket: Socket): number;
 	/** Returns the last open response whose request is complete. */
 	findLastOwedResponse(socket: Socket): ServerResponse | undefined;
 	/** Closes the connections on which no response is open and no request has begun. */
@@ -74,7 +78,7 @@
 	return {
 		add(socket) {
 			const responses = new Set<ServerResponse>();
-			connections.set(socket, {responses, requestBytes: 0});
+			connections.set(socket, {responses, requestBytes: 0, requests: 0});
 			socket.once('close', () => {
 				connections.delete(socket);
 				// node:http closes the response whose turn it is, not those that wait for that.
@@ -87,8 +91,13 @@
 			});
 		},
 		addResponse({socket}, response, onFinish) {
-			const responses = connections.get(socket)?.responses;
+			const connection = connections.get(socket);
+			const responses = connection?.responses;
 			responses?.add(response);
+			if (connection) {
+				connection.requests += 1;
+			}
+
 			response.once('close', () => {
 				responses?.delete(response);
 			});
@@ -112,6 +121,7 @@
 			}
 		},
 		hasOpenResponse: socket => getOpenResponses(socket).length > 0,
+		countRequests: socket => connections.get(socket)?.requests ?? 0,
 		findLastOwedResponse: socket => getOpenResponses(socket).findLast(({req}) => req.complete),
 		closeIdle() {
 			for (const [socket, {responses, requestBytes}] of connections) {
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -135,8 +135,10 @@
 		}
 	}
 
-	/** Connections with bytes that are no request. */
+	/** Connections with bytes that are no request, which are refused after the responses that are owed. */
 	const unparsable = new WeakSet<Socket>();
+	/** Connections on which such bytes have been refused. */
+	const refused = new WeakSet<Socket>();
 
 	/**
 	Refuses bytes that can't be parsed as a request after the responses to the requests before them, since callers take responses in the
@@ -145,6 +147,7 @@
 	function refuseAfterResponses(error: NodeJS.ErrnoException, socket: Socket) {
 		const last = connections.findLastOwedResponse(socket);
 		if (!last) {
+			refused.add(socket);
 			refuseUnparsable(error, socket);
 			return;
 		}
@@ -172,7 +175,7 @@
 
 	function readRequest(request: IncomingMessage, response: ServerResponse) {
 		arrivals += 1;
-		if (connections.isEndAnnounced(request.socket)) {
+		if (refused.has(request.socket) || connections.isEndAnnounced(request.socket)) {
 			request.resume();
 			return;
 		}
@@ -267,8 +270,20 @@
 			return;
 		}
 
-		onConnectionClosed(ConnectionEnd.Unparsable);
-		refuseAfterResponses(error, socket);
+		const requests = connections.countRequests(socket);
+		const refuse = () => {
+			// After a stall, a head that counts as late may have waited unread.
+			if (connections.countRequests(socket) === requests) {
+				onConnectionClosed(ConnectionEnd.Unparsable);
+				refuseAfterResponses(error, socket);
+			}
+		};
+
+		if (error.code === headersTimeoutCode) {
+			runAfterNextPoll(refuse);
+		} else {
+			refuse();
+		}
 	});
 	server.on('connect', (_request, socket) => {
 		refuseAfterResponses(new Error('CONNECT is not supported'), socket as Socket);
--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -178,7 +178,8 @@
 	}
 
 	function stop() {
-		push({kind: 'stopRequested'});
+		// A process that stood still handles the signal late, but is killed at the end of the grace period all the same.
+		push({kind: 'stopRequested', at: stallWatch.getPolledAt()});
 		listener.leave();
 	}
 
@@ -248,7 +249,7 @@
 		push({kind, isSuccessful: await write});
 	}
 
-	const stopWatchingStalls = watchStalls({
+	const stallWatch = watchStalls({
 		timer,
 		tickMs,
 		onStall(ms) {
@@ -568,7 +569,7 @@
 			const untilExit = sleep(Math.min(maxExitMs, Math.max(0, exitMs - sinceStopMs())));
 			await Promise.race([withdrawal, untilExit]);
 			loop.stop();
-			stopWatchingStalls();
+			stallWatch.stop();
 			stopWatchingUse();
 			timer.stop();
 			peers.close();
--- a/packages/router/src/loop-stalls.ts
+++ b/packages/router/src/loop-stalls.ts
@@ -15,19 +15,31 @@
 
 export const defaultStallWatchOptions = {stallMs: 100} satisfies Partial<StallWatchOptions>;
 
-/** Reports the stalls of the event loop until the returned function is called. */
-export function watchStalls(options: StallWatchOptions): () => void {
+export type StallWatch = {
+	/** Time since which the event loop may not have polled: a signal or request that is handled now may have arrived then. */
+	getPolledAt(): number;
+	stop(): void;
+};
+
+/** Reports the stalls of the event loop until it is stopped. */
+export function watchStalls(options: StallWatchOptions): StallWatch {
 	const {
 		timer, tickMs, stallMs, onStall,
 	} = {...defaultStallWatchOptions, ...options};
 	let lastTurnAt = timer.now();
-	return timer.subscribe(tickMs, now => {
+	let polledAt = timer.now();
+	const stop = timer.subscribe(tickMs, now => {
 		const lateMs = now - lastTurnAt - tickMs;
 		lastTurnAt = now;
+		// An immediate runs after the poll of this turn.
+		setImmediate(() => {
+			polledAt = timer.now();
+		});
 		if (lateMs > stallMs) {
 			onStall(lateMs);
 		}
 	});
+	return {getPolledAt: () => polledAt, stop};
 }
 
 /** Interval at which the use of the processor is measured, in milliseconds. */
