--- a/packages/router/src/gateway/gateway-router.ts
+++ b/packages/router/src/gateway/gateway-router.ts
@@ -14,7 +14,7 @@
 	GatewayInbound, GatewayOutbound, GatewayOutboundOf, Registration,
 } from '@shallotloom/core/gateway/ports.ts';
 import {isRateLimited} from '@shallotloom/core/gateway/rate-limits.ts';
-import {runGatewayStep, type StepFailure} from '@shallotloom/core/gateway/step.ts';
+import {runGatewayStep} from '@shallotloom/core/gateway/step.ts';
 import {
 	MemberState, type PeerMessage, type PeerMessageOf, type QuarantineEntry, type StoredVersions, type StreamGroup,
 } from '@shallotloom/core/messages.ts';
@@ -34,6 +34,7 @@
 import {createBufferedBytes, type BufferedBytes, type BufferHold} from './buffered-bytes.ts';
 import type {CallFormat} from './call-format.ts';
 import {listenForCallers} from './caller-listener.ts';
+import {createInternalErrors, createInternalRefusal} from './internal-errors.ts';
 import {filterRequestHeaders} from './hop-by-hop-headers.ts';
 import type {GatewayMetrics} from './gateway-metrics.ts';
 import {computeFingerprint} from './request-fingerprint.ts';
@@ -142,6 +143,10 @@
 		loop.push(inbound);
 	};
 
+	const internalErrors = createInternalErrors({
+		exchanges, metrics, log, push, onSystemFailure: stopAfterFailure,
+	});
+
 	/** Targets and headers whose malformed values have been logged. */
 	const loggedHeaders = new Set<string>();
 
@@ -160,23 +165,6 @@
 		return row?.startId === startId && isRateLimited(row);
 	}
 
-	function reportInternalError(part: string, error: unknown, {request, target}: {request?: string | undefined; target?: string} = {}) {
-		metrics.countInternalError(part);
-		log.write({
-			part: AdapterPart.Internal, level: 'error', text: `internal error: ${error instanceof Error ? error.stack : String(error)}`, request, fields: {in: part, target},
-		});
-	}
-
-	/** Returns a function that reports the errors of a listener. */
-	function createListenerLogger(part: AdapterPart) {
-		return (error: Error) => {
-			metrics.countInternalError('accept');
-			log.write({
-				part, level: 'error', text: 'connection not accepted', fields: {reason: error.message},
-			});
-		};
-	}
-
 	function stop() {
 		// A process that stood still handles the signal late, but is killed at the end of the grace period all the same.
 		push({kind: 'stopRequested', at: stallWatch.getPolledAt()});
@@ -191,53 +179,6 @@
 		}
 	}
 
-	function handleStepFailure({part, isSystem, call, error}: StepFailure) {
-		reportInternalError(part, error, {request: call === undefined ? undefined : (exchanges.get(call)?.requestId ?? call)});
-		if (isSystem) {
-			stopAfterFailure();
-		}
-	}
-
-	/** Ends an exchange of which the core has no call any more: with a final answer, or by cutting the one that has begun. */
-	function endFailedExchange(id: string, outcome: Outcome) {
-		const exchange = exchanges.get(id);
-		if (!exchange) {
-			return;
-		}
-
-		try {
-			endWithRefusal(exchange, createInternalRefusal(outcome));
-		} finally {
-			if (!exchange.response.writableEnded) {
-				exchange.response.destroy();
-			}
-		}
-	}
-
-	/** What becomes of a call when the handler of an action throws; the other actions owe no caller anything. */
-	const failedActionHandlers: {[Kind in GatewayOutbound['kind']]?: (action: GatewayOutboundOf<Kind>) => void} = {
-		send({call}) {
-			push({kind: 'callFailed', call, isUnsent: exchanges.get(call)?.controller === undefined});
-		},
-		releaseEvents({call}) {
-			push({kind: 'callFailed', call, isUnsent: false});
-		},
-		deliverFailure({call}) {
-			endFailedExchange(call, Outcome.Unknown);
-		},
-		refuse({call}) {
-			endFailedExchange(call, Outcome.Unknown);
-		},
-	};
-
-	function handleActionError(action: GatewayOutbound, error: unknown) {
-		reportInternalError(action.kind, error, {
-			...('call' in action && {request: exchanges.get(action.call)?.requestId}), ...('target' in action && {target: action.target}),
-		});
-		const handler = failedActionHandlers[action.kind] as ((action: GatewayOutbound) => void) | undefined;
-		handler?.(action);
-	}
-
 	/** Reports to the core how a write to the store of quarantines ended. */
 	async function reportWrite(suspect: string, isRemoval: boolean, write: Promise<boolean>) {
 		push({
@@ -283,13 +224,13 @@
 	});
 
 	const loop: CoreLoop<GatewayInbound> = createCoreLoop<GatewayInbound, GatewayOutbound>({
-		step: (now, inbox) => runGatewayStep(gateway, now, inbox, handleStepFailure),
+		step: (now, inbox) => runGatewayStep(gateway, now, inbox, internalErrors.handleStepFailure),
 		timer,
 		tickMs,
 		onStep() {
 			// Step durations are measured by the benchmark of the core, not here.
 		},
-		onHandlerError: handleActionError,
+		onHandlerError: internalErrors.handleActionError,
 		handlers: {
 			send(command) {
 				const exchange = exchanges.get(command.call);
@@ -301,7 +242,7 @@
 						push,
 						onMalformedHeader,
 						onInternalError(error) {
-							reportInternalError('answer', error, {request: exchange.requestId, target: command.target});
+							internalErrors.report('answer', error, {request: exchange.requestId, target: command.target});
 						},
 						isRateLimited: isTargetRateLimited,
 					});
@@ -466,8 +407,8 @@
 					},
 				});
 			} catch (error) {
-				reportInternalError('arrival', error, {request: exchange.requestId});
-				endFailedExchange(id, Outcome.NotRun);
+				internalErrors.report('arrival', error, {request: exchange.requestId});
+				internalErrors.endExchange(id, Outcome.NotRun);
 				exchanges.delete(id);
 			}
 		};
@@ -516,7 +457,7 @@
 				messageHandlers[message.kind]?.(from, incarnation, message as never);
 			}
 		},
-		onError: createListenerLogger(AdapterPart.Peers),
+		onError: internalErrors.createListenerLogger(AdapterPart.Peers),
 		onInvalid(member, reason) {
 			metrics.countInternalError('decode');
 			log.write({
@@ -530,7 +471,7 @@
 		address: parseAddress(options.callerListenAddress),
 		bind,
 		onConnectionClosed: metrics.countClosedConnection,
-		onError: createListenerLogger(AdapterPart.Callers),
+		onError: internalErrors.createListenerLogger(AdapterPart.Callers),
 		timer,
 		bufferedBytes,
 		onBuffersFull: handleBuffersFull,
@@ -538,7 +479,7 @@
 			try {
 				handleCall(request, response, body, hold);
 			} catch (error) {
-				reportInternalError('request', error);
+				internalErrors.report('request', error);
 				const refusal = createInternalRefusal(Outcome.NotRun);
 				metrics.countRefusal(refusal);
 				writeRefusal(response, refusal);
@@ -555,7 +496,7 @@
 		push,
 		stop,
 		fail(error) {
-			reportInternalError('uncaught', error);
+			internalErrors.report('uncaught', error);
 			stopAfterFailure();
 		},
 		async close() {
@@ -578,10 +519,6 @@
 	};
 }
 
-function createInternalRefusal(outcome: Outcome): Refusal {
-	return {kind: RefusalKind.InternalError, outcome, detail: ''};
-}
-
 /** How long the last answers may take at least to reach their callers before all connections are closed, in milliseconds. */
 const minFlushMs = 100;
 
