--- a/packages/router/test/gateway/odd-requests.test.ts
+++ b/packages/router/test/gateway/odd-requests.test.ts
@@ -36,7 +36,7 @@
 	// Guards against a request of one caller that takes the targets from all others.
 	test.each(unsendable)('is refused and sets no target aside: %s', async (_name, request) => {
 		const callerAddress = await start(answerLatin1, answerLatin1);
-		expect(parseStatuses(await sendRaw(callerAddress, [request], {waitMs: 100}))).toEqual([400]);
+		expect(parseStatuses(await sendRaw(callerAddress, [request], {quietMs: 100}))).toEqual([400]);
 		for (const target of testRouter.router.gateway.targets.rows()) {
 			expect(target).toMatchObject({consecutiveFailures: 0, running: 0});
 		}
--- a/packages/router/test/support/raw-caller.ts
+++ b/packages/router/test/support/raw-caller.ts
@@ -4,13 +4,21 @@
 import {Buffer} from 'node:buffer';
 import {connect} from 'node:net';
 
-/** Sends pieces of a request, with pauses between them, and returns what arrives until the connection is closed or `waitMs` have passed. */
-export async function sendRaw(address: string, pieces: string[], {pauseMs = 50, waitMs = 400} = {}): Promise<string> {
+/** Interval at which it is checked whether more has arrived, in milliseconds. */
+const checkMs = 10;
+
+/**
+Sends pieces of a request, with pauses between them, and returns what arrives until the connection is closed, nothing has followed an
+answer for `quietMs`, or `waitMs` have passed.
+*/
+export async function sendRaw(address: string, pieces: string[], {pauseMs = 50, waitMs = 5000, quietMs = 400} = {}): Promise<string> {
 	const [host, port] = address.split(':');
 	const socket = connect({host, port: Number(port)});
 	let received = '';
+	let receivedAt = Number.POSITIVE_INFINITY;
 	socket.on('data', chunk => {
 		received += chunk.toString('latin1');
+		receivedAt = performance.now();
 	});
 	socket.on('error', () => {
 		// What arrived before a reset is returned.
@@ -20,9 +28,11 @@
 		await sleep(pauseMs);
 	}
 
-	await Promise.race([sleep(waitMs), new Promise(resolve => {
-		socket.once('close', resolve);
-	})]);
+	const endsAt = performance.now() + waitMs;
+	while (!socket.closed && performance.now() < Math.min(endsAt, receivedAt + quietMs)) {
+		await sleep(checkMs);
+	}
+
 	socket.destroy();
 	return received;
 }
