--- a/packages/router/src/cli/program.ts
+++ b/packages/router/src/cli/program.ts
@@ -5,7 +5,6 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import sade from 'sade';
-import {LogPart} from '@shallotloom/core/ports.ts';
 import {awaitSettings} from '@shallotloom/settings/load.ts';
 import {checkRouterSettings, loadRouterSettings} from '@shallotloom/settings/router-settings.ts';
 import {describeProblems} from '@shallotloom/settings/problems.ts';
@@ -73,8 +72,7 @@
 	});
 	const limitStop = () => {
 		setTimeout(() => {
-			log.write({part: LogPart.Stop, level: 'error', text: `planned stop timed out after ${settings.stop.graceMs} ms with answers still running`});
-			lifecycle.handle(ProcessEvent.StopTimedOut);
+			lifecycle.handle(ProcessEvent.StopFailed, `planned stop timed out after ${settings.stop.graceMs} ms with answers still running`);
 		}, settings.stop.graceMs);
 	};
 
--- a/packages/router/src/process-lifecycle.ts
+++ b/packages/router/src/process-lifecycle.ts
@@ -26,8 +26,8 @@
 	StartFailed = 'start-failed',
 	/** The planned stop is complete and all connections are closed. */
 	Stopped = 'stopped',
-	/** The time for the planned stop is over. */
-	StopTimedOut = 'stop-timed-out',
+	/** The planned stop can't be completed: its time is over, or exceptions go on. */
+	StopFailed = 'stop-failed',
 	/** An exception that no part of the program has handled. */
 	Exception = 'exception',
 }
@@ -63,7 +63,7 @@
 	[ProcessEvent.Started]: none,
 	[ProcessEvent.StartFailed]: none,
 	[ProcessEvent.Stopped]: none,
-	[ProcessEvent.StopTimedOut]: none,
+	[ProcessEvent.StopFailed]: none,
 	[ProcessEvent.Exception]: none,
 };
 
@@ -95,7 +95,7 @@
 	[ProcessState.Draining]: {
 		...ignoreAll,
 		[ProcessEvent.Stopped]: exit,
-		[ProcessEvent.StopTimedOut]: fail,
+		[ProcessEvent.StopFailed]: fail,
 		[ProcessEvent.Exception]: {action: ProcessAction.FailAgain, exitCode: ExitCode.Failed},
 	},
 	[ProcessState.Ended]: ignoreAll,
@@ -185,10 +185,11 @@
 		[ProcessAction.FailAgain]() {
 			stopExceptions += 1;
 			if (stopExceptions >= maxStopExceptions) {
-				handle(ProcessEvent.StopTimedOut, `${stopExceptions} exceptions during the stop`);
+				handle(ProcessEvent.StopFailed, `${stopExceptions} exceptions during the stop`);
 			}
 		},
 		[ProcessAction.Exit]() {
+			// Without handlers, no log has these events.
 			for (const {event, state: stateThen, cause} of exitCode === ExitCode.Stopped ? [] : recorded) {
 				writeDiagnostic(`${event} while ${stateThen}: ${cause}`);
 			}
--- a/packages/router/src/process-log.ts
+++ b/packages/router/src/process-log.ts
@@ -9,7 +9,7 @@
 /** Levels of the events that are no part of an ordinary life; the others are informational. */
 const eventLevels: Partial<Record<ProcessEvent, LogLevel>> = {
 	[ProcessEvent.StartFailed]: 'error',
-	[ProcessEvent.StopTimedOut]: 'error',
+	[ProcessEvent.StopFailed]: 'error',
 	[ProcessEvent.Exception]: 'error',
 };
 
--- a/packages/router/test/process-lifecycle.test.ts
+++ b/packages/router/test/process-lifecycle.test.ts
@@ -92,7 +92,7 @@
 	complete.lifecycle.handle(ProcessEvent.Stopped);
 	expect(complete.done).toEqual(['exit 0']);
 	const late = enter(Draining);
-	late.lifecycle.handle(ProcessEvent.StopTimedOut);
+	late.lifecycle.handle(ProcessEvent.StopFailed);
 	expect(late.done).toEqual(['exit 1']);
 	const broken = enter(Serving);
 	broken.source.emit('uncaughtException', new Error('broken'));
